Workspace, schema, and the first crates: units, kernel, config, settings, telemetry, web

The base that the thin whole path is built on. The interfaces between the crates (platform::Store, peer::Link, membership::Reader, distribution::Command) are fixed first, so that the parts can be written side by side.

--- /dev/null
+++ b/components/config/src/change.rs
@@ -0,0 +1,162 @@
+//! One operator's change to the configuration.
+
+use compact_str::CompactString;
+use schema::config as wire;
+
+use crate::{Findings, Limits, Route, Service};
+
+units::record! {
+    /// A change that is accepted whole or refused whole.
+    pub struct Change {
+        /// Id of the operation.
+        pub operation: units::Operation,
+        /// Resources to create or replace.
+        pub puts: Vec<Put>,
+        /// Resources to remove.
+        pub removes: Vec<Remove>,
+        /// Who asked.
+        pub author: CompactString,
+    }
+
+    /// A resource to create or replace.
+    pub enum Put {
+        /// A service, and the revision it must have.
+        Service(Service, Option<units::Version>),
+        /// A route, and the revision it must have.
+        Route(Route, Option<units::Version>),
+    }
+
+    /// A resource to remove.
+    pub enum Remove {
+        /// The service of this name, and the revision it must have.
+        Service(CompactString, Option<units::Version>),
+        /// The route of this name, and the revision it must have.
+        Route(CompactString, Option<units::Version>),
+    }
+}
+
+impl Change {
+    /// Reads the wire form.
+    ///
+    /// # Errors
+    /// Everything that is malformed, with JSON pointers into the change.
+    pub fn decode(wire: &wire::Change) -> Result<Self, Findings> {
+        let mut findings = Findings::default();
+        let operation = decode_operation(&wire.operation, &mut findings);
+        let count = wire.puts.len() + wire.removes.len();
+        if count == 0 || count > Limits::RESOURCES {
+            let expected = format!("1 to {} resources", Limits::RESOURCES);
+            findings.add("", format!("{count} resources"), expected);
+        }
+        let mut puts = Vec::with_capacity(wire.puts.len());
+        for (index, put) in wire.puts.iter().enumerate() {
+            puts.extend(Put::decode(put, &format!("/puts/{index}"), &mut findings));
+        }
+        let mut removes = Vec::with_capacity(wire.removes.len());
+        for (index, remove) in wire.removes.iter().enumerate() {
+            let place = format!("/removes/{index}");
+            removes.extend(Remove::decode(remove, &place, &mut findings));
+        }
+        let author = wire.author.as_str().into();
+        let change = operation.map(|operation| Self {
+            operation,
+            puts,
+            removes,
+            author,
+        });
+        match change {
+            Some(change) => findings.into_result(change),
+            None => Err(findings),
+        }
+    }
+
+    /// The wire form.
+    #[must_use]
+    pub fn encode(&self) -> wire::Change {
+        wire::Change {
+            operation: self.operation.to_string(),
+            puts: self.puts.iter().map(Put::encode).collect(),
+            removes: self.removes.iter().map(Remove::encode).collect(),
+            author: self.author.to_string(),
+        }
+    }
+}
+
+fn decode_operation(text: &str, findings: &mut Findings) -> Option<units::Operation> {
+    let parsed = text.parse();
+    if let Err(units::Error { expected, .. }) = &parsed {
+        let problem = format!("`{text}` is not an operation id");
+        findings.add("/operation", problem, *expected);
+    }
+    parsed.ok()
+}
+
+impl Put {
+    /// JSON pointer of the resource inside the change, below `place`.
+    #[must_use]
+    pub fn place(&self, index: usize) -> String {
+        match self {
+            Self::Service(..) => format!("/puts/{index}/service"),
+            Self::Route(..) => format!("/puts/{index}/route"),
+        }
+    }
+
+    fn decode(wire: &wire::Put, place: &str, findings: &mut Findings) -> Option<Self> {
+        let expected = wire.expected_revision.map(units::Version);
+        match &wire.resource {
+            Some(wire::put::Resource::Service(service)) => {
+                let service = Service::decode(service, &format!("{place}/service"), findings);
+                Some(Self::Service(service, expected))
+            }
+            Some(wire::put::Resource::Route(route)) => {
+                let route = Route::decode(route, &format!("{place}/route"), findings);
+                Some(Self::Route(route, expected))
+            }
+            None => {
+                findings.add(place, "no resource", "a service or a route");
+                None
+            }
+        }
+    }
+
+    fn encode(&self) -> wire::Put {
+        let (resource, expected) = match self {
+            Self::Service(service, expected) => {
+                (wire::put::Resource::Service(service.encode()), expected)
+            }
+            Self::Route(route, expected) => (wire::put::Resource::Route(route.encode()), expected),
+        };
+        wire::Put {
+            resource: Some(resource),
+            expected_revision: expected.map(|version| version.0),
+        }
+    }
+}
+
+impl Remove {
+    fn decode(wire: &wire::Remove, place: &str, findings: &mut Findings) -> Option<Self> {
+        let name = wire.name.as_str().into();
+        let expected = wire.expected_revision.map(units::Version);
+        match wire::remove::Kind::try_from(wire.kind) {
+            Ok(wire::remove::Kind::Service) => Some(Self::Service(name, expected)),
+            Ok(wire::remove::Kind::Route) => Some(Self::Route(name, expected)),
+            Ok(wire::remove::Kind::Unspecified) | Err(_) => {
+                let problem = format!("unknown kind {}", wire.kind);
+                findings.add(format!("{place}/kind"), problem, "1 or 2");
+                None
+            }
+        }
+    }
+
+    fn encode(&self) -> wire::Remove {
+        let (kind, name, expected) = match self {
+            Self::Service(name, expected) => (wire::remove::Kind::Service, name, expected),
+            Self::Route(name, expected) => (wire::remove::Kind::Route, name, expected),
+        };
+        wire::Remove {
+            kind: kind.into(),
+            name: name.to_string(),
+            expected_revision: expected.map(|version| version.0),
+        }
+    }
+}
--- /dev/null
+++ b/components/config/src/lib.rs
@@ -0,0 +1,20 @@
+//! Configuration of the mesh: services, routes, changes, and immutable snapshots of the whole.
+
+mod change;
+mod finding;
+mod idempotency;
+mod limits;
+mod route;
+mod service;
+mod snapshot;
+mod weight;
+
+pub use change::{Change, Put, Remove};
+pub use finding::encode_findings;
+pub use findings::{Finding, Findings};
+pub use idempotency::Idempotency;
+pub use limits::Limits;
+pub use route::Route;
+pub use service::Service;
+pub use snapshot::{Applied, Refusal, Snapshot};
+pub use weight::Weight;
--- /dev/null
+++ b/components/kernel/src/system.rs
@@ -0,0 +1,78 @@
+//! Start and ordered shutdown of services.
+
+use std::future;
+use std::time;
+
+use compio::runtime;
+
+use crate::{Registry, Stop, Trigger, stop};
+
+/// A part of a process that runs until it is asked to stop.
+pub trait Service: 'static {
+    /// Name under which the service is known in logs.
+    const NAME: &'static str;
+
+    /// Runs until `stop` is requested, then ends what is in flight and returns.
+    fn run(self, stop: Stop) -> impl future::Future<Output = ()> + 'static;
+}
+
+/// The services of one process.
+#[derive(Default)]
+pub struct Kernel {
+    registry: std::rc::Rc<Registry>,
+    running: Vec<Running>,
+}
+
+struct Running {
+    name: &'static str,
+    trigger: Trigger,
+    task: runtime::JoinHandle<()>,
+}
+
+impl Kernel {
+    /// Longest time that one service may take to stop.
+    pub const STOP_LIMIT: time::Duration = time::Duration::from_secs(30);
+
+    /// A kernel without services.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The names of the services and their handles.
+    #[must_use]
+    pub fn registry(&self) -> std::rc::Rc<Registry> {
+        self.registry.clone()
+    }
+
+    /// Starts `service`; it stops before all that were started earlier.
+    pub fn start<S: Service>(&mut self, service: S) {
+        let (trigger, stop) = stop();
+        log::debug!(service = S::NAME; "service starts");
+        let task = runtime::spawn(service.run(stop));
+        self.running.push(Running {
+            name: S::NAME,
+            trigger,
+            task,
+        });
+    }
+
+    /// Stops the services one by one, the last started first.
+    pub async fn close(mut self) {
+        while let Some(running) = self.running.pop() {
+            running.close().await;
+        }
+    }
+}
+
+impl Running {
+    async fn close(self) {
+        self.trigger.fire();
+        let ended = compio::time::timeout(Kernel::STOP_LIMIT, self.task).await;
+        match ended {
+            Ok(Ok(())) => log::debug!(service = self.name; "service stopped"),
+            Ok(Err(_)) => log::error!(service = self.name; "service panicked"),
+            Err(_) => log::error!(service = self.name; "service did not stop in time"),
+        }
+    }
+}
--- /dev/null
+++ b/components/peer/src/link.rs
@@ -0,0 +1,17 @@
+//! Sends requests to other nodes.
+
+use std::time;
+
+use crate::Error;
+
+/// Sends requests to other nodes; clones share the connections.
+pub trait Link: Clone + 'static {
+    /// Sends `payload` to `service` of the node at `to` and waits up to `timeout` for the answer.
+    fn call(
+        &self,
+        to: units::Address,
+        service: &'static str,
+        payload: Vec<u8>,
+        timeout: time::Duration,
+    ) -> impl Future<Output = Result<Vec<u8>, Error>>;
+}
--- /dev/null
+++ b/components/schema/src/lib.rs
@@ -0,0 +1,27 @@
+//! Messages and services of the protobuf schema, generated from `proto/`.
+//!
+//! `cargo run -p generate` writes `src/generated`; CI fails when it differs from what is committed.
+
+#[allow(missing_docs, clippy::all, clippy::too_many_lines, unreachable_pub)]
+#[rustfmt::skip]
+mod generated {
+    pub mod announce { pub mod v1 { include!("generated/radishgap.announce.v1.rs"); } }
+    pub mod config { pub mod v1 { include!("generated/radishgap.config.v1.rs"); } }
+    pub mod distribution { pub mod v1 { include!("generated/radishgap.distribution.v1.rs"); } }
+    pub mod membership { pub mod v1 { include!("generated/radishgap.membership.v1.rs"); } }
+    pub mod operator { pub mod v1 { include!("generated/radishgap.operator.v1.rs"); } }
+    pub mod peer { pub mod v1 { include!("generated/radishgap.peer.v1.rs"); } }
+}
+
+/// Announcements of backend servers.
+pub use generated::announce::v1 as announce;
+/// Configuration resources and the log.
+pub use generated::config::v1 as config;
+/// Messages of the distribution service.
+pub use generated::distribution::v1 as distribution;
+/// Messages of the membership service.
+pub use generated::membership::v1 as membership;
+/// Remote procedure calls for operators.
+pub use generated::operator::v1 as operator;
+/// Envelope of messages between nodes.
+pub use generated::peer::v1 as peer;
--- /dev/null
+++ b/components/settings/tests/load.rs
@@ -0,0 +1,61 @@
+//! Every problem of a settings file is reported at once, with its place.
+
+use settings::{Document, Findings};
+
+#[derive(Debug, serde::Deserialize, schemars::JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct Sample {
+    /// Where it listens.
+    listen: units::Address,
+    /// How long it waits.
+    #[serde(default = "default_wait")]
+    wait: units::Period,
+}
+
+fn default_wait() -> units::Period {
+    units::Period::from_secs(2)
+}
+
+impl Document for Sample {
+    fn check(&self, findings: &mut Findings) {
+        if self.wait.as_millis() == 0 {
+            findings.add("/wait", "no wait", "a wait above zero");
+        }
+    }
+}
+
+#[test]
+fn parse_defaults() {
+    let sample: Sample = settings::parse(r#"{"listen": "127.0.0.1:80"}"#).expect("it is valid");
+    assert_eq!(sample.wait, default_wait());
+    assert_eq!(sample.listen.to_string(), "127.0.0.1:80");
+}
+
+#[test]
+fn parse_all_findings() {
+    let text = r#"{"listen": "localhost", "wait": "2 bananas", "colour": 3}"#;
+    let findings = settings::parse::<Sample>(text).expect_err("it is wrong");
+    insta::assert_snapshot!(findings);
+}
+
+#[test]
+fn parse_fault_cases() {
+    for (name, text, place) in [
+        ("not JSON", "{", ""),
+        ("missing key", "{}", ""),
+        (
+            "impossible value",
+            r#"{"listen": "127.0.0.1:80", "wait": "0s"}"#,
+            "/wait",
+        ),
+        ("bad port", r#"{"listen": "127.0.0.1:99999"}"#, ""),
+    ] {
+        let findings = settings::parse::<Sample>(text).expect_err(name);
+        assert_eq!(findings.as_slice()[0].place, place, "{name}: {findings}");
+    }
+}
+
+#[test]
+fn reference_rows() {
+    insta::assert_snapshot!(settings::reference::<Sample>());
+}
--- /dev/null
+++ b/components/upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/components/web/src/lib.rs
@@ -0,0 +1,15 @@
+//! HTTP/1.1, HTTP/2 and gRPC over compio: servers that shut down gracefully, and client connections.
+
+mod body;
+mod channel;
+mod connection;
+mod executor;
+mod grpc;
+mod server;
+
+pub use body::{Body, Fault};
+pub use channel::Channel;
+pub use connection::Connection;
+pub use executor::Executor;
+pub use grpc::Grpc;
+pub use server::{Handler, Limits, Server};
--- /dev/null
+++ b/components/web/src/server.rs
@@ -0,0 +1,195 @@
+//! Server for HTTP/1.1 and HTTP/2 on one listener, with graceful shutdown.
+
+use std::cell;
+use std::convert;
+use std::io;
+use std::pin;
+use std::rc;
+use std::time;
+
+use bytes::Bytes;
+use compio::net;
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::future;
+use hyper::body::Incoming;
+use hyper_util::server::conn::auto;
+
+use crate::Executor;
+
+/// Answers requests; cloned for each request, so that a clone has to be cheap.
+pub trait Handler: Clone + 'static {
+    /// Body of the answers.
+    type Body: http_body::Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>
+        + 'static;
+
+    /// Answers one request. Dropping the future cancels the request.
+    fn handle(
+        self,
+        request: http::Request<Incoming>,
+    ) -> impl Future<Output = http::Response<Self::Body>> + 'static;
+}
+
+/// Bounds of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Connections at a time; further ones wait in the listen queue.
+    pub connections: usize,
+    /// HTTP/2 streams at a time on one connection.
+    pub streams: u32,
+    /// Largest list of headers, in bytes.
+    pub header_bytes: u32,
+    /// Time that a client has for sending the headers of a request.
+    pub header_timeout: time::Duration,
+    /// Silence after which an HTTP/2 connection is pinged.
+    pub ping_after: time::Duration,
+    /// Time that the answer to a ping may take before the connection is closed.
+    pub ping_timeout: time::Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 1024,
+            streams: 1024,
+            header_bytes: 32 * 1024,
+            header_timeout: time::Duration::from_secs(10),
+            ping_after: time::Duration::from_secs(10),
+            ping_timeout: time::Duration::from_secs(10),
+        }
+    }
+}
+
+/// A bound listener.
+pub struct Server {
+    listener: net::TcpListener,
+    limits: Limits,
+}
+
+impl Server {
+    /// Pause after a failed accept, such as when no file descriptor is free.
+    const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
+    /// Time for connections to end by themselves after a shutdown began.
+    const DRAIN_LIMIT: time::Duration = time::Duration::from_secs(25);
+
+    /// Binds `address`.
+    ///
+    /// # Errors
+    /// The error of the operating system, such as an address in use.
+    pub async fn bind(address: units::Address, limits: Limits) -> io::Result<Self> {
+        let listener = net::TcpListener::bind(address.0).await?;
+        Ok(Self { listener, limits })
+    }
+
+    /// The bound address, with the port that was given for port 0.
+    ///
+    /// # Errors
+    /// The error of the operating system.
+    pub fn address(&self) -> io::Result<units::Address> {
+        self.listener.local_addr().map(units::Address)
+    }
+
+    /// Serves until `stop` is requested, then lets requests in flight finish.
+    pub async fn run<H: Handler>(self, handler: H, stop: kernel::Stop) {
+        let open = rc::Rc::new(cell::Cell::new(0_usize));
+        loop {
+            if open.get() >= self.limits.connections {
+                if !stop.sleep(Self::ACCEPT_PAUSE).await {
+                    break;
+                }
+                continue;
+            }
+            let Some(accepted) = stop.guard(self.listener.accept()).await else {
+                break;
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let served = serve(stream, handler.clone(), self.limits, stop.clone());
+                    let guard = Guard::new(open.clone());
+                    compio::runtime::spawn(async move {
+                        served.await;
+                        drop(guard);
+                    })
+                    .detach();
+                }
+                Err(error) => {
+                    log::warn!(error:% = error; "accept failed");
+                    compio::time::sleep(Self::ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        let _ = self.listener.close().await;
+        drain(&open).await;
+    }
+}
+
+/// Counts one open connection for as long as it lives.
+struct Guard {
+    open: rc::Rc<cell::Cell<usize>>,
+}
+
+impl Guard {
+    fn new(open: rc::Rc<cell::Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self { open }
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+/// Waits until no connection is open, within the limit.
+async fn drain(open: &cell::Cell<usize>) {
+    let started = time::Instant::now();
+    while open.get() > 0 && started.elapsed() < Server::DRAIN_LIMIT {
+        compio::time::sleep(Server::ACCEPT_PAUSE).await;
+    }
+}
+
+/// Serves one connection until it closes, or gracefully once `stop` is requested.
+async fn serve<H: Handler>(stream: net::TcpStream, handler: H, limits: Limits, stop: kernel::Stop) {
+    let _ = stream.set_nodelay(true);
+    let service = hyper::service::service_fn(move |request| {
+        let answer = handler.clone().handle(request);
+        async move { Ok::<_, convert::Infallible>(answer.await) }
+    });
+    let builder = configure(limits);
+    let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
+    let mut connection = pin::pin!(connection);
+    let ended = {
+        let requested = pin::pin!(stop.requested());
+        match future::select(connection.as_mut(), requested).await {
+            future::Either::Left((ended, _)) => Some(ended),
+            future::Either::Right(_) => None,
+        }
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(error:% = error; "connection ended with an error");
+    }
+}
+
+fn configure(limits: Limits) -> auto::Builder<Executor> {
+    let mut builder = auto::Builder::new(Executor);
+    builder
+        .http1()
+        .timer(CompioTimer)
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.header_bytes as usize);
+    builder
+        .http2()
+        .timer(CompioTimer)
+        .max_concurrent_streams(limits.streams)
+        .max_header_list_size(limits.header_bytes)
+        .keep_alive_interval(limits.ping_after)
+        .keep_alive_timeout(limits.ping_timeout);
+    builder
+}
--- /dev/null
+++ b/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line for operators.
+
+fn main() {}
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,3 @@
+//! Process beside each backend server.
+
+fn main() {}
--- /dev/null
+++ b/testing/backend/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-in for a backend server.
+
+fn main() {}
--- /dev/null
+++ b/testing/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Load and experiment tool.
+
+fn main() {}
--- /dev/null
+++ b/testing/platform/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-in for the platform's object API.
+
+fn main() {}
