--- /dev/null
+++ b/components/routing/src/withheld.rs
@@ -0,0 +1,62 @@
+//! Versions that get no traffic although the configuration gives them a share.
+
+use std::cell;
+use std::rc;
+
+use compact_str::CompactString;
+
+/// Versions that get no traffic from this node; clones share the list.
+///
+/// A version is withheld as soon as any node sees that it is bad, before the configuration says so.
+#[derive(Debug, Clone, Default)]
+pub struct Withheld {
+    /// Pairs of service and version, sorted.
+    entries: rc::Rc<cell::RefCell<Vec<(CompactString, CompactString)>>>,
+}
+
+impl Withheld {
+    /// Withholds `version` of `service`; returns whether that is new.
+    pub fn add(&self, service: &str, version: &str) -> bool {
+        let mut entries = self.entries.borrow_mut();
+        match Self::place(&entries, service, version) {
+            Ok(_) => false,
+            Err(place) => {
+                entries.insert(place, (service.into(), version.into()));
+                true
+            }
+        }
+    }
+
+    /// Gives `version` of `service` its share again; returns whether it was withheld.
+    pub fn remove(&self, service: &str, version: &str) -> bool {
+        let mut entries = self.entries.borrow_mut();
+        match Self::place(&entries, service, version) {
+            Ok(place) => {
+                entries.remove(place);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Whether `version` of `service` is withheld.
+    #[must_use]
+    pub fn contains(&self, service: &str, version: &str) -> bool {
+        Self::place(&self.entries.borrow(), service, version).is_ok()
+    }
+
+    /// All pairs of service and version, sorted.
+    #[must_use]
+    pub fn list(&self) -> Vec<(CompactString, CompactString)> {
+        self.entries.borrow().clone()
+    }
+
+    fn place(
+        entries: &[(CompactString, CompactString)],
+        service: &str,
+        version: &str,
+    ) -> Result<usize, usize> {
+        entries
+            .binary_search_by(|entry| (entry.0.as_str(), entry.1.as_str()).cmp(&(service, version)))
+    }
+}
