--- /dev/null
+++ b/node/src/settings.rs
@@ -0,0 +1,102 @@
+//! Settings of a node.
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use settings::Findings;
+
+/// Settings of a node.
+#[derive(Debug, Clone, Deserialize, schemars::JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Id of the node, unique in the mesh and stable over restarts.
+    pub node: units::Node,
+    /// Data centre that it runs in.
+    pub data_centre: units::DataCentre,
+    /// Region of the data centre.
+    pub region: units::DataCentre,
+    /// Where callers send requests by HTTP/1.1 or HTTP/2.
+    pub callers: units::Address,
+    /// Where other nodes send requests by HTTP/2.
+    pub mesh: units::Address,
+    /// Where other nodes send control messages by NNG.
+    pub peer: units::Address,
+    /// Where operators call by gRPC.
+    pub operator: units::Address,
+    /// Where the backend server beside the node announces itself by gRPC.
+    pub announce: units::Address,
+    /// Where metrics, health, readiness and the state dump are served by HTTP.
+    pub admin: units::Address,
+    /// Object API of the platform.
+    pub platform: units::Address,
+    /// Peer addresses of other nodes, beside those that the platform's seed objects name.
+    #[serde(default)]
+    pub seeds: Vec<units::Address>,
+    /// Least severe level that is logged.
+    #[serde(default)]
+    pub log_level: telemetry::Level,
+    /// Token that operators send; the environment variable `RADISHGAP_OPERATOR_TOKEN` goes before it.
+    #[serde(default)]
+    #[schemars(with = "String")]
+    pub operator_token: CompactString,
+    /// Time that a graceful shutdown leaves for requests in flight.
+    #[serde(default = "default_drain")]
+    pub drain: units::Period,
+}
+
+fn default_drain() -> units::Period {
+    units::Period::from_secs(20)
+}
+
+impl Settings {
+    /// Shortest token that operators may use, in bytes.
+    const TOKEN_BYTES: usize = 8;
+    /// Environment variable with the operators' token.
+    pub const TOKEN_VARIABLE: &'static str = "RADISHGAP_OPERATOR_TOKEN";
+
+    /// The token that operators send; the environment goes before the file.
+    #[must_use]
+    pub fn token(&self) -> CompactString {
+        match std::env::var(Self::TOKEN_VARIABLE) {
+            Ok(token) => token.into(),
+            Err(_) => self.operator_token.clone(),
+        }
+    }
+
+    /// The addresses that the node listens on, with the names of their settings.
+    fn listeners(&self) -> [(&'static str, units::Address); 6] {
+        [
+            ("/admin", self.admin),
+            ("/announce", self.announce),
+            ("/callers", self.callers),
+            ("/mesh", self.mesh),
+            ("/operator", self.operator),
+            ("/peer", self.peer),
+        ]
+    }
+}
+
+impl settings::Document for Settings {
+    fn check(&self, findings: &mut Findings) {
+        let listeners = self.listeners();
+        for (index, (place, address)) in listeners.iter().enumerate() {
+            let earlier = &listeners[..index];
+            if let Some((other, _)) = earlier.iter().find(|other| other.1 == *address) {
+                let problem = format!("{address} is taken by {other}");
+                findings.add(*place, problem, "an address of its own for each listener");
+            }
+        }
+        for (place, address) in [("/mesh", self.mesh), ("/peer", self.peer)] {
+            if address.0.ip().is_unspecified() {
+                let problem = format!("other nodes cannot reach {address}");
+                findings.add(place, problem, "the IP address that other nodes use");
+            }
+        }
+        if self.token().len() < Self::TOKEN_BYTES {
+            let expected = "a token of at least 8 bytes here or in RADISHGAP_OPERATOR_TOKEN";
+            findings.add("/operator_token", "it is missing or too short", expected);
+        }
+        if self.drain.as_millis() == 0 {
+            findings.add("/drain", "no time for requests in flight", "above zero");
+        }
+    }
+}
