radishgapctl: apply, diff, status, operation, read, dump and move

The operators' command line over the operator API. The applied file is checked like settings, every finding with file and JSON pointer, and a node's findings on the change are mapped back to places in the file.

Decided: diff exits 5 where the node holds something else, not 1 as of diff(1), because 1 means here that the command failed and a script has to tell the two apart. A lost answer to apply, move start and move cancel exits 3 with the id to ask about.

--- a/ctl/src/main.rs
+++ b/ctl/src/main.rs
@@ -1,3 +1,7 @@
 //! Command line for operators.
 
-fn main() {}
+use std::process;
+
+fn main() -> process::ExitCode {
+    radishgapctl::run()
+}
