--- a/testing/backend/src/main.rs
+++ b/testing/backend/src/main.rs
@@ -1,16 +1,12 @@
 //! Stand-in for a backend server.
 
 use std::io;
-use std::path;
 use std::process;
 
-use clap::{Arg, ArgAction, Command, value_parser};
+use futures_util::future;
 use radishgap_backend::{Announcer, Control, Duty, Server, Settings, State};
 use schema::announce::Phase;
 
-/// Exit code for wrong usage or settings.
-const WRONG_SETTINGS: u8 = 2;
-
 /// The listener for requests.
 struct Requests;
 
@@ -25,55 +21,14 @@
     const NAME: &'static str = "control";
 }
 
-fn command() -> Command {
-    Command::new("radishgap-backend")
-        .version(env!("CARGO_PKG_VERSION"))
-        .about("Stand-in for a backend server")
-        .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .required(true)
-                .help("Settings in JSON")
-                .value_parser(value_parser!(path::PathBuf)),
-        )
-        .arg(
-            Arg::new("check")
-                .long("check")
-                .action(ArgAction::SetTrue)
-                .help("Only checks the settings"),
-        )
-}
-
 fn main() -> process::ExitCode {
-    let matches = command().get_matches();
-    let file = matches
-        .get_one::<path::PathBuf>("settings")
-        .cloned()
-        .unwrap_or_default();
-    let settings: Settings = match settings::load(&file) {
+    let command = program::command("radishgap-backend", "Stand-in for a backend server");
+    let settings: Settings = match program::load(command) {
         Ok(settings) => settings,
-        Err(report) => {
-            eprintln!("radishgap-backend: {}", report.current_context());
-            return process::ExitCode::from(WRONG_SETTINGS);
-        }
+        Err(code) => return code,
     };
-    if matches.get_flag("check") {
-        return process::ExitCode::SUCCESS;
-    }
     telemetry::start_logs("radishgap-backend", settings.log_level);
-    match start(settings) {
-        Ok(()) => process::ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!(error:% = error; "the process cannot go on");
-            eprintln!("radishgap-backend: {error}");
-            process::ExitCode::FAILURE
-        }
-    }
-}
-
-fn start(settings: Settings) -> io::Result<()> {
-    compio::runtime::Runtime::new()?.block_on(serve(settings))
+    program::run(serve(settings))
 }
 
 async fn serve(settings: Settings) -> io::Result<()> {
@@ -101,31 +56,27 @@
         Duty::new(state.clone()),
     ));
     log::info!(address:% = address, service:% = settings.service, version = settings.version.as_str(); "listening");
-    run(&state).await;
+    run(&state).await?;
     system.close().await;
     log::info!("stopped");
     Ok(())
 }
 
 /// Passes through the phases until the drain is over.
-async fn run(state: &State) {
+async fn run(state: &State) -> io::Result<()> {
     let settings = state.settings();
-    let terminated = async {
-        // Fails only where the process may not install a handler.
-        let _ = compio::signal::unix::signal(SIGTERM).await;
-    };
-    let mut terminated = std::pin::pin!(terminated);
+    let mut terminated = std::pin::pin!(program::terminated());
     let starting = std::pin::pin!(compio::time::sleep(settings.cold_start.starting.0));
-    let first = futures_util::future::select(terminated.as_mut(), starting).await;
-    if let futures_util::future::Either::Right(_) = first {
-        state.enter(Phase::Ready);
-        log::info!("ready");
-        terminated.await;
+    match future::select(terminated.as_mut(), starting).await {
+        future::Either::Left((received, _)) => received?,
+        future::Either::Right(_) => {
+            state.enter(Phase::Ready);
+            log::info!("ready");
+            terminated.await?;
+        }
     }
     state.enter(Phase::Draining);
     log::info!("draining");
     compio::time::sleep(settings.drain.0).await;
+    Ok(())
 }
-
-/// Number of the signal that asks a process to end.
-const SIGTERM: i32 = 15;
