config: refuse an empty change where it is applied, not only where it is decoded

Ruled out: a fault of the replay itself (the minimal input is one change with no puts and no removes). Now: cargo test -p config, 8 passed.

--- a/components/config/src/change.rs
+++ b/components/config/src/change.rs
@@ -43,11 +43,7 @@
     pub fn decode(wire: &wire::Change) -> Result<Self, Findings> {
         let mut findings = Findings::default();
         let operation = decode_operation(&wire.operation, &mut findings);
-        let count = wire.puts.len() + wire.removes.len();
-        if count == 0 || count > Limits::RESOURCES {
-            let expected = format!("1 to {} resources", Limits::RESOURCES);
-            findings.add("", format!("{count} resources"), expected);
-        }
+        check_count(wire.puts.len() + wire.removes.len(), &mut findings);
         let mut puts = Vec::with_capacity(wire.puts.len());
         for (index, put) in wire.puts.iter().enumerate() {
             puts.extend(Put::decode(put, &format!("/puts/{index}"), &mut findings));
@@ -70,6 +66,11 @@
         }
     }
 
+    /// Adds a finding where the change names no resource, or too many.
+    pub(crate) fn check(&self, findings: &mut Findings) {
+        check_count(self.puts.len() + self.removes.len(), findings);
+    }
+
     /// The wire form.
     #[must_use]
     pub fn encode(&self) -> wire::Change {
@@ -82,6 +83,13 @@
     }
 }
 
+fn check_count(count: usize, findings: &mut Findings) {
+    if count == 0 || count > Limits::RESOURCES {
+        let expected = format!("1 to {} resources", Limits::RESOURCES);
+        findings.add("", format!("{count} resources"), expected);
+    }
+}
+
 fn decode_operation(text: &str, findings: &mut Findings) -> Option<units::Operation> {
     let parsed = text.parse();
     if let Err(units::Error { expected, .. }) = &parsed {
--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -282,6 +282,7 @@
 
     /// Checks the resources that the change brings, and that it names each once.
     fn check_resources(&self, change: &Change, findings: &mut Findings) {
+        change.check(findings);
         for (index, put) in change.puts.iter().enumerate() {
             let place = put.place(index);
             match put {
