--- a/components/peer/src/router.rs
+++ b/components/peer/src/router.rs
@@ -32,6 +32,13 @@
         }
     }
 
+    /// The registered name that equals `service`.
+    #[must_use]
+    pub fn name(&self, service: &str) -> Option<&'static str> {
+        let place = self.entries.binary_search_by(|entry| entry.0.cmp(service));
+        place.ok().map(|place| self.entries[place].0)
+    }
+
     /// Hands `incoming` to `service`; the sender learns at once when that cannot be done.
     pub fn route(&self, service: &str, incoming: Incoming) {
         let place = self.entries.binary_search_by(|entry| entry.0.cmp(service));
