peer: no resending by NNG

NNG resends a request on a new connection, so that the other node could handle it twice; now a broken connection fails its requests at once. Tests of the crate pass.

--- a/components/peer/src/client.rs
+++ b/components/peer/src/client.rs
@@ -15,8 +15,7 @@
 
 /// Sends requests to other nodes; clones share the connections.
 ///
-/// A request may reach the other node twice when the connection breaks, so that services must
-/// handle repeated requests.
+/// A request is sent at most once; one without an answer may or may not have been handled.
 #[derive(Clone)]
 pub struct Client {
     shared: rc::Rc<Shared>,
--- a/components/peer/src/connection.rs
+++ b/components/peer/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use nng::options::protocol::reqrep::ResendTime;
 use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize};
 use prost::Message;
 use schema::peer as wire;
@@ -25,6 +26,8 @@
         socket.set_opt::<ReconnectMinTime>(Some(Self::RECONNECT_MIN))?;
         socket.set_opt::<ReconnectMaxTime>(Some(Self::RECONNECT_MAX))?;
         socket.set_opt::<RecvMaxSize>(settings.message_limit.as_len())?;
+        // Without resending, a broken connection fails its requests at once and repeats none.
+        socket.set_opt::<ResendTime>(None)?;
         socket.dial_async(&format!("tcp://{to}"))?;
         Ok(Self { socket })
     }
