upstream: pooled connections, replayable bodies and outcomes; web: bodies that must come whole

hyper 1.13 ends a body without an error when its stream is reset with NO_ERROR (proto h2, body/incoming.rs), so that a cut answer or upload would pass for a whole one; Body::arriving checks the end of the stream. Faults carry no source, since hyper resets with the reason it finds among the sources. The server adds the client's address to requests and can linger after a stop.

--- /dev/null
+++ b/components/upstream/src/connection.rs
@@ -0,0 +1,113 @@
+//! One HTTP/2 connection of a pool.
+
+use std::cell;
+use std::io;
+use std::rc;
+use std::time;
+
+use compio::net;
+use cyper_core::CompioTimer;
+use hyper::client::conn::http2;
+
+use crate::watched::Watched;
+use crate::{Cause, Failure, Feed, Lease, Reply, Settings};
+
+/// One HTTP/2 connection; clones share it.
+#[derive(Clone)]
+pub(crate) struct Connection {
+    sender: http2::SendRequest<Feed>,
+    state: rc::Rc<State>,
+}
+
+/// What is known of a connection.
+pub(crate) struct State {
+    pub(crate) in_flight: cell::Cell<usize>,
+    pub(crate) busy_since: cell::Cell<time::Instant>,
+    last_read: rc::Rc<cell::Cell<time::Instant>>,
+    pub(crate) closed: cell::Cell<bool>,
+}
+
+/// A request that did not get an answer.
+pub(crate) enum Unanswered {
+    /// It was not written to the connection and may be sent on another one.
+    Unsent(Box<http::Request<Feed>>),
+    /// It may have been written.
+    Failed(Failure),
+}
+
+impl Connection {
+    /// HTTP/2 stream and connection windows, in bytes.
+    const WINDOW_BYTES: u32 = 1024 * 1024;
+
+    /// Connects to `address`.
+    pub(crate) async fn open(address: units::Address, settings: &Settings) -> io::Result<Self> {
+        let stream = net::TcpStream::connect(address.0).await?;
+        stream.set_nodelay(true)?;
+        let now = time::Instant::now();
+        let last_read = rc::Rc::new(cell::Cell::new(now));
+        let watched = Watched::new(stream, last_read.clone());
+        let handshake = http2::Builder::new(web::Executor)
+            .timer(CompioTimer)
+            .keep_alive_interval(settings.ping_interval.0)
+            .keep_alive_timeout(settings.ping_timeout.0)
+            .initial_stream_window_size(Self::WINDOW_BYTES)
+            .initial_connection_window_size(4 * Self::WINDOW_BYTES)
+            .handshake(watched)
+            .await;
+        let (sender, driver) = handshake.map_err(io::Error::other)?;
+        let state = rc::Rc::new(State {
+            in_flight: cell::Cell::new(0),
+            busy_since: cell::Cell::new(now),
+            last_read,
+            closed: cell::Cell::new(false),
+        });
+        let ending = state.clone();
+        compio::runtime::spawn(async move {
+            if let Err(error) = driver.await {
+                log::debug!(address:% = address, error:% = error; "connection failed");
+            }
+            ending.closed.set(true);
+        })
+        .detach();
+        Ok(Self { sender, state })
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.state.in_flight.get()
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.state.closed.get() || self.sender.is_closed()
+    }
+
+    /// Whether the server has not sent anything for `limit` although requests wait for it.
+    ///
+    /// Pings make a working connection send something more often than that.
+    pub(crate) fn is_silent(&self, now: time::Instant, limit: time::Duration) -> bool {
+        if self.in_flight() == 0 {
+            return false;
+        }
+        let heard = self.state.last_read.get().max(self.state.busy_since.get());
+        now.saturating_duration_since(heard) > limit
+    }
+
+    /// Whether it is the connection that `other` is.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        rc::Rc::ptr_eq(&self.state, &other.state)
+    }
+
+    /// Sends one request on a stream of its own.
+    pub(crate) async fn send(mut self, request: http::Request<Feed>) -> Result<Reply, Unanswered> {
+        let lease = Lease::new(self.state.clone());
+        if self.sender.ready().await.is_err() {
+            return Err(Unanswered::Unsent(Box::new(request)));
+        }
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(Reply { response, lease }),
+            Err(mut error) => match error.take_message() {
+                Some(request) => Err(Unanswered::Unsent(Box::new(request))),
+                None => Err(Unanswered::Failed(Cause::of(error.error()).into())),
+            },
+        }
+    }
+}
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -1,1 +1,25 @@
-//! Placeholder.
+//! Requests to one HTTP/2 server: pooled connections, replayable bodies, and the outcome of each request.
+
+mod budget;
+mod cause;
+mod connection;
+mod dialer;
+mod failure;
+mod feed;
+mod outcome;
+mod payload;
+mod pool;
+mod reply;
+mod settings;
+mod watched;
+
+pub use budget::Budget;
+pub use cause::Cause;
+pub use dialer::Dialer;
+pub use failure::Failure;
+pub use feed::Feed;
+pub use outcome::Outcome;
+pub use payload::Payload;
+pub use pool::{Counts, Pool};
+pub use reply::{Lease, Reply};
+pub use settings::Settings;
--- a/components/web/src/body.rs
+++ b/components/web/src/body.rs
@@ -4,15 +4,22 @@
 use std::task;
 
 use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
 /// Why a body ended early.
+///
+/// It has no source: hyper resets an HTTP/2 stream with the reason that it finds among the sources,
+/// and a reset with `NO_ERROR` or `CANCEL` may be taken for the end of the body.
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
     /// The connection that delivers it failed.
     #[error("the body broke off: {0}")]
-    Broken(#[from] hyper::Error),
+    Broken(CompactString),
+    /// The stream was closed before its end.
+    #[error("the body was cut short")]
+    Cut,
     /// It is longer than allowed.
     #[error("the body is longer than {0} bytes")]
     TooLong(u64),
@@ -27,6 +34,8 @@
     Incoming(Incoming),
     /// Arriving, with the number of bytes that may still come and the limit they count from.
     Limited(Incoming, u64, u64),
+    /// Arriving on an HTTP/2 stream, as [`Body::arriving`] says.
+    Stream(Box<Body>),
 }
 
 impl Body {
@@ -43,6 +52,25 @@
     }
 }
 
+impl Body {
+    /// An arriving body of a message of `version` that must come whole.
+    ///
+    /// hyper ends a body without an error when its HTTP/2 stream is reset with `NO_ERROR`. Such a
+    /// body ends with [`Fault::Cut`] here, unless the end of the stream has come.
+    #[must_use]
+    pub fn arriving(incoming: Incoming, version: http::Version, limit: Option<u64>) -> Self {
+        let body = match limit {
+            Some(limit) => Self::limited(incoming, limit),
+            None => Self::Incoming(incoming),
+        };
+        if version == http::Version::HTTP_2 {
+            Self::Stream(Box::new(body))
+        } else {
+            body
+        }
+    }
+}
+
 impl From<Bytes> for Body {
     fn from(bytes: Bytes) -> Self {
         Self::Full(Full::new(bytes))
@@ -76,16 +104,23 @@
             }
             Self::Incoming(incoming) => {
                 let frame = task::ready!(pin::Pin::new(incoming).poll_frame(context));
-                task::Poll::Ready(frame.map(|frame| frame.map_err(Fault::Broken)))
+                task::Poll::Ready(frame.map(|frame| frame.map_err(broken)))
             }
             Self::Limited(incoming, left, limit) => {
                 let frame = task::ready!(pin::Pin::new(incoming).poll_frame(context));
                 let Some(frame) = frame else {
                     return task::Poll::Ready(None);
                 };
-                let frame = frame.map_err(Fault::Broken);
+                let frame = frame.map_err(broken);
                 task::Poll::Ready(Some(frame.and_then(|frame| count(frame, left, *limit))))
             }
+            Self::Stream(body) => {
+                let frame = task::ready!(pin::Pin::new(body.as_mut()).poll_frame(context));
+                if frame.is_none() && !body.is_end_stream() {
+                    return task::Poll::Ready(Some(Err(Fault::Cut)));
+                }
+                task::Poll::Ready(frame)
+            }
         }
     }
 
@@ -93,6 +128,7 @@
         match self {
             Self::Full(full) => full.is_end_stream(),
             Self::Incoming(incoming) | Self::Limited(incoming, ..) => incoming.is_end_stream(),
+            Self::Stream(body) => body.is_end_stream(),
         }
     }
 
@@ -100,10 +136,15 @@
         match self {
             Self::Full(full) => full.size_hint(),
             Self::Incoming(incoming) | Self::Limited(incoming, ..) => incoming.size_hint(),
+            Self::Stream(body) => body.size_hint(),
         }
     }
 }
 
+fn broken(error: hyper::Error) -> Fault {
+    Fault::Broken(error.to_compact_string())
+}
+
 /// Takes the frame's bytes off what is `left`.
 fn count(
     frame: http_body::Frame<Bytes>,
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -12,4 +12,4 @@
 pub use connection::Connection;
 pub use executor::Executor;
 pub use grpc::Grpc;
-pub use server::{Handler, Limits, Server};
+pub use server::{Handler, Limits, Peer, Server};
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -44,8 +44,17 @@
     pub ping_after: time::Duration,
     /// Time that the answer to a ping may take before the connection is closed.
     pub ping_timeout: time::Duration,
+    /// Time after the request to stop for which new connections are still served.
+    ///
+    /// Callers that have not yet learned of the stop are not refused; each of their connections
+    /// gets one answer and is then closed.
+    pub linger: time::Duration,
 }
 
+/// Address of the client; the server adds it to the extensions of each request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Peer(pub units::Address);
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -55,6 +64,7 @@
             header_timeout: time::Duration::from_secs(10),
             ping_after: time::Duration::from_secs(10),
             ping_timeout: time::Duration::from_secs(10),
+            linger: time::Duration::ZERO,
         }
     }
 }
@@ -68,6 +78,8 @@
 impl Server {
     /// Pause after a failed accept, such as when no file descriptor is free.
     const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
+    /// Wait for connections that are in the listen queue when the listener is about to close.
+    const LAST_ACCEPT: time::Duration = time::Duration::from_millis(5);
     /// Time for connections to end by themselves after a shutdown began.
     const DRAIN_LIMIT: time::Duration = time::Duration::from_secs(25);
 
@@ -91,44 +103,71 @@
     /// Serves until `stop` is requested, then lets requests in flight finish.
     pub async fn run<H: Handler>(self, handler: H, stop: kernel::Stop) {
         let open = rc::Rc::new(cell::Cell::new(0_usize));
-        loop {
+        while !stop.is_requested() {
             if open.get() >= self.limits.connections {
-                if !stop.sleep(Self::ACCEPT_PAUSE).await {
-                    break;
-                }
+                stop.sleep(Self::ACCEPT_PAUSE).await;
                 continue;
             }
-            let Some(accepted) = stop.guard(self.listener.accept()).await else {
-                break;
-            };
-            match accepted {
-                Ok((stream, _)) => {
-                    let served = serve(stream, handler.clone(), self.limits, stop.clone());
-                    let guard = Guard::new(open.clone());
-                    compio::runtime::spawn(async move {
-                        served.await;
-                        drop(guard);
-                    })
-                    .detach();
-                }
-                Err(error) => {
-                    log::warn!(error:% = error; "accept failed");
-                    compio::time::sleep(Self::ACCEPT_PAUSE).await;
-                }
+            if let Some(accepted) = stop.guard(self.listener.accept()).await {
+                self.start(accepted, &handler, &stop, &open).await;
             }
         }
+        self.linger(&handler, &stop, &open).await;
         let _ = self.listener.close().await;
         drain(&open).await;
     }
+
+    /// Takes the connections that still come after the request to stop.
+    async fn linger<H: Handler>(&self, handler: &H, stop: &kernel::Stop, open: &Open) {
+        let started = time::Instant::now();
+        loop {
+            let left = self.limits.linger.saturating_sub(started.elapsed());
+            // Connections that wait in the listen queue are taken even without a linger time.
+            let wait = left.max(Self::LAST_ACCEPT);
+            match compio::time::timeout(wait, self.listener.accept()).await {
+                Ok(accepted) => self.start(accepted, handler, stop, open).await,
+                Err(_) if left <= Self::LAST_ACCEPT => return,
+                Err(_) => {}
+            }
+        }
+    }
+
+    async fn start<H: Handler>(
+        &self,
+        accepted: io::Result<(net::TcpStream, std::net::SocketAddr)>,
+        handler: &H,
+        stop: &kernel::Stop,
+        open: &Open,
+    ) {
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!(error:% = error; "accept failed");
+                compio::time::sleep(Self::ACCEPT_PAUSE).await;
+                return;
+            }
+        };
+        let peer = Peer(units::Address(peer));
+        let served = serve(stream, peer, handler.clone(), self.limits, stop.clone());
+        let guard = Guard::new(open.clone());
+        compio::runtime::spawn(async move {
+            served.await;
+            drop(guard);
+        })
+        .detach();
+    }
 }
 
+/// Number of open connections.
+type Open = rc::Rc<cell::Cell<usize>>;
+
 /// Counts one open connection for as long as it lives.
 struct Guard {
-    open: rc::Rc<cell::Cell<usize>>,
+    open: Open,
 }
 
 impl Guard {
-    fn new(open: rc::Rc<cell::Cell<usize>>) -> Self {
+    fn new(open: Open) -> Self {
         open.set(open.get() + 1);
         Self { open }
     }
@@ -149,9 +188,19 @@
 }
 
 /// Serves one connection until it closes, or gracefully once `stop` is requested.
-async fn serve<H: Handler>(stream: net::TcpStream, handler: H, limits: Limits, stop: kernel::Stop) {
+async fn serve<H: Handler>(
+    stream: net::TcpStream,
+    peer: Peer,
+    handler: H,
+    limits: Limits,
+    stop: kernel::Stop,
+) {
     let _ = stream.set_nodelay(true);
-    let service = hyper::service::service_fn(move |request| {
+    let taken = rc::Rc::new(cell::Cell::new(false));
+    let taking = taken.clone();
+    let service = hyper::service::service_fn(move |mut request: http::Request<Incoming>| {
+        taking.set(true);
+        request.extensions_mut().insert(peer);
         let answer = handler.clone().handle(request);
         async move { Ok::<_, convert::Infallible>(answer.await) }
     });
@@ -159,8 +208,8 @@
     let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
     let mut connection = pin::pin!(connection);
     let ended = {
-        let requested = pin::pin!(stop.requested());
-        match future::select(connection.as_mut(), requested).await {
+        let stopped = pin::pin!(stopped(&stop, &taken));
+        match future::select(connection.as_mut(), stopped).await {
             future::Either::Left((ended, _)) => Some(ended),
             future::Either::Right(_) => None,
         }
@@ -177,6 +226,20 @@
     }
 }
 
+/// Waits until the connection is to be shut down: its first request is awaited for a short time,
+/// since a shutdown before it would close the connection without an answer.
+async fn stopped(stop: &kernel::Stop, taken: &cell::Cell<bool>) {
+    const STEP: time::Duration = time::Duration::from_millis(2);
+    const STEPS: usize = 100;
+    stop.requested().await;
+    for _ in 0..STEPS {
+        if taken.get() {
+            return;
+        }
+        compio::time::sleep(STEP).await;
+    }
+}
+
 fn configure(limits: Limits) -> auto::Builder<Executor> {
     let mut builder = auto::Builder::new(Executor);
     builder
