--- a/testing/load/src/main.rs
+++ b/testing/load/src/main.rs
@@ -1,3 +1,7 @@
 //! Load and experiment tool.
 
-fn main() {}
+use std::process;
+
+fn main() -> process::ExitCode {
+    radishgap_load::cli::run()
+}
