--- a/components/kernel/src/system.rs
+++ b/components/kernel/src/system.rs
@@ -47,11 +47,19 @@
 
     /// Starts `service`; it stops before all that were started earlier.
     pub fn start<S: Service>(&mut self, service: S) {
+        self.start_task(S::NAME, |stop| service.run(stop));
+    }
+
+    /// Starts the task that `run` makes; it stops before all that were started earlier.
+    pub fn start_task<F>(&mut self, name: &'static str, run: impl FnOnce(Stop) -> F)
+    where
+        F: future::Future<Output = ()> + 'static,
+    {
         let (trigger, stop) = stop();
-        log::debug!(service = S::NAME; "service starts");
-        let task = runtime::spawn(service.run(stop));
+        log::debug!(service = name; "service starts");
+        let task = runtime::spawn(run(stop));
         self.running.push(Running {
-            name: S::NAME,
+            name,
             trigger,
             task,
         });
--- a/node/src/operator/api.rs
+++ b/node/src/operator/api.rs
@@ -4,12 +4,12 @@
 
 use config::Change;
 use distribution::{Command, Verdict};
-use futures_channel::oneshot;
 use futures_util::stream;
 use schema::operator as wire;
 use tonic_types::StatusExt;
 
 use super::Query;
+use crate::ask::ask;
 
 /// Implements the `Operator` service by messages to the services of the node.
 #[derive(Clone)]
@@ -28,23 +28,8 @@
 
 type Reply<T> = Result<tonic::Response<T>, tonic::Status>;
 
-/// Sends a message that carries its own answer, and waits for that answer.
-pub(super) async fn ask<M, T>(
-    mailbox: &kernel::Mailbox<M>,
-    message: impl FnOnce(oneshot::Sender<T>) -> M,
-) -> Result<T, tonic::Status> {
-    let (sender, receiver) = oneshot::channel();
-    mailbox.send(message(sender)).map_err(|error| match error {
-        kernel::Error::Full => tonic::Status::resource_exhausted("the node is busy; come back"),
-        _ => tonic::Status::unavailable("the node is stopping"),
-    })?;
-    receiver
-        .await
-        .map_err(|_| tonic::Status::unavailable("the node is stopping"))
-}
-
 /// The error for a request without a field that it needs.
-pub(super) fn missing(field: &'static str) -> tonic::Status {
+fn missing(field: &'static str) -> tonic::Status {
     let details = tonic_types::ErrorDetails::with_bad_request_violation(field, "it is required");
     let message = format!("the field `{field}` is missing");
     tonic::Status::with_error_details(tonic::Code::InvalidArgument, message, details)
