--- /dev/null
+++ b/components/platform/src/lease.rs
@@ -0,0 +1,238 @@
+//! Leases with fencing tokens.
+
+use std::time;
+
+use compact_str::CompactString;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::{Error, Key, Object, Revision, Store};
+
+units::record! { eq:
+    /// Content of a lease object.
+    #[derive(Serialize, Deserialize)]
+    pub struct Record {
+        /// Who holds it.
+        pub holder: CompactString,
+        /// Number that the holder drew at its start, so that a restarted holder is another one.
+        pub instance: u64,
+        /// Period of the lease in milliseconds.
+        pub period_ms: u64,
+    }
+
+    /// What one attempt to hold a lease has shown.
+    #[derive(Copy)]
+    pub enum Observed {
+        /// It is ours; the revision is the fencing token.
+        Held(Revision),
+        /// Another holder has it, or had it until a moment ago.
+        Other(Revision),
+    }
+}
+
+/// A named lease that at most one holder has at a time (Gray and Cheriton, "Leases", SOSP 1989).
+///
+/// Wall clocks are not compared: a contender takes the lease over once it has seen its object
+/// unchanged for a whole period of its own monotonic clock, and the holder counts its period from
+/// before it sends a renewal. The revision of the object grows with each renewal and each holder,
+/// so that it serves as fencing token where a paused holder could still write.
+pub struct Lease<S> {
+    store: S,
+    key: Key,
+    record: Record,
+    period: time::Duration,
+    /// Revision of another holder's record, and when it was first seen.
+    seen: Option<(Revision, time::Instant)>,
+    held: Option<Held>,
+    /// Revision of our last write that is known to have taken effect.
+    last: Option<Revision>,
+    /// Start of the first write whose answer is lost and that may still have taken effect.
+    unsettled: Option<time::Instant>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    token: Revision,
+    until: time::Instant,
+}
+
+impl<S: Store> Lease<S> {
+    /// A lease called `name` that `holder` does not hold yet.
+    ///
+    /// # Errors
+    /// When `name` cannot be part of a key.
+    pub fn new(
+        store: S,
+        name: &str,
+        holder: &str,
+        period: time::Duration,
+    ) -> Result<Self, units::Error> {
+        let key = format!("lease/{name}").parse()?;
+        let record = Record {
+            holder: holder.into(),
+            instance: rand::rng().random(),
+            period_ms: u64::try_from(period.as_millis()).unwrap_or(u64::MAX),
+        };
+        Ok(Self {
+            store,
+            key,
+            record,
+            period,
+            seen: None,
+            held: None,
+            last: None,
+            unsettled: None,
+        })
+    }
+
+    /// The fencing token, as long as the lease is certainly ours.
+    #[must_use]
+    pub fn token(&self, now: time::Instant) -> Option<Revision> {
+        let held = self.held.filter(|held| now < held.until)?;
+        Some(held.token)
+    }
+
+    /// Time until the lease has to be renewed to stay ours; `None` where it is not ours.
+    #[must_use]
+    pub fn left(&self, now: time::Instant) -> Option<time::Duration> {
+        let held = self.held.filter(|held| now < held.until)?;
+        Some(held.until - now)
+    }
+
+    /// Renews the lease where it is ours, else tries to acquire it; call it several times a period.
+    ///
+    /// # Errors
+    /// As of the store. A lease that was ours stays so until its period ends.
+    pub async fn attempt(&mut self, now: time::Instant) -> Result<Observed, Error> {
+        if self.unsettled.is_some() {
+            self.settle().await?;
+        }
+        let expired = self.held.is_some_and(|held| now >= held.until);
+        if expired {
+            self.held = None;
+        }
+        match self.held {
+            Some(held) => self.renew(held, now).await,
+            None => self.acquire(now).await,
+        }
+    }
+
+    /// Gives the lease up, so that the next holder need not wait for its end.
+    ///
+    /// # Errors
+    /// As of the store; the lease then ends with its period.
+    pub async fn close(self) -> Result<(), Error> {
+        let Some(held) = self.held else {
+            return Ok(());
+        };
+        match self.store.remove(&self.key, held.token).await {
+            // Another holder has taken it over, which is as good.
+            Err(Error::Conflict) => Ok(()),
+            ended => ended,
+        }
+    }
+
+    async fn renew(&mut self, held: Held, now: time::Instant) -> Result<Observed, Error> {
+        let value = self.encode()?;
+        let written = self.store.update(&self.key, held.token, value).await;
+        match self.settle_write(written, now) {
+            Err(Error::Conflict) => {
+                self.held = None;
+                self.acquire(now).await
+            }
+            other => other,
+        }
+    }
+
+    async fn acquire(&mut self, now: time::Instant) -> Result<Observed, Error> {
+        let object = self.store.read(&self.key).await?;
+        let value = self.encode()?;
+        let Some(object) = object else {
+            let written = self.store.create(&self.key, value).await;
+            return self.settle_write(written, now).or_else(lost_race);
+        };
+        if !self.is_expired(&object, now) {
+            return Ok(Observed::Other(object.revision));
+        }
+        let written = self.store.update(&self.key, object.revision, value).await;
+        self.settle_write(written, now).or_else(lost_race)
+    }
+
+    /// Whether `object` was seen unchanged for a whole period.
+    fn is_expired(&mut self, object: &Object, now: time::Instant) -> bool {
+        let since = match self.seen {
+            Some((revision, since)) if revision == object.revision => since,
+            _ => {
+                self.seen = Some((object.revision, now));
+                now
+            }
+        };
+        let record: Option<Record> = serde_json::from_slice(&object.value).ok();
+        let named = record.map_or(0, |record| record.period_ms);
+        let period = self.period.max(time::Duration::from_millis(named));
+        now.saturating_duration_since(since) >= period
+    }
+
+    fn settle_write(
+        &mut self,
+        written: Result<Revision, Error>,
+        started: time::Instant,
+    ) -> Result<Observed, Error> {
+        match written {
+            Ok(token) => {
+                let until = started + self.period;
+                self.held = Some(Held { token, until });
+                self.last = Some(token);
+                self.seen = None;
+                Ok(Observed::Held(token))
+            }
+            Err(error) => {
+                if !error.is_not_run() {
+                    self.unsettled = Some(started);
+                }
+                Err(error)
+            }
+        }
+    }
+
+    /// Reads back what became of a write whose answer is lost.
+    async fn settle(&mut self) -> Result<(), Error> {
+        let object = self.store.read(&self.key).await?;
+        let Some(started) = self.unsettled.take() else {
+            return Ok(());
+        };
+        let Some(object) = object else {
+            self.held = None;
+            return Ok(());
+        };
+        if self.last == Some(object.revision) {
+            // The write did not take effect, so that the lease ends as it would have without it.
+            return Ok(());
+        }
+        let record: Option<Record> = serde_json::from_slice(&object.value).ok();
+        if record.as_ref() != Some(&self.record) {
+            self.held = None;
+            return Ok(());
+        }
+        self.last = Some(object.revision);
+        self.held = Some(Held {
+            token: object.revision,
+            // Others may have seen the write right after it was sent.
+            until: started + self.period,
+        });
+        Ok(())
+    }
+
+    fn encode(&self) -> Result<Vec<u8>, Error> {
+        let encoded = serde_json::to_vec(&self.record);
+        encoded.map_err(|error| Error::Invalid(compact_str::format_compact!("{error}")))
+    }
+}
+
+/// A conflict means that another contender was faster.
+fn lost_race(error: Error) -> Result<Observed, Error> {
+    match error {
+        Error::Conflict => Ok(Observed::Other(Revision::default())),
+        error => Err(error),
+    }
+}
--- /dev/null
+++ b/testing/platform/src/handle.rs
@@ -0,0 +1,34 @@
+//! Access to the stand-in from within its process.
+
+use crate::shared::Shared;
+use crate::{Counts, Faults};
+
+/// Switches faults and reads counts from within the process.
+#[derive(Clone)]
+pub struct Handle {
+    shared: Shared,
+}
+
+impl Handle {
+    pub(crate) fn new(shared: Shared) -> Self {
+        Self { shared }
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.faults.set(faults);
+        self.shared.notify();
+    }
+
+    /// Calls so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.shared.counts.get()
+    }
+
+    /// Number of objects.
+    #[must_use]
+    pub fn objects(&self) -> usize {
+        self.shared.objects.borrow().len()
+    }
+}
