--- a/components/schema/src/lib.rs
+++ b/components/schema/src/lib.rs
@@ -9,6 +9,7 @@
     pub mod config { pub mod v1 { include!("generated/radishgap.config.v1.rs"); } }
     pub mod distribution { pub mod v1 { include!("generated/radishgap.distribution.v1.rs"); } }
     pub mod membership { pub mod v1 { include!("generated/radishgap.membership.v1.rs"); } }
+    pub mod moves { pub mod v1 { include!("generated/radishgap.moves.v1.rs"); } }
     pub mod operator { pub mod v1 { include!("generated/radishgap.operator.v1.rs"); } }
     pub mod peer { pub mod v1 { include!("generated/radishgap.peer.v1.rs"); } }
 }
@@ -21,6 +22,8 @@
 pub use generated::distribution::v1 as distribution;
 /// Messages of the membership service.
 pub use generated::membership::v1 as membership;
+/// Objects of moves and messages of the moves service.
+pub use generated::moves::v1 as moves;
 /// Remote procedure calls for operators.
 pub use generated::operator::v1 as operator;
 /// Envelope of messages between nodes.
--- a/testing/generate/src/main.rs
+++ b/testing/generate/src/main.rs
@@ -5,11 +5,12 @@
 
 use clap::{Arg, Command, value_parser};
 
-const PROTO_FILES: [&str; 6] = [
+const PROTO_FILES: [&str; 7] = [
     "announce.proto",
     "config.proto",
     "distribution.proto",
     "membership.proto",
+    "moves.proto",
     "operator.proto",
     "peer.proto",
 ];
