--- a/ctl/src/cli.rs
+++ b/ctl/src/cli.rs
@@ -2,6 +2,7 @@
 
 use std::path;
 
+use clap::builder::NonEmptyStringValueParser;
 use clap::{Arg, ArgAction, Command, value_parser};
 
 const EXIT_CODES: &str = "\
@@ -211,7 +212,7 @@
     Arg::new("id")
         .value_name("ID")
         .required(true)
-        .value_parser(value_parser!(units::Operation))
+        .value_parser(NonEmptyStringValueParser::new())
         .help("Id of the move")
 }
 
--- a/ctl/src/client.rs
+++ b/ctl/src/client.rs
@@ -63,7 +63,7 @@
         Err(Report::new(Failure::Unreachable { address, problem }))
     }
 
-    /// The generated client; calls on it take what [`Client::request`] makes.
+    /// The generated client; calls on it take what `request` makes.
     pub fn operator(&self) -> OperatorClient<web::Channel> {
         self.operator.clone()
     }
@@ -82,7 +82,7 @@
     /// Waits for the answer to one call.
     ///
     /// # Errors
-    /// See [`Error`].
+    /// The refusal, or that the answer is lost.
     pub async fn finish<M>(
         &self,
         call: impl Future<Output = Result<tonic::Response<M>, tonic::Status>>,
--- a/ctl/src/cmd/apply.rs
+++ b/ctl/src/cmd/apply.rs
@@ -25,7 +25,7 @@
     let mut client = context.client.operator();
     let reply = match context.client.finish(client.apply(request)).await {
         Ok(reply) => reply,
-        Err(Error::Lost(problem)) if !dry_run => return Err(lost(operation, &problem)),
+        Err(Error::Lost(problem)) if !dry_run => return Err(lost(&operation, &problem)),
         Err(error) => return Err(Report::new(error.into())),
     };
     context.console.show(&view(&reply, &operation, document));
@@ -46,8 +46,9 @@
     }
 }
 
-fn lost(operation: units::Operation, problem: &str) -> Report<Failure> {
+fn lost(operation: &units::Operation, problem: &str) -> Report<Failure> {
     let advice = format!("{problem}; ask `radishgapctl operation {operation}`");
+    let operation = operation.to_string();
     Report::new(Failure::Unknown { operation, advice })
 }
 
--- a/ctl/src/cmd/moves.rs
+++ b/ctl/src/cmd/moves.rs
@@ -48,7 +48,7 @@
     let advice = || {
         format!("it may have started; the same command with `--operation {operation}` settles it")
     };
-    let reply = settle(reply, &operation, advice)?;
+    let reply = settle(reply, operation.as_str(), advice)?;
     context.console.show(&moved(reply)?);
     Ok(Exit::Done)
 }
@@ -106,9 +106,9 @@
 }
 
 async fn cancel(context: &Context, arguments: &ArgMatches) -> Result<Exit, Report<Failure>> {
-    let id = one::<units::Operation>(arguments, "id")?;
+    let id = one::<String>(arguments, "id")?;
     let message = operator::CancelMoveRequest {
-        id: id.to_string(),
+        id: id.clone(),
         reason: one::<String>(arguments, "reason")?.clone(),
     };
     let request = context.client.request(message);
@@ -121,7 +121,7 @@
 }
 
 fn named(arguments: &ArgMatches) -> Result<operator::ShowMoveRequest, Report<Failure>> {
-    let id = one::<units::Operation>(arguments, "id")?.to_string();
+    let id = one::<String>(arguments, "id")?.clone();
     Ok(operator::ShowMoveRequest { id })
 }
 
@@ -133,12 +133,12 @@
 /// Turns a lost answer to a call that changes something into an unknown outcome.
 fn settle<M>(
     reply: Result<M, client::Error>,
-    operation: &units::Operation,
+    operation: &str,
     advice: impl FnOnce() -> String,
 ) -> Result<M, Report<Failure>> {
     reply.map_err(|error| match error {
         client::Error::Lost(problem) => Report::new(Failure::Unknown {
-            operation: operation.clone(),
+            operation: operation.into(),
             advice: format!("{problem}; {}", advice()),
         }),
         refused @ client::Error::Refused(_) => Report::new(refused.into()),
--- a/ctl/src/failure.rs
+++ b/ctl/src/failure.rs
@@ -46,7 +46,7 @@
     #[error("the outcome is unknown, operation {operation}: {advice}")]
     Unknown {
         /// Id to ask about.
-        operation: units::Operation,
+        operation: String,
         /// How to settle it.
         advice: String,
     },
