--- a/testing/fakes/src/lib.rs
+++ b/testing/fakes/src/lib.rs
@@ -1,7 +1,11 @@
 //! Small fakes at the interfaces of the components, for tests.
 
 mod faults;
+mod link;
+mod network;
 mod store;
 
 pub use faults::Faults;
+pub use link::Link;
+pub use network::Network;
 pub use store::{Counts, Store};
