--- a/testing/load/src/lib.rs
+++ b/testing/load/src/lib.rs
@@ -4,5 +4,10 @@
 pub mod caller;
 pub mod cli;
 pub mod demo;
+pub mod driver;
 pub mod fleet;
+pub mod judge;
 pub mod plain;
+pub mod plan;
+pub mod relay;
+pub mod report;
