--- a/testing/load/src/relay.rs
+++ b/testing/load/src/relay.rs
@@ -10,6 +10,7 @@
 
 /// A relay from one address to another; it ends when it is dropped.
 pub struct Relay {
+    address: units::Address,
     shared: rc::Rc<Shared>,
     /// Cancelled when dropped.
     _accepting: compio::runtime::JoinHandle<()>,
@@ -37,6 +38,7 @@
         delay: time::Duration,
     ) -> io::Result<Self> {
         let listener = net::TcpListener::bind(listen.0).await?;
+        let address = units::Address(listener.local_addr()?);
         let shared = rc::Rc::new(Shared {
             target,
             delay,
@@ -45,11 +47,18 @@
         });
         let accepting = compio::runtime::spawn(accept(listener, shared.clone()));
         Ok(Self {
+            address,
             shared,
             _accepting: accepting,
         })
     }
 
+    /// The address that it listens on, with the port that was given for port 0.
+    #[must_use]
+    pub fn address(&self) -> units::Address {
+        self.address
+    }
+
     /// Makes every open connection silent for good; later ones work. Gives their number.
     pub fn silence(&self) -> usize {
         let age = self.shared.age.get();
