--- a/testing/platform/src/server.rs
+++ b/testing/platform/src/server.rs
@@ -33,6 +33,7 @@
         header_timeout: time::Duration::from_secs(300),
         ping_after: time::Duration::from_secs(10),
         ping_timeout: time::Duration::from_secs(10),
+        linger: time::Duration::ZERO,
     };
 
     /// Binds the addresses of `settings`.
