--- /dev/null
+++ b/components/admission/src/gate.rs
@@ -0,0 +1,410 @@
+//! Decides when a request may run at the backend server.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use compact_str::CompactString;
+use futures_channel::oneshot;
+use membership::Phase;
+use serde::Serialize;
+
+use crate::{Announced, Lanes, Limit, Permit, Reason, Refusal, Settings};
+
+/// Decides when a request may run at the backend server; clones share the state.
+#[derive(Clone)]
+pub struct Gate {
+    shared: rc::Rc<Shared>,
+}
+
+struct Shared {
+    settings: rc::Rc<Settings>,
+    state: cell::RefCell<State>,
+}
+
+struct State {
+    announced: Option<Announced>,
+    limit: Limit,
+    running: usize,
+    /// A request runs alone, or waits for the others to end so that it can.
+    alone: bool,
+    waiting: Lanes<Waiter>,
+    /// Requests that have to run alone, in the order of their arrival.
+    waiting_alone: std::collections::VecDeque<Waiter>,
+    stopping: bool,
+    counts: Counts,
+}
+
+struct Waiter {
+    sender: oneshot::Sender<Result<Permit, Refusal>>,
+}
+
+/// A request that asks to run.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Who sends it; callers share the backend server evenly.
+    pub caller: CompactString,
+    /// Service that it is meant for.
+    pub service: CompactString,
+    /// Version that it is meant for.
+    pub version: CompactString,
+    /// When it has to be finished.
+    pub deadline: time::Instant,
+    /// Whether nothing may run beside it.
+    pub alone: bool,
+}
+
+impl Ask {
+    fn is_for(&self, announced: &Announced) -> bool {
+        announced.backend.service == self.service && announced.backend.version == self.version
+    }
+}
+
+/// Figures of a gate since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Requests that were let through.
+    pub admitted: u64,
+    /// Of these, such as had to run alone.
+    pub admitted_alone: u64,
+    /// Requests that had to wait.
+    pub queued: u64,
+    /// Refused because too many waited.
+    pub refused_full: u64,
+    /// Refused because they could not finish by their deadline.
+    pub refused_late: u64,
+    /// Refused after the longest wait.
+    pub refused_waited: u64,
+    /// Refused because of the phase of the backend server or the node.
+    pub refused_phase: u64,
+    /// Requests that ran beside one that had to run alone, or above the slots; always zero.
+    pub violations: u64,
+}
+
+/// State of a gate.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Dump {
+    /// The backend server, once one has announced itself.
+    pub announced: Option<Announced>,
+    /// Requests that may run at a time.
+    pub limit: usize,
+    /// Requests that run.
+    pub running: usize,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Mean latency of late, in milliseconds.
+    pub latency_ms: f64,
+    /// Figures.
+    pub counts: Counts,
+}
+
+impl Gate {
+    /// Wait that a caller is told while there is no usable backend server.
+    const PHASE_WAIT: time::Duration = time::Duration::from_millis(500);
+    /// Most requests that wait to run alone.
+    const ALONE_LIMIT: usize = 32;
+
+    /// A gate without a backend server.
+    #[must_use]
+    pub fn new(settings: rc::Rc<Settings>) -> Self {
+        let limit = Limit::new(1, settings.latency_tolerance);
+        let state = State {
+            announced: None,
+            limit,
+            running: 0,
+            alone: false,
+            waiting: Lanes::default(),
+            waiting_alone: std::collections::VecDeque::new(),
+            stopping: false,
+            counts: Counts::default(),
+        };
+        let shared = Shared {
+            settings,
+            state: cell::RefCell::new(state),
+        };
+        Self {
+            shared: rc::Rc::new(shared),
+        }
+    }
+
+    /// Takes what the backend server announces; `None` when it has fallen silent.
+    pub fn announce(&self, announced: Option<&Announced>) {
+        let mut state = self.shared.state.borrow_mut();
+        let instance =
+            |one: Option<&Announced>| one.map(|one| (one.backend.instance, one.backend.slots));
+        if announced.is_some() && instance(state.announced.as_ref()) != instance(announced) {
+            let slots = announced.map_or(1, |one| one.backend.slots);
+            state.limit = Limit::new(slots, self.shared.settings.latency_tolerance);
+        }
+        let same = |one: &Announced| announced.is_some_and(|other| one.is_like(other));
+        let kept = state.announced.as_ref().is_some_and(same);
+        state.announced = announced.cloned();
+        let refused = if kept {
+            Vec::new()
+        } else {
+            state.drain_waiting()
+        };
+        drop(state);
+        let refusal = Refusal::new(Reason::Draining, Self::PHASE_WAIT);
+        for waiter in refused {
+            let _ = waiter.sender.send(Err(refusal));
+        }
+        self.pump();
+    }
+
+    /// Refuses new requests from now on; those that run or wait are ended.
+    pub fn stop(&self) {
+        self.shared.state.borrow_mut().stopping = true;
+    }
+
+    /// What the backend server announced last.
+    #[must_use]
+    pub fn announced(&self) -> Option<Announced> {
+        self.shared.state.borrow().announced.clone()
+    }
+
+    /// Requests that run or wait, as a part of the limit.
+    #[must_use]
+    pub fn load(&self) -> f64 {
+        let state = self.shared.state.borrow();
+        let busy = state.running + state.waiting.len() + state.waiting_alone.len();
+        // Both are small whole numbers.
+        #[allow(clippy::cast_precision_loss)]
+        let load = busy as f64 / state.limit.current().max(1) as f64;
+        load
+    }
+
+    /// Figures.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.shared.state.borrow().counts
+    }
+
+    /// State.
+    #[must_use]
+    pub fn dump(&self) -> Dump {
+        let state = self.shared.state.borrow();
+        Dump {
+            announced: state.announced.clone(),
+            limit: state.limit.current(),
+            running: state.running,
+            waiting: state.waiting.len() + state.waiting_alone.len(),
+            latency_ms: state.limit.latency().as_secs_f64() * 1_000.0,
+            counts: state.counts,
+        }
+    }
+
+    /// Waits for permission to run.
+    ///
+    /// # Errors
+    /// A refusal, at once where it can be foreseen.
+    pub async fn admit(&self, ask: &Ask) -> Result<Permit, Refusal> {
+        let receiver = match self.enter(ask, time::Instant::now())? {
+            Entered::Now(permit) => return Ok(permit),
+            Entered::Later(receiver) => receiver,
+        };
+        let left = ask.deadline.saturating_duration_since(time::Instant::now());
+        let wait = left.min(self.shared.settings.queue_wait.0);
+        match compio::time::timeout(wait, receiver).await {
+            Ok(Ok(admitted)) => admitted,
+            Ok(Err(_)) | Err(_) => {
+                let mut state = self.shared.state.borrow_mut();
+                state.forget_cancelled();
+                state.counts.refused_waited += 1;
+                let retry_after = state.expected_wait();
+                Err(Refusal::new(Reason::Waited, retry_after))
+            }
+        }
+    }
+
+    fn enter(&self, ask: &Ask, now: time::Instant) -> Result<Entered, Refusal> {
+        let mut state = self.shared.state.borrow_mut();
+        state.check_phase(ask)?;
+        state.check_time(ask, now)?;
+        if state.has_room(ask.alone) {
+            state.take(ask.alone);
+            return Ok(Entered::Now(Permit::new(self.clone(), ask.alone, now)));
+        }
+        state.limit.reach();
+        let (sender, receiver) = oneshot::channel();
+        let evicted = state.enqueue(ask, Waiter { sender }, &self.shared.settings);
+        let retry_after = state.expected_wait();
+        drop(state);
+        if let Some(evicted) = evicted {
+            let refusal = Refusal::new(Reason::Full, retry_after);
+            let _ = evicted.sender.send(Err(refusal));
+        }
+        Ok(Entered::Later(receiver))
+    }
+
+    /// Lets waiting requests through as long as there is room.
+    fn pump(&self) {
+        loop {
+            let next = self.shared.state.borrow_mut().next();
+            let Some((waiter, alone)) = next else {
+                return;
+            };
+            let permit = Permit::new(self.clone(), alone, time::Instant::now());
+            // A waiter that has gone gives its permit back, which lets the next one through.
+            let _ = waiter.sender.send(Ok(permit));
+        }
+    }
+
+    pub(crate) fn answered(&self, latency: time::Duration) {
+        self.shared.state.borrow_mut().limit.answer(latency);
+    }
+
+    pub(crate) fn shed(&self) {
+        self.shared.state.borrow_mut().limit.shed();
+    }
+
+    pub(crate) fn release(&self, alone: bool) {
+        let mut state = self.shared.state.borrow_mut();
+        state.running = state.running.saturating_sub(1);
+        if alone {
+            state.alone = false;
+        }
+        drop(state);
+        self.pump();
+    }
+}
+
+enum Entered {
+    Now(Permit),
+    Later(oneshot::Receiver<Result<Permit, Refusal>>),
+}
+
+impl State {
+    fn check_phase(&mut self, ask: &Ask) -> Result<(), Refusal> {
+        let reason = match &self.announced {
+            _ if self.stopping => Reason::Stopping,
+            None => Reason::NoBackend,
+            Some(one) if !ask.is_for(one) => Reason::Mismatch,
+            Some(one) if one.backend.phase == Phase::Starting => Reason::Starting,
+            Some(one) if one.backend.phase == Phase::Draining => Reason::Draining,
+            Some(_) => return Ok(()),
+        };
+        self.counts.refused_phase += 1;
+        Err(Refusal::new(reason, Gate::PHASE_WAIT))
+    }
+
+    /// Refuses what cannot be finished by its deadline.
+    fn check_time(&mut self, ask: &Ask, now: time::Instant) -> Result<(), Refusal> {
+        let left = ask.deadline.saturating_duration_since(now);
+        let wait = if self.has_room(ask.alone) {
+            time::Duration::ZERO
+        } else {
+            self.expected_wait()
+        };
+        // Half of the usual latency: a refusal should be right far more often than not.
+        let needed = wait + self.limit.latency() / 2;
+        if left.is_zero() || needed > left {
+            self.counts.refused_late += 1;
+            return Err(Refusal::new(Reason::Late, wait));
+        }
+        Ok(())
+    }
+
+    fn expected_wait(&self) -> time::Duration {
+        let ahead = u32::try_from(self.waiting.len() + 1).unwrap_or(u32::MAX);
+        let limit = u32::try_from(self.limit.current().max(1)).unwrap_or(u32::MAX);
+        self.limit.latency().saturating_mul(ahead) / limit
+    }
+
+    fn has_room(&self, alone: bool) -> bool {
+        if self.alone || !self.waiting_alone.is_empty() {
+            return false;
+        }
+        if alone {
+            return self.running == 0;
+        }
+        self.running < self.limit.current() && self.waiting.is_empty()
+    }
+
+    /// Counts a request as running.
+    fn take(&mut self, alone: bool) {
+        let slots = self
+            .announced
+            .as_ref()
+            .map_or(0, |one| one.backend.slots as usize);
+        if self.alone || (alone && self.running > 0) || self.running >= slots.max(1) {
+            self.counts.violations += 1;
+            log::error!(running = self.running, slots = slots, alone = alone;
+                "invariant violated: a request runs above the limit");
+        }
+        self.running += 1;
+        self.alone |= alone;
+        self.counts.admitted += 1;
+        self.counts.admitted_alone += u64::from(alone);
+    }
+
+    fn enqueue(&mut self, ask: &Ask, waiter: Waiter, settings: &Settings) -> Option<Waiter> {
+        self.forget_cancelled();
+        let evicted = if ask.alone {
+            let full = self.waiting_alone.len() >= Gate::ALONE_LIMIT;
+            if full {
+                Some(waiter)
+            } else {
+                self.waiting_alone.push_back(waiter);
+                None
+            }
+        } else {
+            let slots = self
+                .announced
+                .as_ref()
+                .map_or(1, |one| one.backend.slots.max(1));
+            let limit = slots.saturating_mul(settings.queue_slots.max(1)) as usize;
+            self.waiting.push(&ask.caller, waiter, limit)
+        };
+        self.counts.queued += 1;
+        self.counts.refused_full += u64::from(evicted.is_some());
+        evicted
+    }
+
+    /// Takes all who wait, when the backend server no longer runs what they wait for.
+    fn drain_waiting(&mut self) -> Vec<Waiter> {
+        let mut drained: Vec<_> = self.waiting_alone.drain(..).collect();
+        while let Some(waiter) = self.waiting.pop() {
+            drained.push(waiter);
+        }
+        self.counts.refused_phase += drained.len() as u64;
+        drained
+    }
+
+    fn forget_cancelled(&mut self) {
+        self.waiting.retain(|waiter| !waiter.sender.is_canceled());
+        self.waiting_alone
+            .retain(|waiter| !waiter.sender.is_canceled());
+    }
+
+    /// Takes the next waiter that may run, with whether it runs alone.
+    ///
+    /// Those that have to run alone go first: while one waits, no other request starts.
+    fn next(&mut self) -> Option<(Waiter, bool)> {
+        if self.alone || self.announced.is_none() {
+            return None;
+        }
+        while let Some(waiter) = self.waiting_alone.front() {
+            if waiter.sender.is_canceled() {
+                self.waiting_alone.pop_front();
+                continue;
+            }
+            if self.running > 0 {
+                return None;
+            }
+            let waiter = self.waiting_alone.pop_front()?;
+            self.take(true);
+            return Some((waiter, true));
+        }
+        if self.running >= self.limit.current() {
+            return None;
+        }
+        loop {
+            let waiter = self.waiting.pop()?;
+            if !waiter.sender.is_canceled() {
+                self.take(false);
+                return Some((waiter, false));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/admission/src/reason.rs
@@ -0,0 +1,45 @@
+//! Why a request is refused before it runs.
+
+/// Why a request is refused before it runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, thiserror::Error)]
+pub enum Reason {
+    /// No backend server has announced itself here.
+    #[error("no-backend-server")]
+    NoBackend,
+    /// The backend server here runs another service or version.
+    #[error("other-backend-server")]
+    Mismatch,
+    /// The backend server is in its cold start.
+    #[error("starting")]
+    Starting,
+    /// The backend server is leaving.
+    #[error("draining")]
+    Draining,
+    /// The node is leaving.
+    #[error("stopping")]
+    Stopping,
+    /// Too many requests wait.
+    #[error("queue-full")]
+    Full,
+    /// It cannot finish by its deadline.
+    #[error("too-late")]
+    Late,
+    /// It has waited as long as a request may wait.
+    #[error("waited-too-long")]
+    Waited,
+    /// It was in flight in two crashes.
+    #[error("quarantined")]
+    Quarantined,
+    /// The service has more than its share of the node's requests.
+    #[error("service-over-share")]
+    OverShare,
+    /// No more idempotency keys can be remembered.
+    #[error("keys-full")]
+    KeysFull,
+    /// The idempotency key belongs to another request.
+    #[error("key-reused")]
+    KeyReused,
+    /// No request with this idempotency key is on record here.
+    #[error("key-not-found")]
+    KeyNotFound,
+}
--- /dev/null
+++ b/components/admission/src/sharing.rs
@@ -0,0 +1,171 @@
+//! Sharing of suspects among the owners of a service.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use prost::Message;
+use schema::admission as wire;
+
+use crate::{Crash, Finished, Settings, Standing, Suspects};
+
+/// Name under which nodes take the notices of others.
+pub const SERVICE: &str = "admission";
+
+/// Suspects of this node, shared with the other owners of its service; clones share them.
+#[derive(Clone)]
+pub struct Sharing<L> {
+    shared: rc::Rc<Shared<L>>,
+}
+
+struct Shared<L> {
+    link: L,
+    settings: rc::Rc<Settings>,
+    suspects: cell::RefCell<Suspects>,
+    finished: cell::RefCell<Finished>,
+    quarantined: cell::Cell<u64>,
+}
+
+impl<L: peer::Link> Sharing<L> {
+    /// Wait for the answer of another owner.
+    const TIMEOUT: time::Duration = time::Duration::from_secs(2);
+    /// Most owners that are told.
+    const FAN_OUT: usize = 256;
+
+    /// No suspects yet; notices go out over `link`.
+    #[must_use]
+    pub fn new(link: L, settings: rc::Rc<Settings>) -> Self {
+        let shared = Shared {
+            link,
+            settings,
+            suspects: cell::RefCell::default(),
+            finished: cell::RefCell::default(),
+            quarantined: cell::Cell::new(0),
+        };
+        Self {
+            shared: rc::Rc::new(shared),
+        }
+    }
+
+    /// Whether nobody is suspected, so that fingerprints need not be compared.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.shared.suspects.borrow().is_empty()
+    }
+
+    /// Number of suspects.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.shared.suspects.borrow().len()
+    }
+
+    /// Requests refused because of quarantine so far.
+    #[must_use]
+    pub fn quarantined(&self) -> u64 {
+        self.shared.quarantined.get()
+    }
+
+    /// How the request stands; one that has finished of late is clean.
+    #[must_use]
+    pub fn standing(&self, fingerprint: u64, now: time::Instant) -> Standing {
+        let suspects = self.shared.suspects.borrow();
+        let standing = suspects.standing(fingerprint, now, &self.shared.settings);
+        if matches!(standing, Standing::Quarantined(_)) {
+            self.shared
+                .quarantined
+                .set(self.shared.quarantined.get() + 1);
+        }
+        standing
+    }
+
+    /// Whether the request has finished here of late.
+    #[must_use]
+    pub fn has_finished(&self, fingerprint: u64) -> bool {
+        self.shared.finished.borrow().contains(fingerprint)
+    }
+
+    /// The request has finished; other owners learn when it was a suspect.
+    pub fn finish(&self, fingerprint: u64, others: impl FnOnce() -> Vec<units::Address>) {
+        self.shared.finished.borrow_mut().add(fingerprint);
+        if self.is_empty() || !self.shared.suspects.borrow_mut().clear(fingerprint) {
+            return;
+        }
+        let notice = wire::Notice {
+            cleared: vec![fingerprint],
+            ..wire::Notice::default()
+        };
+        self.send(&notice, others());
+    }
+
+    /// The request was in flight in `crash`; other owners learn.
+    ///
+    /// One that has finished of late is not blamed, unless it ran alone.
+    pub fn accuse(
+        &self,
+        fingerprint: u64,
+        crash: &Crash,
+        now: time::Instant,
+        others: impl FnOnce() -> Vec<units::Address>,
+    ) {
+        if !crash.alone && self.has_finished(fingerprint) {
+            return;
+        }
+        let mut suspects = self.shared.suspects.borrow_mut();
+        suspects.expire(now, &self.shared.settings);
+        if !suspects.add(fingerprint, crash, now, &self.shared.settings) {
+            return;
+        }
+        let described = suspects.describe(fingerprint);
+        drop(suspects);
+        log::warn!(node:% = crash.node, instance = crash.instance, alone = crash.alone,
+            fingerprint = fingerprint; "request was in flight in a crash");
+        let notice = wire::Notice {
+            suspects: described.into_iter().collect(),
+            ..wire::Notice::default()
+        };
+        self.send(&notice, others());
+    }
+
+    /// `crash` was a failure of a connection only; other owners learn.
+    pub fn withdraw(&self, crash: &Crash, others: impl FnOnce() -> Vec<units::Address>) {
+        if !self.shared.suspects.borrow_mut().withdraw(crash) {
+            return;
+        }
+        let notice = wire::Notice {
+            withdrawn: vec![crash.encode()],
+            ..wire::Notice::default()
+        };
+        self.send(&notice, others());
+    }
+
+    /// Takes a notice of another owner.
+    pub fn take(&self, incoming: peer::Incoming, now: time::Instant) {
+        let Ok(notice) = wire::Notice::decode(incoming.payload.as_slice()) else {
+            incoming.answer.invalid();
+            return;
+        };
+        let mut suspects = self.shared.suspects.borrow_mut();
+        suspects.expire(now, &self.shared.settings);
+        suspects.merge(&notice, now, &self.shared.settings);
+        drop(suspects);
+        incoming.answer.send(Vec::new());
+    }
+
+    fn send(&self, notice: &wire::Notice, others: Vec<units::Address>) {
+        let payload = notice.encode_to_vec();
+        let link = self.shared.link.clone();
+        compio::runtime::spawn(async move {
+            let calls = others.into_iter().take(Self::FAN_OUT);
+            let mut calls: FuturesUnordered<_> = calls
+                .map(|to| link.call(to, SERVICE, payload.clone(), Self::TIMEOUT))
+                .collect();
+            while let Some(result) = calls.next().await {
+                if let Err(error) = result {
+                    log::debug!(error:% = error; "an owner was not told of suspects");
+                }
+            }
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/components/routing/src/directory.rs
@@ -0,0 +1,251 @@
+//! The backend servers of the mesh, by service and version.
+
+use std::rc;
+use std::time;
+
+use compact_str::CompactString;
+use membership::{Member, Phase, State, View};
+
+use crate::{Endpoint, Group, Home, Past, Policy, rank};
+
+/// The backend servers of the mesh, by service and version, as this node sees them.
+#[derive(Debug)]
+pub struct Directory {
+    node: units::Node,
+    data_centre: units::DataCentre,
+    generation: Option<u64>,
+    /// Sorted by node.
+    endpoints: Vec<rc::Rc<Endpoint>>,
+    /// Sorted by service and version.
+    groups: Vec<rc::Rc<Group>>,
+    /// Owners of now and of the key window, sorted by service, version and node.
+    seen: Vec<Seen>,
+}
+
+/// An owner of a version of a service, now or within the key window.
+#[derive(Debug, Clone)]
+struct Seen {
+    service: CompactString,
+    version: CompactString,
+    node: units::Node,
+    joined: time::Instant,
+    left: Option<time::Instant>,
+}
+
+impl Seen {
+    fn key(&self) -> (&str, &str, &units::Node) {
+        (&self.service, &self.version, &self.node)
+    }
+}
+
+impl Directory {
+    /// Most owners that are asked for the record of a key.
+    const PAST_LIMIT: usize = 4;
+
+    /// An empty directory as seen from `node` in `data_centre`.
+    #[must_use]
+    pub fn new(node: units::Node, data_centre: units::DataCentre) -> Self {
+        Self {
+            node,
+            data_centre,
+            generation: None,
+            endpoints: Vec::new(),
+            groups: Vec::new(),
+            seen: Vec::new(),
+        }
+    }
+
+    /// Takes over `view`; does nothing when it is the one held.
+    pub fn update(&mut self, view: &View, policy: &Policy, now: time::Instant) {
+        if self.generation == Some(view.generation()) {
+            return;
+        }
+        self.generation = Some(view.generation());
+        let old = std::mem::take(&mut self.endpoints);
+        for member in view.running() {
+            let Some(backend) = member.backend.as_ref() else {
+                continue;
+            };
+            if backend.phase != Phase::Ready {
+                continue;
+            }
+            let place = old.binary_search_by(|one| one.node.cmp(&member.node));
+            let known = place.ok().map(|place| &old[place]);
+            let kept = known.filter(|one| one.is(member, backend)).cloned();
+            let made =
+                || Endpoint::new(member, &self.node, &self.data_centre, now).map(rc::Rc::new);
+            self.endpoints.extend(kept.or_else(made));
+        }
+        self.group();
+        self.remember(view, policy, now);
+    }
+
+    /// The group of `version` of `service`, if it has a ready backend server.
+    #[must_use]
+    pub fn find(&self, service: &str, version: &str) -> Option<&rc::Rc<Group>> {
+        let wanted = (service, version);
+        let place = self.groups.binary_search_by(|group| {
+            (group.service.as_str(), group.version.as_str()).cmp(&wanted)
+        });
+        place.ok().map(|place| &self.groups[place])
+    }
+
+    /// All backend servers, sorted by node.
+    #[must_use]
+    pub fn endpoints(&self) -> &[rc::Rc<Endpoint>] {
+        &self.endpoints
+    }
+
+    /// Where a request with an idempotency key of hash `key` runs, and may have run before.
+    ///
+    /// The owner is the highest-ranked one of the version. The owners that may have been it at some
+    /// time within the window are those that rank above the first one that was there all the time.
+    #[must_use]
+    pub fn home(
+        &self,
+        service: &str,
+        version: &str,
+        key: u64,
+        view: &View,
+        window: time::Duration,
+        now: time::Instant,
+    ) -> Option<Home> {
+        let group = self.find(service, version)?;
+        let mut ranked: Vec<_> = self.seen_of(service, version).iter().collect();
+        ranked.sort_by_cached_key(|one| std::cmp::Reverse(rank(&one.node, key)));
+        let settled =
+            |one: &Seen| one.left.is_none() && now.saturating_duration_since(one.joined) >= window;
+        let end = ranked.iter().position(|one| settled(one));
+        ranked.truncate(end.map_or(ranked.len(), |end| end + 1));
+        let present = ranked.iter().find(|one| one.left.is_none())?;
+        let endpoint = group.all().find(|one| one.node == present.node)?.clone();
+        let others = ranked
+            .iter()
+            .filter(|one| one.node != endpoint.node || one.left.is_some());
+        let past = others.take(Self::PAST_LIMIT).map(|one| Past {
+            node: one.node.clone(),
+            address: reachable(view, one),
+            joined: one.joined,
+        });
+        let past = past.collect();
+        let joined = present.joined;
+        Some(Home {
+            endpoint,
+            joined,
+            past,
+        })
+    }
+
+    /// Groups the backend servers by service and version.
+    fn group(&mut self) {
+        let mut sorted = self.endpoints.clone();
+        sorted.sort_by(|one, other| group_key(one).cmp(&group_key(other)));
+        self.groups.clear();
+        let same = |one: &rc::Rc<Endpoint>, other: &rc::Rc<Endpoint>| {
+            one.service == other.service && one.version == other.version
+        };
+        for chunk in sorted.chunk_by(same) {
+            let (local, remote) = chunk.iter().cloned().partition(|one| one.local);
+            self.groups.push(rc::Rc::new(Group {
+                service: chunk[0].service.clone(),
+                version: chunk[0].version.clone(),
+                local,
+                remote,
+            }));
+        }
+    }
+
+    /// Brings the owners of the key window up to date.
+    fn remember(&mut self, view: &View, policy: &Policy, now: time::Instant) {
+        let first = self.seen.is_empty();
+        let window = policy.key_window.0;
+        let mut seen = std::mem::take(&mut self.seen);
+        for one in &mut seen {
+            if one.left.is_none() && !self.has(one) {
+                one.left = Some(now);
+            }
+        }
+        seen.retain(|one| {
+            one.left
+                .is_none_or(|left| now.saturating_duration_since(left) < window)
+        });
+        let held = seen.len();
+        for endpoint in &self.endpoints {
+            let known = seen[..held].binary_search_by(|one| {
+                let wanted = (&*endpoint.service, &*endpoint.version, &endpoint.node);
+                one.key().cmp(&wanted)
+            });
+            // A node that left and came back stands twice: its records are lost.
+            if known.is_ok_and(|place| stands(&seen[..held], place)) {
+                continue;
+            }
+            seen.push(Seen {
+                service: endpoint.service.clone(),
+                version: endpoint.version.clone(),
+                node: endpoint.node.clone(),
+                joined: now,
+                left: None,
+            });
+        }
+        if first {
+            seen.extend(view.members().iter().filter_map(|member| gone(member, now)));
+        }
+        seen.sort_by(|one, other| one.key().cmp(&other.key()));
+        self.seen = seen;
+    }
+
+    fn has(&self, seen: &Seen) -> bool {
+        let place = self
+            .endpoints
+            .binary_search_by(|one| one.node.cmp(&seen.node));
+        place.is_ok_and(|place| {
+            let endpoint = &self.endpoints[place];
+            endpoint.service == seen.service && endpoint.version == seen.version
+        })
+    }
+
+    fn seen_of(&self, service: &str, version: &str) -> &[Seen] {
+        let key =
+            |one: &Seen| (one.service.as_str(), one.version.as_str()).cmp(&(service, version));
+        let start = self.seen.partition_point(|one| key(one).is_lt());
+        let length = self.seen[start..].partition_point(|one| key(one).is_eq());
+        &self.seen[start..start + length]
+    }
+}
+
+fn group_key(endpoint: &Endpoint) -> (&str, &str, &units::Node) {
+    (&endpoint.service, &endpoint.version, &endpoint.node)
+}
+
+/// Whether the entry at `place`, or one with the same key beside it, has not left.
+fn stands(seen: &[Seen], place: usize) -> bool {
+    let key = seen[place].key();
+    let before = seen[..place]
+        .iter()
+        .rev()
+        .take_while(|one| one.key() == key);
+    let after = seen[place..].iter().take_while(|one| one.key() == key);
+    before.chain(after).any(|one| one.left.is_none())
+}
+
+/// Where the owner can be asked for its records; `None` when they are gone with it.
+fn reachable(view: &View, seen: &Seen) -> Option<units::Address> {
+    let member = view.member(&seen.node)?;
+    let running = matches!(member.state, State::Alive | State::Suspect);
+    running.then_some(member.mesh_address)
+}
+
+/// A member that failed or left before this node knew it.
+fn gone(member: &Member, now: time::Instant) -> Option<Seen> {
+    let backend = member.backend.as_ref()?;
+    if !matches!(member.state, State::Dead | State::Left) {
+        return None;
+    }
+    Some(Seen {
+        service: backend.service.clone(),
+        version: backend.version.clone(),
+        node: member.node.clone(),
+        joined: now,
+        left: Some(now),
+    })
+}
--- /dev/null
+++ b/components/routing/src/endpoint.rs
@@ -0,0 +1,179 @@
+//! A backend server as this node sees it.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use compact_str::CompactString;
+use membership::{Backend, Member};
+
+use crate::{Flight, Health, Policy};
+
+/// A backend server as this node sees it, reached through its owner's mesh address.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// The owner.
+    pub node: units::Node,
+    /// Where the owner takes requests.
+    pub address: units::Address,
+    /// Service of the backend server.
+    pub service: CompactString,
+    /// Version of the backend server.
+    pub version: CompactString,
+    /// Requests that it can run at a time.
+    pub slots: u32,
+    /// Number of its start.
+    pub instance: u64,
+    /// Whether it is in the data centre of this node.
+    pub local: bool,
+    /// Whether it is beside this node.
+    pub own: bool,
+    /// When this node first saw it ready.
+    pub joined: time::Instant,
+    /// What its results say.
+    pub health: cell::Cell<Health>,
+    pub(crate) in_flight: cell::Cell<u32>,
+    latency: cell::Cell<Latency>,
+    load: cell::Cell<Option<Load>>,
+    busy_until: cell::Cell<Option<time::Instant>>,
+}
+
+/// Latency of answers, as a moving average that follows peaks at once.
+#[derive(Debug, Clone, Copy)]
+struct Latency {
+    millis: f64,
+    at: time::Instant,
+}
+
+/// Load that an owner has reported, as a part of its limit.
+#[derive(Debug, Clone, Copy)]
+struct Load {
+    part: f64,
+    at: time::Instant,
+}
+
+impl Endpoint {
+    /// Least part of its share that a new backend server gets.
+    const WARM_MIN: f64 = 0.1;
+    /// Latency that is assumed before the first answer, in milliseconds.
+    const LATENCY_MIN_MS: f64 = 0.2;
+
+    /// The backend server of `member`; `None` when it has none.
+    #[must_use]
+    pub fn new(
+        member: &Member,
+        node: &units::Node,
+        data_centre: &units::DataCentre,
+        now: time::Instant,
+    ) -> Option<Self> {
+        let backend = member.backend.as_ref()?;
+        Some(Self {
+            node: member.node.clone(),
+            address: member.mesh_address,
+            service: backend.service.clone(),
+            version: backend.version.clone(),
+            slots: backend.slots.max(1),
+            instance: backend.instance,
+            local: member.data_centre == *data_centre,
+            own: member.node == *node,
+            joined: now,
+            health: cell::Cell::default(),
+            in_flight: cell::Cell::new(0),
+            latency: cell::Cell::new(Latency {
+                millis: 0.0,
+                at: now,
+            }),
+            load: cell::Cell::new(None),
+            busy_until: cell::Cell::new(None),
+        })
+    }
+
+    /// Whether it is the same start of the same backend server at the same address.
+    #[must_use]
+    pub fn is(&self, member: &Member, backend: &Backend) -> bool {
+        self.address == member.mesh_address
+            && self.instance == backend.instance
+            && self.slots == backend.slots.max(1)
+            && self.service == backend.service
+            && self.version == backend.version
+    }
+
+    /// Requests that this node has on it.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Counts one request until the flight is dropped.
+    #[must_use]
+    pub fn start(self: &rc::Rc<Self>) -> Flight {
+        Flight::new(self.clone())
+    }
+
+    /// Takes the latency of one answer.
+    ///
+    /// Peak EWMA as in Finagle: a higher latency counts at once, a lower one after decay.
+    pub fn observe(&self, latency: time::Duration, now: time::Instant, policy: &Policy) {
+        let sample = latency.as_secs_f64() * 1_000.0;
+        let held = self.latency.get();
+        let millis = if sample > held.millis {
+            sample
+        } else {
+            let age = now.saturating_duration_since(held.at).as_secs_f64();
+            let kept = (-age / policy.latency_decay.0.as_secs_f64().max(0.001)).exp();
+            held.millis * kept + sample * (1.0 - kept)
+        };
+        self.latency.set(Latency { millis, at: now });
+    }
+
+    /// Takes the load that the owner reports with an answer.
+    pub fn report(&self, part: f64, now: time::Instant) {
+        self.load.set(Some(Load { part, at: now }));
+    }
+
+    /// The owner has refused a request and asks to come back after `wait`.
+    pub fn refuse(&self, wait: time::Duration, now: time::Instant) {
+        self.busy_until.set(Some(now + wait));
+    }
+
+    /// Whether the owner asked to come back later than now.
+    #[must_use]
+    pub fn is_busy(&self, now: time::Instant) -> bool {
+        self.busy_until.get().is_some_and(|until| now < until)
+    }
+
+    /// Load as a part of its limit: the owner's fresh report, or what this node alone has on it.
+    #[must_use]
+    pub fn load(&self, now: time::Instant, policy: &Policy) -> f64 {
+        let own = f64::from(self.in_flight.get()) / f64::from(self.slots);
+        let fresh = self
+            .load
+            .get()
+            .filter(|load| now.saturating_duration_since(load.at) <= policy.load_lifetime.0);
+        fresh.map_or(own, |load| load.part.max(own))
+    }
+
+    /// Cost of one more request here; the lower one of two is chosen.
+    #[must_use]
+    pub fn cost(&self, now: time::Instant, policy: &Policy) -> f64 {
+        let latency = self.latency.get().millis.max(Self::LATENCY_MIN_MS);
+        let waiting = f64::from(self.in_flight.get()) + 1.0;
+        let crowding = 1.0 + self.load(now, policy).powi(2);
+        let share = f64::from(self.slots) * self.warmth(now, policy);
+        latency * waiting * crowding / share
+    }
+
+    /// Part of its share that it gets: grows from a tenth to the whole over the slow start.
+    #[must_use]
+    pub fn warmth(&self, now: time::Instant, policy: &Policy) -> f64 {
+        let age = now.saturating_duration_since(self.joined).as_secs_f64();
+        let part = age / policy.slow_start.0.as_secs_f64().max(0.001);
+        part.clamp(Self::WARM_MIN, 1.0)
+    }
+
+    /// Smoothed latency of its answers, in milliseconds.
+    #[must_use]
+    pub fn latency_ms(&self) -> f64 {
+        self.latency.get().millis
+    }
+}
--- /dev/null
+++ b/components/routing/src/group.rs
@@ -0,0 +1,40 @@
+//! The backend servers of one version of a service.
+
+use std::rc;
+
+use compact_str::CompactString;
+
+use crate::{Endpoint, Policy};
+
+/// The ready backend servers of one version of a service.
+#[derive(Debug, Default)]
+pub struct Group {
+    /// The service.
+    pub service: CompactString,
+    /// The version.
+    pub version: CompactString,
+    /// Those in this node's data centre, sorted by node.
+    pub local: Vec<rc::Rc<Endpoint>>,
+    /// Those elsewhere, sorted by node.
+    pub remote: Vec<rc::Rc<Endpoint>>,
+}
+
+impl Group {
+    /// All backend servers.
+    pub fn all(&self) -> impl Iterator<Item = &rc::Rc<Endpoint>> {
+        self.local.iter().chain(&self.remote)
+    }
+
+    /// Whether one more backend server may be ejected.
+    #[must_use]
+    pub fn may_eject(&self, policy: &Policy) -> bool {
+        let ejected = self
+            .all()
+            .filter(|one| one.health.get().is_ejected())
+            .count();
+        let total = self.local.len() + self.remote.len();
+        let limit =
+            total * policy.eject_share.parts() as usize / units::Share::WHOLE.parts() as usize;
+        ejected < limit
+    }
+}
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -1,7 +1,31 @@
 //! Choice of a route, a version and a backend server for each request.
 
+mod choice;
+mod directory;
+mod endpoint;
+mod flight;
+mod group;
+mod health;
+mod home;
 mod observer;
+mod policy;
+mod rank;
+mod rotation;
+mod table;
+mod versions;
 mod withheld;
 
+pub use choice::choose;
+pub use directory::Directory;
+pub use endpoint::Endpoint;
+pub use flight::Flight;
+pub use group::Group;
+pub use health::{Health, Verdict};
+pub use home::{Home, Past};
 pub use observer::{Observer, Sample};
+pub use policy::Policy;
+pub use rank::rank;
+pub use rotation::Rotation;
+pub use table::Table;
+pub use versions::{draw, fall_back};
 pub use withheld::Withheld;
--- a/components/schema/src/lib.rs
+++ b/components/schema/src/lib.rs
@@ -5,6 +5,7 @@
 #[allow(missing_docs, clippy::all, clippy::too_many_lines, unreachable_pub)]
 #[rustfmt::skip]
 mod generated {
+    pub mod admission { pub mod v1 { include!("generated/radishgap.admission.v1.rs"); } }
     pub mod announce { pub mod v1 { include!("generated/radishgap.announce.v1.rs"); } }
     pub mod config { pub mod v1 { include!("generated/radishgap.config.v1.rs"); } }
     pub mod distribution { pub mod v1 { include!("generated/radishgap.distribution.v1.rs"); } }
@@ -13,6 +14,8 @@
     pub mod peer { pub mod v1 { include!("generated/radishgap.peer.v1.rs"); } }
 }
 
+/// Messages about requests that crash backend servers.
+pub use generated::admission::v1 as admission;
 /// Announcements of backend servers.
 pub use generated::announce::v1 as announce;
 /// Configuration resources and the log.
--- a/components/upstream/src/feed.rs
+++ b/components/upstream/src/feed.rs
@@ -91,6 +91,6 @@
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
-        self.payload.inner.borrow().size.clone()
+        self.payload.inner.borrow().size
     }
 }
--- a/testing/generate/src/main.rs
+++ b/testing/generate/src/main.rs
@@ -5,7 +5,8 @@
 
 use clap::{Arg, Command, value_parser};
 
-const PROTO_FILES: [&str; 6] = [
+const PROTO_FILES: [&str; 7] = [
+    "admission.proto",
     "announce.proto",
     "config.proto",
     "distribution.proto",
