--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -1,5 +1,6 @@
 //! Choice of a route, a version and a backend server for each request.
 
+<<<<<<< HEAD
 mod choice;
 mod directory;
 mod endpoint;
@@ -7,6 +8,9 @@
 mod group;
 mod health;
 mod home;
+=======
+mod focus;
+>>>>>>> main
 mod observer;
 mod policy;
 mod rank;
@@ -15,6 +19,7 @@
 mod versions;
 mod withheld;
 
+<<<<<<< HEAD
 pub use choice::choose;
 pub use directory::Directory;
 pub use endpoint::Endpoint;
@@ -22,6 +27,9 @@
 pub use group::Group;
 pub use health::{Health, Verdict};
 pub use home::{Home, Past};
+=======
+pub use focus::Focus;
+>>>>>>> main
 pub use observer::{Observer, Sample};
 pub use policy::Policy;
 pub use rank::rank;
