--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -1,16 +1,13 @@
 //! Choice of a route, a version and a backend server for each request.
 
-<<<<<<< HEAD
 mod choice;
 mod directory;
 mod endpoint;
 mod flight;
+mod focus;
 mod group;
 mod health;
 mod home;
-=======
-mod focus;
->>>>>>> main
 mod observer;
 mod policy;
 mod rank;
@@ -19,17 +16,14 @@
 mod versions;
 mod withheld;
 
-<<<<<<< HEAD
 pub use choice::choose;
 pub use directory::Directory;
 pub use endpoint::Endpoint;
 pub use flight::Flight;
+pub use focus::Focus;
 pub use group::Group;
 pub use health::{Health, Verdict};
 pub use home::{Home, Past};
-=======
-pub use focus::Focus;
->>>>>>> main
 pub use observer::{Observer, Sample};
 pub use policy::Policy;
 pub use rank::rank;
