--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,6 +1,8 @@
 //! The process beside each backend server: proxy, membership, distribution, moves, operator API.
 
 pub mod admin;
+pub mod announce;
+pub mod ask;
 pub mod dump;
 pub mod metrics;
 pub mod operator;
