--- a/node/src/announce/desk.rs
+++ b/node/src/announce/desk.rs
@@ -1,13 +1,13 @@
 //! Hands announcements to the services that act on them.
 
-use std::rc;
 use std::time;
 
-use admission::{Announced, Gate};
+use admission::Announced;
 use futures_channel::oneshot;
 use schema::announce as wire;
 
 use super::Notice;
+use crate::call::Owner;
 
 /// An announcement of the backend server beside the node.
 #[derive(Debug)]
@@ -20,28 +20,28 @@
     pub answer: oneshot::Sender<time::Duration>,
 }
 
-/// Hands announcements to the gate of the backend server and to the membership.
-pub struct Desk {
+/// Hands announcements to the request path and to the membership.
+pub struct Desk<L> {
     inbox: kernel::Inbox<Message>,
-    gate: rc::Rc<Gate>,
+    owner: Owner<L>,
     members: kernel::Mailbox<membership::Command>,
     lease: time::Duration,
 }
 
-impl Desk {
-    /// Hands what arrives in `inbox` to `gate` and `members`.
+impl<L: peer::Link> Desk<L> {
+    /// Hands what arrives in `inbox` to `owner` and `members`.
     ///
     /// A backend server that is silent for `lease` is taken for gone.
     #[must_use]
     pub fn new(
         inbox: kernel::Inbox<Message>,
-        gate: rc::Rc<Gate>,
+        owner: Owner<L>,
         members: kernel::Mailbox<membership::Command>,
         lease: time::Duration,
     ) -> Self {
         Self {
             inbox,
-            gate,
+            owner,
             members,
             lease,
         }
@@ -52,7 +52,7 @@
             address: message.notice.address,
             backend: message.notice.backend,
         };
-        self.gate.announce(Some(&announced));
+        self.owner.announce(Some(&announced));
         let (answer, acknowledged) = oneshot::channel();
         let announcement = message.announcement;
         let command = membership::Command::Announce {
@@ -75,7 +75,7 @@
     }
 }
 
-impl kernel::Service for Desk {
+impl<L: peer::Link> kernel::Service for Desk<L> {
     const NAME: &'static str = "announce";
 
     async fn run(mut self, stop: kernel::Stop) {
@@ -83,7 +83,7 @@
             let received = compio::time::timeout(self.lease, self.inbox.receive());
             match stop.guard(received).await {
                 Some(Ok(Some(message))) => self.take(message).await,
-                Some(Err(_)) => self.gate.announce(None),
+                Some(Err(_)) => self.owner.announce(None),
                 Some(Ok(None)) | None => return,
             }
         }
--- /dev/null
+++ b/node/src/assembly/listeners.rs
@@ -0,0 +1,69 @@
+//! Listeners of a node, each a task of the kernel.
+
+use std::time;
+
+use error_stack::{Report, ResultExt};
+use tonic::service::Routes;
+
+use super::requests::Unobserved;
+use super::{Builder, Error, Link, names};
+use crate::admin::Admin;
+use crate::call::{Ingress, Owner};
+use crate::settings::Settings;
+use crate::{announce, operator};
+
+/// Binds and starts all listeners; those that serve requests stop first.
+pub(super) async fn start(builder: &mut Builder) -> Result<(), Report<Error>> {
+    let settings = builder.settings.clone();
+    let limits = web::Limits::default();
+    let admin: Admin = builder.find(names::ADMIN)?;
+    listen(builder, "admin", settings.admin, limits, admin).await?;
+    let operator = operator_api(builder)?;
+    listen(builder, "operator", settings.operator, limits, operator).await?;
+    let announce = announce_api(builder)?;
+    listen(builder, "announce", settings.announce, limits, announce).await?;
+    let limits = request_limits(&settings);
+    let owner: Owner<Link> = builder.find(names::OWNER)?;
+    listen(builder, "mesh", settings.mesh, limits, owner).await?;
+    let ingress: Ingress<Link, Unobserved> = builder.find(names::INGRESS)?;
+    listen(builder, "callers", settings.callers, limits, ingress).await
+}
+
+fn operator_api(builder: &Builder) -> Result<web::Grpc, Report<Error>> {
+    let distribution = builder.find(names::DISTRIBUTION)?;
+    let desk = builder.find(names::DESK)?;
+    let api = operator::Api::new(distribution, desk);
+    let access = operator::Access::new(&builder.settings.token());
+    let service = schema::operator::operator_server::OperatorServer::with_interceptor(api, access);
+    Ok(web::Grpc::new(Routes::new(service)))
+}
+
+fn announce_api(builder: &Builder) -> Result<web::Grpc, Report<Error>> {
+    let api = announce::Api::new(builder.find(names::ANNOUNCEMENTS)?);
+    let service = schema::announce::announce_server::AnnounceServer::new(api);
+    Ok(web::Grpc::new(Routes::new(service)))
+}
+
+fn request_limits(settings: &Settings) -> web::Limits {
+    web::Limits {
+        connections: settings.connections,
+        ping_after: time::Duration::from_millis(500),
+        ping_timeout: time::Duration::from_millis(1_000),
+        ..web::Limits::default()
+    }
+}
+
+async fn listen<H: web::Handler>(
+    builder: &mut Builder,
+    name: &'static str,
+    address: units::Address,
+    limits: web::Limits,
+    handler: H,
+) -> Result<(), Report<Error>> {
+    let bound = web::Server::bind(address, limits).await;
+    let server = bound.change_context(Error::Listen(name, address))?;
+    builder
+        .kernel
+        .start_task(name, |stop| server.run(handler, stop));
+    Ok(())
+}
--- /dev/null
+++ b/node/src/assembly/requests.rs
@@ -0,0 +1,93 @@
+//! The request path.
+
+use std::rc;
+use std::time;
+
+use error_stack::Report;
+
+use super::{Builder, Error, Link, MAILBOX, names};
+use crate::announce;
+use crate::call::{Context, Ingress, Owner};
+use crate::dump::Dump;
+use crate::metrics::Exporter;
+
+/// Time between two rounds of housekeeping on the request path.
+const MAINTENANCE: time::Duration = time::Duration::from_millis(500);
+
+/// Takes samples for moves.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Unobserved;
+
+impl routing::Observer for Unobserved {
+    fn observe(&self, _: &routing::Sample) {}
+}
+
+/// Starts what takes requests and announcements.
+pub(super) fn start(builder: &mut Builder) -> Result<(), Report<Error>> {
+    let settings = builder.settings.clone();
+    let context = Context {
+        node: settings.node.clone(),
+        data_centre: settings.data_centre.clone(),
+        holder: builder.find(names::CONFIGURATION)?,
+        members: builder.find(names::VIEW)?,
+        withheld: builder.find(names::WITHHELD)?,
+        focus: builder.find(names::FOCUS)?,
+        settings: rc::Rc::new(settings.requests.clone()),
+    };
+    let link: Link = builder.find(names::LINK)?;
+    let owner = Owner::new(context.clone(), link);
+    let ingress = Ingress::new(context, Unobserved, owner.clone());
+    start_suspects(builder, owner.clone())?;
+    start_announcements(builder, owner.clone())?;
+    start_maintenance(builder, ingress.clone());
+    show(builder, &owner, &ingress)?;
+    builder.offer(names::OWNER, owner)?;
+    builder.offer(names::INGRESS, ingress)
+}
+
+/// Hands notices of other owners about requests that crash backend servers to `owner`.
+fn start_suspects(builder: &mut Builder, owner: Owner<Link>) -> Result<(), Report<Error>> {
+    let mut inbox = builder.incoming(admission::SERVICE)?;
+    builder.kernel.start_task("suspects", |stop| async move {
+        while let Some(Some(incoming)) = stop.guard(inbox.receive()).await {
+            owner.sharing().take(incoming, time::Instant::now());
+        }
+    });
+    Ok(())
+}
+
+fn start_announcements(builder: &mut Builder, owner: Owner<Link>) -> Result<(), Report<Error>> {
+    let (mailbox, inbox) = kernel::mailbox(MAILBOX);
+    builder.offer(names::ANNOUNCEMENTS, mailbox)?;
+    let members = builder.find(names::MEMBERSHIP)?;
+    let lease = builder.settings.membership.lease.0;
+    let desk = announce::Desk::new(inbox, owner, members, lease);
+    builder.kernel.start(desk);
+    Ok(())
+}
+
+fn start_maintenance(builder: &mut Builder, ingress: Ingress<Link, Unobserved>) {
+    builder.kernel.start_task("maintenance", |stop| async move {
+        while stop.sleep(MAINTENANCE).await {
+            ingress.maintain(time::Instant::now());
+        }
+    });
+}
+
+fn show(
+    builder: &Builder,
+    owner: &Owner<Link>,
+    ingress: &Ingress<Link, Unobserved>,
+) -> Result<(), Report<Error>> {
+    let dump: Dump = builder.find(names::DUMP)?;
+    let exporter: Exporter = builder.find(names::EXPORTER)?;
+    let shown = owner.clone();
+    dump.add("owner", move || shown.dump());
+    let shown = ingress.clone();
+    dump.add("ingress", move || shown.counts());
+    let counted = owner.clone();
+    exporter.add_counts("owner", move || counted.counts());
+    let counted = ingress.clone();
+    exporter.add_counts("ingress", move || counted.counts());
+    Ok(())
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod admin;
 pub mod announce;
 pub mod ask;
+pub mod assembly;
+pub mod call;
 pub mod dump;
 pub mod metrics;
 pub mod operator;
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -4,6 +4,8 @@
 use serde::Deserialize;
 use settings::Findings;
 
+use crate::call;
+
 /// Settings of a node.
 #[derive(Debug, Clone, Deserialize, schemars::JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -38,13 +40,28 @@
     #[serde(default)]
     #[schemars(with = "String")]
     pub operator_token: CompactString,
-    /// Time that a graceful shutdown leaves for requests in flight.
-    #[serde(default = "default_drain")]
-    pub drain: units::Period,
+    /// Connections of callers at a time, and as many of other nodes.
+    #[serde(default = "default_connections")]
+    pub connections: usize,
+    /// Use of the platform.
+    #[serde(default)]
+    pub store: platform::Settings,
+    /// Connections between nodes for control messages.
+    #[serde(default)]
+    pub peers: peer::Settings,
+    /// Membership.
+    #[serde(default)]
+    pub membership: membership::Settings,
+    /// Distribution of the configuration.
+    #[serde(default)]
+    pub distribution: distribution::Settings,
+    /// Request path.
+    #[serde(default)]
+    pub requests: call::Settings,
 }
 
-fn default_drain() -> units::Period {
-    units::Period::from_secs(20)
+fn default_connections() -> usize {
+    4_096
 }
 
 impl Settings {
@@ -62,6 +79,18 @@
         }
     }
 
+    /// What the node says of itself to others.
+    #[must_use]
+    pub fn identity(&self) -> membership::Identity {
+        membership::Identity {
+            node: self.node.clone(),
+            data_centre: self.data_centre.clone(),
+            region: self.region.as_str().into(),
+            peer_address: self.peer,
+            mesh_address: self.mesh,
+        }
+    }
+
     /// The addresses that the node listens on, with the names of their settings.
     fn listeners(&self) -> [(&'static str, units::Address); 6] {
         [
@@ -95,8 +124,6 @@
             let expected = "a token of at least 8 bytes here or in RADISHGAP_OPERATOR_TOKEN";
             findings.add("/operator_token", "it is missing or too short", expected);
         }
-        if self.drain.as_millis() == 0 {
-            findings.add("/drain", "no time for requests in flight", "above zero");
-        }
+        self.store.check("/store", findings);
     }
 }
