--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -90,6 +90,20 @@
         place.ok().map(|place| &self.groups[place])
     }
 
+    /// Versions of `service` that had a ready backend server within the key window.
+    #[must_use]
+    pub fn versions(&self, service: &str) -> Vec<CompactString> {
+        let start = self
+            .seen
+            .partition_point(|one| one.service.as_str() < service);
+        let of_service = self.seen[start..]
+            .iter()
+            .take_while(|one| one.service == service);
+        let mut versions: Vec<_> = of_service.map(|one| one.version.clone()).collect();
+        versions.dedup();
+        versions
+    }
+
     /// All backend servers, sorted by node.
     #[must_use]
     pub fn endpoints(&self) -> &[rc::Rc<Endpoint>] {
@@ -119,16 +133,16 @@
         ranked.truncate(end.map_or(ranked.len(), |end| end + 1));
         let present = ranked.iter().find(|one| one.left.is_none())?;
         let endpoint = group.all().find(|one| one.node == present.node)?.clone();
-        let others = ranked
-            .iter()
-            .filter(|one| one.node != endpoint.node || one.left.is_some());
-        let past = others.take(Self::PAST_LIMIT).map(|one| Past {
-            node: one.node.clone(),
-            address: reachable(view, one),
-            joined: one.joined,
-        });
-        let past = past.collect();
-        let joined = present.joined;
+        let mut past = Vec::new();
+        let mut joined = present.joined;
+        for one in ranked.iter().filter(|one| !std::ptr::eq(**one, *present)) {
+            if one.node == endpoint.node {
+                // It left and came back; its records cover both times unless it was restarted.
+                joined = joined.min(one.joined);
+            } else if past.len() < Self::PAST_LIMIT {
+                add_past(&mut past, one, view);
+            }
+        }
         Some(Home {
             endpoint,
             joined,
@@ -217,6 +231,19 @@
     (&endpoint.service, &endpoint.version, &endpoint.node)
 }
 
+/// Adds an owner that may have run a request; one that stands there twice counts from its first time.
+fn add_past(past: &mut Vec<Past>, seen: &Seen, view: &View) {
+    if let Some(known) = past.iter_mut().find(|known| known.node == seen.node) {
+        known.joined = known.joined.min(seen.joined);
+        return;
+    }
+    past.push(Past {
+        node: seen.node.clone(),
+        address: reachable(view, seen),
+        joined: seen.joined,
+    });
+}
+
 /// Whether the entry at `place`, or one with the same key beside it, has not left.
 fn stands(seen: &[Seen], place: usize) -> bool {
     let key = seen[place].key();
--- a/components/routing/src/group.rs
+++ b/components/routing/src/group.rs
@@ -25,6 +25,21 @@
         self.local.iter().chain(&self.remote)
     }
 
+    /// The group of only the first `count` backend servers by node.
+    #[must_use]
+    pub fn first(&self, count: usize) -> Self {
+        let mut all: Vec<_> = self.all().cloned().collect();
+        all.sort_by(|one, other| one.node.cmp(&other.node));
+        all.truncate(count.max(1));
+        let (local, remote) = all.into_iter().partition(|one| one.local);
+        Self {
+            service: self.service.clone(),
+            version: self.version.clone(),
+            local,
+            remote,
+        }
+    }
+
     /// Whether one more backend server may be ejected.
     #[must_use]
     pub fn may_eject(&self, policy: &Policy) -> bool {
--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -91,6 +91,12 @@
         now.saturating_duration_since(heard) > limit
     }
 
+    /// Whether no request has been on it for `limit`.
+    pub(crate) fn is_idle(&self, now: time::Instant, limit: time::Duration) -> bool {
+        let used = self.state.last_read.get().max(self.state.busy_since.get());
+        self.in_flight() == 0 && now.saturating_duration_since(used) >= limit
+    }
+
     /// Whether it is the connection that `other` is.
     pub(crate) fn is_same(&self, other: &Self) -> bool {
         rc::Rc::ptr_eq(&self.state, &other.state)
--- a/components/upstream/src/payload.rs
+++ b/components/upstream/src/payload.rs
@@ -109,6 +109,13 @@
         self.inner.borrow().fault.clone()
     }
 
+    /// Whether it can be sent from its beginning.
+    #[must_use]
+    pub fn is_replayable(&self) -> bool {
+        let inner = self.inner.borrow();
+        !inner.lost && inner.fault.is_none()
+    }
+
     /// Whether it has no bytes.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/components/upstream/src/pool.rs
+++ b/components/upstream/src/pool.rs
@@ -93,6 +93,14 @@
         connections.iter().any(|one| one.in_flight() > 0)
     }
 
+    /// Closes the connections when no request has been on them for `limit`; returns whether none is
+    /// left.
+    pub fn close_idle(&self, now: time::Instant, limit: time::Duration) -> bool {
+        let mut connections = self.shared.connections.borrow_mut();
+        connections.retain(|one| !one.is_closed() && !one.is_idle(now, limit));
+        connections.is_empty() && !self.shared.dialling.get()
+    }
+
     /// Sends one request; dropping the future resets its stream.
     ///
     /// # Errors
--- /dev/null
+++ b/node/src/call/context.rs
@@ -0,0 +1,24 @@
+//! What the request path reads from other services.
+
+use std::rc;
+
+use super::Settings;
+
+/// What the request path reads from other services; clones share it.
+#[derive(Clone)]
+pub struct Context {
+    /// This node.
+    pub node: units::Node,
+    /// Its data centre.
+    pub data_centre: units::DataCentre,
+    /// Configuration in force.
+    pub holder: distribution::Holder,
+    /// Members of the mesh.
+    pub members: membership::Reader,
+    /// Versions that get nothing now.
+    pub withheld: routing::Withheld,
+    /// Versions that use only some of their backend servers.
+    pub focus: routing::Focus,
+    /// Settings of the request path.
+    pub settings: rc::Rc<Settings>,
+}
--- /dev/null
+++ b/node/src/call/envelope.rs
@@ -0,0 +1,131 @@
+//! What an ingress tells an owner about a request.
+
+use std::time;
+
+use compact_str::CompactString;
+
+use super::{Headers, Problem, Reason};
+
+units::record! {
+    /// What an ingress tells an owner about a request.
+    pub struct Envelope {
+        /// Id of this attempt, unique in the mesh.
+        pub request: CompactString,
+        /// When the answer has to be whole.
+        pub deadline: time::Instant,
+        /// Number of the attempt, from 1; those of nodes above count.
+        pub attempt: u32,
+        /// Calls above this one.
+        pub depth: u32,
+        /// Service that is meant.
+        pub service: CompactString,
+        /// Version that is meant.
+        pub version: CompactString,
+        /// Who sends the request.
+        pub caller: CompactString,
+        /// Whether it was on a backend server that crashed.
+        pub suspect: bool,
+        /// Idempotency key of a request that is not idempotent by itself.
+        pub key: Option<Key>,
+    }
+}
+
+units::record! {
+    /// Idempotency key of a request.
+    pub struct Key {
+        /// The key as the caller sent it.
+        pub text: CompactString,
+        /// Whether only the recorded end is wanted.
+        pub recall: bool,
+        /// Time that the owner's records have to cover; zero for a first sending.
+        pub cover: time::Duration,
+    }
+}
+
+impl Key {
+    /// The request is to run unless its end is on record.
+    #[must_use]
+    pub fn run(text: &CompactString, cover: time::Duration) -> Self {
+        let text = text.clone();
+        Self {
+            text,
+            recall: false,
+            cover,
+        }
+    }
+
+    /// Only the recorded end is wanted.
+    #[must_use]
+    pub fn recall(text: &CompactString, cover: time::Duration) -> Self {
+        Self {
+            recall: true,
+            ..Self::run(text, cover)
+        }
+    }
+}
+
+impl Envelope {
+    /// Writes it into the headers of a request to another node.
+    pub fn write(&self, headers: &mut http::HeaderMap, now: time::Instant) {
+        self.write_public(headers, now);
+        Headers::set(headers, Headers::SERVICE, &self.service);
+        Headers::set(headers, Headers::VERSION, &self.version);
+        Headers::set(headers, Headers::CALLER, &self.caller);
+        if self.suspect {
+            Headers::set(headers, Headers::SUSPECT, "1");
+        }
+        let Some(key) = &self.key else {
+            return;
+        };
+        if key.recall {
+            Headers::set(headers, Headers::KEY_RECALL, "1");
+        }
+        Headers::set_number(headers, Headers::KEY_COVER_MS, millis(key.cover));
+    }
+
+    /// Writes what the backend server learns.
+    pub fn write_public(&self, headers: &mut http::HeaderMap, now: time::Instant) {
+        let left = self.deadline.saturating_duration_since(now);
+        Headers::set(headers, Headers::REQUEST, &self.request);
+        Headers::set_number(headers, Headers::DEADLINE_MS, millis(left));
+        Headers::set_number(headers, Headers::ATTEMPT, self.attempt.into());
+        Headers::set_number(headers, Headers::DEPTH, self.depth.into());
+    }
+
+    /// Reads it from the headers of a request of another node.
+    ///
+    /// # Errors
+    /// [`Reason::Malformed`] when a part is missing.
+    pub fn read(headers: &http::HeaderMap, now: time::Instant) -> Result<Self, Problem> {
+        let missing = || Problem::refused(Reason::Malformed);
+        let text = |name| Headers::text(headers, &name).ok_or_else(missing);
+        let left = Headers::number(headers, &Headers::DEADLINE_MS).ok_or_else(missing)?;
+        let small = |name| {
+            let number = Headers::number(headers, &name)?;
+            u32::try_from(number).ok()
+        };
+        let cover = Headers::number(headers, &Headers::KEY_COVER_MS);
+        let key = cover.and_then(|cover| {
+            Some(Key {
+                text: Headers::text(headers, &Headers::KEY)?,
+                recall: headers.contains_key(Headers::KEY_RECALL),
+                cover: time::Duration::from_millis(cover),
+            })
+        });
+        Ok(Self {
+            request: text(Headers::REQUEST)?,
+            deadline: now + time::Duration::from_millis(left),
+            attempt: small(Headers::ATTEMPT).ok_or_else(missing)?,
+            depth: small(Headers::DEPTH).ok_or_else(missing)?,
+            service: text(Headers::SERVICE)?,
+            version: text(Headers::VERSION)?,
+            caller: text(Headers::CALLER)?,
+            suspect: headers.contains_key(Headers::SUSPECT),
+            key,
+        })
+    }
+}
+
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/node/src/call/headers.rs
@@ -0,0 +1,125 @@
+//! Headers of the request path.
+
+use compact_str::CompactString;
+use http::HeaderName;
+use http::header;
+
+/// Headers of the request path.
+pub struct Headers;
+
+impl Headers {
+    /// What became of a request: `ran`, `not-run` or `unknown`.
+    pub const OUTCOME: HeaderName = HeaderName::from_static("radishgap-outcome");
+    /// Why the system itself answers.
+    pub const REASON: HeaderName = HeaderName::from_static("radishgap-reason");
+    /// Wait before the next attempt, in milliseconds.
+    pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("radishgap-retry-after-ms");
+    /// Id of the request.
+    pub const REQUEST: HeaderName = HeaderName::from_static("radishgap-request");
+    /// Time left until the deadline, in milliseconds.
+    pub const DEADLINE_MS: HeaderName = HeaderName::from_static("radishgap-deadline-ms");
+    /// Number of the attempt, from 1.
+    pub const ATTEMPT: HeaderName = HeaderName::from_static("radishgap-attempt");
+    /// Calls above this one.
+    pub const DEPTH: HeaderName = HeaderName::from_static("radishgap-depth");
+    /// Key that resends of a request share.
+    pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+    /// Number of the sending with a key, as the caller counts, from 1.
+    pub const KEY_ATTEMPT: HeaderName = HeaderName::from_static("idempotency-attempt");
+    /// Between nodes: the service that is meant.
+    pub const SERVICE: HeaderName = HeaderName::from_static("radishgap-service");
+    /// Between nodes: the version that is meant.
+    pub const VERSION: HeaderName = HeaderName::from_static("radishgap-version");
+    /// Between nodes: who sends the request.
+    pub const CALLER: HeaderName = HeaderName::from_static("radishgap-caller");
+    /// Between nodes: only the recorded end of the key's request is wanted.
+    pub const KEY_RECALL: HeaderName = HeaderName::from_static("radishgap-key-recall");
+    /// Between nodes: time that the records have to cover, in milliseconds.
+    pub const KEY_COVER_MS: HeaderName = HeaderName::from_static("radishgap-key-cover-ms");
+    /// Between nodes: the request was on a backend server that crashed.
+    pub const SUSPECT: HeaderName = HeaderName::from_static("radishgap-suspect");
+    /// Between nodes: load of the owner in parts per 10,000 of its limit.
+    pub const LOAD: HeaderName = HeaderName::from_static("radishgap-load");
+
+    /// Headers of ours that only nodes exchange.
+    const INTERNAL: [HeaderName; 6] = [
+        Self::SERVICE,
+        Self::VERSION,
+        Self::CALLER,
+        Self::KEY_RECALL,
+        Self::KEY_COVER_MS,
+        Self::SUSPECT,
+    ];
+    /// Headers of ours on answers, which a backend server may not set.
+    const ANSWER: [HeaderName; 5] = [
+        Self::OUTCOME,
+        Self::REASON,
+        Self::RETRY_AFTER_MS,
+        Self::REQUEST,
+        Self::LOAD,
+    ];
+    /// Headers that belong to one connection only, RFC 9110, section 7.6.1.
+    const HOP: [HeaderName; 6] = [
+        header::CONNECTION,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        header::TRAILER,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+    ];
+
+    /// Removes what belongs to one connection only.
+    pub(crate) fn strip_hop(headers: &mut http::HeaderMap) {
+        let named = headers.get(header::CONNECTION).cloned();
+        for name in named.iter().filter_map(|value| value.to_str().ok()) {
+            for token in name.split(',') {
+                headers.remove(token.trim());
+            }
+        }
+        for name in Self::HOP {
+            headers.remove(name);
+        }
+        if headers.get(header::TE).is_some_and(|te| te != "trailers") {
+            headers.remove(header::TE);
+        }
+    }
+
+    /// Removes what only nodes exchange.
+    pub(crate) fn strip_internal(headers: &mut http::HeaderMap) {
+        for name in Self::INTERNAL {
+            headers.remove(name);
+        }
+    }
+
+    /// Removes what only the system may say on an answer.
+    pub(crate) fn strip_answer(headers: &mut http::HeaderMap) {
+        for name in Self::ANSWER {
+            headers.remove(name);
+        }
+    }
+
+    /// The text of a header; `None` when it is missing or not text.
+    pub(crate) fn text(headers: &http::HeaderMap, name: &HeaderName) -> Option<CompactString> {
+        headers.get(name)?.to_str().ok().map(CompactString::from)
+    }
+
+    /// The number in a header; `None` when it is missing or not a number.
+    pub(crate) fn number(headers: &http::HeaderMap, name: &HeaderName) -> Option<u64> {
+        headers.get(name)?.to_str().ok()?.parse().ok()
+    }
+
+    /// Sets a header to text that is valid by its origin; leaves it out where it is not.
+    pub(crate) fn set(headers: &mut http::HeaderMap, name: HeaderName, text: &str) {
+        match http::HeaderValue::from_str(text) {
+            Ok(value) => {
+                headers.insert(name, value);
+            }
+            Err(_) => log::error!(header = name.as_str(); "a header's value is not valid"),
+        }
+    }
+
+    /// Sets a header to a number.
+    pub(crate) fn set_number(headers: &mut http::HeaderMap, name: HeaderName, number: u64) {
+        headers.insert(name, http::HeaderValue::from(number));
+    }
+}
--- /dev/null
+++ b/node/src/call/ingress.rs
@@ -0,0 +1,703 @@
+//! The node that takes a request from its caller.
+
+mod selection;
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use admission::Quota;
+use compact_str::{CompactString, format_compact};
+use hyper::body::Incoming;
+use routing::{Directory, Endpoint, Group, Observer, Rotation, Sample, Table};
+use upstream::{Budget, Dialer, Outcome, Payload, Pool};
+use xxhash_rust::xxh3;
+
+use super::arrival::Arrival;
+use super::counts::Ingress as Counts;
+use super::owner::{Job, Serving, broken_body, build, respond};
+use super::{
+    Attempt, Context, Decision, Download, Ended, Envelope, Headers, Key, Owner, Problem, Reason,
+    Retry, Source, Watch,
+};
+
+/// Handler of callers' requests; clones share its state.
+pub struct Ingress<L, O> {
+    shared: rc::Rc<Shared<L, O>>,
+}
+
+struct Shared<L, O> {
+    context: Context,
+    observer: O,
+    owner: Owner<L>,
+    quota: Quota,
+    dialer: Dialer,
+    upstream: rc::Rc<upstream::Settings>,
+    state: cell::RefCell<State>,
+    counts: cell::Cell<Counts>,
+    /// Number of the last id that was given.
+    sequence: cell::Cell<u64>,
+    /// Part of the ids of this process.
+    origin: u32,
+}
+
+struct State {
+    table: rc::Rc<Table>,
+    directory: Directory,
+    rotation: Rotation,
+    /// Sorted by service.
+    budgets: Vec<(CompactString, Budget)>,
+    /// Sorted by address.
+    pools: Vec<(units::Address, Pool)>,
+}
+
+/// Where an attempt goes.
+struct Target {
+    endpoint: rc::Rc<Endpoint>,
+    group: Option<rc::Rc<Group>>,
+}
+
+/// An answer at the ingress.
+struct Answer<L, O: Observer> {
+    parts: http::response::Parts,
+    source: Source,
+    passage: Passage<L, O>,
+}
+
+/// What has become of a request so far.
+#[derive(Default)]
+struct Journey {
+    worst: cell::Cell<Option<Outcome>>,
+    under_way: cell::Cell<bool>,
+}
+
+/// Follows an answer to its end.
+pub struct Passage<L, O: Observer> {
+    ingress: Ingress<L, O>,
+    attempt: Attempt,
+    owner: Option<Serving<L>>,
+    payload: Payload,
+    route: CompactString,
+    status: http::StatusCode,
+    /// Place in the quota, until the body has ended.
+    _entry: Option<admission::Entry>,
+}
+
+impl<L, O> Clone for Ingress<L, O> {
+    fn clone(&self) -> Self {
+        let shared = self.shared.clone();
+        Self { shared }
+    }
+}
+
+impl Journey {
+    /// What became of the request: the worst of its attempts, one under way included.
+    fn outcome(&self) -> Outcome {
+        let worst = self.worst.get().unwrap_or(Outcome::NotRun);
+        if self.under_way.get() {
+            worst.max(Outcome::Unknown)
+        } else {
+            worst
+        }
+    }
+
+    fn end(&self, outcome: Outcome) {
+        self.under_way.set(false);
+        self.worst.set(Some(self.outcome().max(outcome)));
+    }
+}
+
+impl<L: peer::Link, O: Observer> Ingress<L, O> {
+    /// Time for which a connection to another node may be idle.
+    const IDLE_LIMIT: time::Duration = time::Duration::from_secs(60);
+    /// Part of the time left that is kept back from the owner, so that its answer arrives in time.
+    const DEADLINE_PART: u32 = 20;
+    /// Longest time that is kept back.
+    const DEADLINE_MARGIN: time::Duration = time::Duration::from_millis(5);
+
+    /// An ingress that shares `owner` with the mesh listener.
+    #[must_use]
+    pub fn new(context: Context, observer: O, owner: Owner<L>) -> Self {
+        let settings = context.settings.clone();
+        let directory = Directory::new(context.node.clone(), context.data_centre.clone());
+        let state = State {
+            table: rc::Rc::default(),
+            directory,
+            rotation: Rotation::default(),
+            budgets: Vec::new(),
+            pools: Vec::new(),
+        };
+        let shared = Shared {
+            observer,
+            owner,
+            quota: Quota::new(settings.admission.ingress_requests),
+            dialer: Dialer::new(settings.upstream.dials_per_second),
+            upstream: rc::Rc::new(settings.upstream.clone()),
+            state: cell::RefCell::new(state),
+            counts: cell::Cell::default(),
+            sequence: cell::Cell::new(0),
+            origin: rand::random(),
+            context,
+        };
+        Self {
+            shared: rc::Rc::new(shared),
+        }
+    }
+
+    /// The owner in this process.
+    #[must_use]
+    pub fn owner(&self) -> &Owner<L> {
+        &self.shared.owner
+    }
+
+    /// Figures.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.shared.counts.get()
+    }
+
+    /// Backend servers as this node sees them.
+    #[must_use]
+    pub fn endpoints(&self) -> Vec<rc::Rc<Endpoint>> {
+        self.shared.state.borrow().directory.endpoints().to_vec()
+    }
+
+    /// Takes over configuration and members, and closes idle connections; to be called each second.
+    pub fn maintain(&self, now: time::Instant) {
+        self.refresh(now);
+        let mut state = self.shared.state.borrow_mut();
+        state
+            .pools
+            .retain(|(_, pool)| !pool.close_idle(now, Self::IDLE_LIMIT));
+    }
+
+    fn count(&self, change: impl FnOnce(&mut Counts)) {
+        let mut counts = self.shared.counts.get();
+        change(&mut counts);
+        self.shared.counts.set(counts);
+    }
+
+    /// Takes over configuration and members where they have changed.
+    fn refresh(&self, now: time::Instant) {
+        let snapshot = self.shared.context.holder.get();
+        let view = self.shared.context.members.get();
+        let mut state = self.shared.state.borrow_mut();
+        if state.table.version() != snapshot.version() {
+            state.table = rc::Rc::new(Table::new(&snapshot));
+        }
+        let policy = &self.shared.context.settings.choice;
+        state.directory.update(&view, policy, now);
+    }
+
+    fn next_id(&self) -> u64 {
+        let number = self.shared.sequence.get() + 1;
+        self.shared.sequence.set(number);
+        number
+    }
+
+    /// Reads a request and finds its route.
+    fn arrive(
+        &self,
+        request: http::Request<Incoming>,
+        id: &CompactString,
+    ) -> Result<Arrival, Problem> {
+        let (head, body) = request.into_parts();
+        let host = Arrival::check(&head)?;
+        self.refresh(time::Instant::now());
+        let table = self.shared.state.borrow().table.clone();
+        let route = table.find(&host, head.uri.path());
+        let route = route.ok_or(Problem::refused(Reason::NoRoute))?.clone();
+        let caller = self.caller(&head);
+        let keep = self.shared.upstream.replay.as_len();
+        Arrival::new(head, body, id.clone(), route, caller, keep)
+    }
+
+    /// Who sends the request: its address, with the node where that is local to the node.
+    fn caller(&self, head: &http::request::Parts) -> CompactString {
+        let peer = head.extensions.get::<web::Peer>();
+        let Some(ip) = peer.map(|peer| peer.0.0.ip()) else {
+            return CompactString::default();
+        };
+        if ip.is_loopback() {
+            format_compact!("{}/{ip}", self.shared.context.node)
+        } else {
+            format_compact!("{ip}")
+        }
+    }
+
+    /// Runs a request to an answer or a problem within its deadline.
+    async fn serve(&self, arrival: &Arrival) -> Result<Answer<L, O>, Problem> {
+        let Some(entry) = self.shared.quota.enter(&arrival.route.service) else {
+            return Err(Problem::later(Reason::Refused(
+                admission::Reason::OverShare,
+            )));
+        };
+        let journey = Journey::default();
+        let work = async {
+            if self.shared.context.settings.baseline {
+                self.run_blindly(arrival, &journey).await
+            } else if let Some(key) = &arrival.key {
+                self.run_keyed(arrival, key, &journey).await
+            } else {
+                self.run(arrival, &journey).await
+            }
+        };
+        match compio::time::timeout_at(arrival.deadline, work).await {
+            Ok(Ok(mut answer)) => {
+                answer.passage._entry = Some(entry);
+                Ok(answer)
+            }
+            Ok(Err(problem)) => Err(Problem {
+                outcome: problem.outcome.max(journey.outcome()),
+                ..problem
+            }),
+            Err(_) => Err(Problem {
+                outcome: journey.outcome(),
+                ..Problem::unknown(Reason::Deadline)
+            }),
+        }
+    }
+
+    /// Attempts a request until it is answered or must not be sent again.
+    async fn run(&self, arrival: &Arrival, journey: &Journey) -> Result<Answer<L, O>, Problem> {
+        let mut tried: Vec<units::Node> = Vec::new();
+        let mut suspect = false;
+        self.earn(arrival);
+        loop {
+            let target = self.choose(arrival, &tried)?;
+            let attempts = u32::try_from(tried.len()).unwrap_or(u32::MAX) + 1;
+            let envelope = self.envelope(arrival, &target.endpoint, attempts, suspect, None);
+            let node = target.endpoint.node.clone();
+            let problem = match self.attempt(arrival, target, envelope, journey).await {
+                Ok(answer) => return Ok(answer),
+                Err(problem) => problem,
+            };
+            if problem.reason.is_final() || !self.may_retry(arrival, journey, &problem, attempts) {
+                return Err(problem);
+            }
+            suspect |= problem.reason.is(Reason::Crashed);
+            tried.push(node);
+        }
+    }
+
+    fn may_retry(
+        &self,
+        arrival: &Arrival,
+        journey: &Journey,
+        problem: &Problem,
+        attempts: u32,
+    ) -> bool {
+        let decision = Decision {
+            outcome: problem.outcome.max(journey.outcome()),
+            idempotent: arrival.idempotent,
+            replayable: arrival.payload.is_replayable(),
+            retried_above: arrival.attempt > 1,
+            attempts,
+            left: arrival.left(),
+        };
+        let retry = &self.shared.context.settings.retry;
+        let mut state = self.shared.state.borrow_mut();
+        let allowed = retry.allows(&decision, state.budget(&arrival.route.service, retry));
+        drop(state);
+        if allowed && !arrival.idempotent && decision.outcome != Outcome::NotRun {
+            self.count(|counts| counts.repeated += 1);
+            log::error!(request = arrival.id.as_str();
+                "invariant violated: a request that may have run is sent again");
+            return false;
+        }
+        allowed
+    }
+
+    /// Counts a first attempt in the retry budget.
+    fn earn(&self, arrival: &Arrival) {
+        if arrival.attempt > 1 {
+            return;
+        }
+        let retry = &self.shared.context.settings.retry;
+        let mut state = self.shared.state.borrow_mut();
+        let budget = state.budget(&arrival.route.service, retry);
+        budget.earn(arrival.depth);
+    }
+
+    /// The baseline: round robin, and three retries whatever became of the request.
+    async fn run_blindly(
+        &self,
+        arrival: &Arrival,
+        journey: &Journey,
+    ) -> Result<Answer<L, O>, Problem> {
+        let mut attempts = 0;
+        loop {
+            attempts += 1;
+            let target = self.rotate(arrival)?;
+            let envelope = self.envelope(arrival, &target.endpoint, attempts, false, None);
+            let ended = self.attempt(arrival, target, envelope, journey).await;
+            let failed = match &ended {
+                Ok(answer) => answer.parts.status.is_server_error(),
+                Err(_) => true,
+            };
+            let last = attempts >= Retry::BASELINE_ATTEMPTS;
+            if !failed || last || !arrival.payload.is_replayable() {
+                return ended;
+            }
+        }
+    }
+
+    /// Runs a request with an idempotency key at the owner that keeps the key's record.
+    ///
+    /// Owners that may have run it before are asked first, unless the caller says that it sends it
+    /// for the first time. Where one of them is gone, it is not run.
+    async fn run_keyed(
+        &self,
+        arrival: &Arrival,
+        key: &CompactString,
+        journey: &Journey,
+    ) -> Result<Answer<L, O>, Problem> {
+        self.earn(arrival);
+        let home = self.home(arrival, key)?;
+        let first = arrival.key_attempt == Some(1);
+        let resend = arrival.key_attempt.is_some_and(|attempt| attempt > 1);
+        let now = time::Instant::now();
+        let mut attempts = 0;
+        let mut gone = false;
+        let past = if first { &[][..] } else { &home.past };
+        for (target, joined) in past {
+            let Some(target) = target else {
+                gone = true;
+                continue;
+            };
+            attempts += 1;
+            let wanted = Key::recall(key, now.saturating_duration_since(*joined));
+            match self
+                .attempt_key(arrival, target, wanted, attempts, journey)
+                .await
+            {
+                Err(problem) if is_key_not_found(&problem) => {}
+                Err(problem) if problem.outcome == Outcome::NotRun => gone = true,
+                ended => return ended,
+            }
+        }
+        if gone {
+            return Err(Problem::unknown(Reason::KeyUnknown));
+        }
+        let cover = now.saturating_duration_since(home.joined);
+        let wanted = if resend {
+            Key::recall(key, cover)
+        } else if first {
+            Key::run(key, time::Duration::ZERO)
+        } else {
+            Key::run(key, cover)
+        };
+        let ended = self
+            .attempt_key(arrival, &home.target, wanted, attempts + 1, journey)
+            .await;
+        match ended {
+            Err(problem) if resend && is_key_not_found(&problem) => {
+                Err(Problem::unknown(Reason::KeyUnknown))
+            }
+            ended => ended,
+        }
+    }
+
+    async fn attempt_key(
+        &self,
+        arrival: &Arrival,
+        target: &Target,
+        key: Key,
+        attempts: u32,
+        journey: &Journey,
+    ) -> Result<Answer<L, O>, Problem> {
+        let window = self.shared.context.settings.choice.key_window.0;
+        let cover = key.cover.min(window);
+        let key = Some(Key { cover, ..key });
+        let target = target.again();
+        let envelope = self.envelope(arrival, &target.endpoint, attempts, false, key);
+        self.attempt(arrival, target, envelope, journey).await
+    }
+
+    fn envelope(
+        &self,
+        arrival: &Arrival,
+        endpoint: &Endpoint,
+        attempts: u32,
+        suspect: bool,
+        key: Option<Key>,
+    ) -> Envelope {
+        let left = arrival.left();
+        let margin = (left / Self::DEADLINE_PART).min(Self::DEADLINE_MARGIN);
+        Envelope {
+            request: format_compact!("{}.{:x}", arrival.id, self.next_id()),
+            deadline: arrival
+                .deadline
+                .checked_sub(margin)
+                .unwrap_or(arrival.deadline),
+            attempt: arrival.attempt.saturating_add(attempts - 1),
+            depth: arrival.depth,
+            service: endpoint.service.clone(),
+            version: endpoint.version.clone(),
+            caller: arrival.caller.clone(),
+            suspect,
+            key,
+        }
+    }
+
+    /// Sends one attempt and follows it to its answer.
+    async fn attempt(
+        &self,
+        arrival: &Arrival,
+        target: Target,
+        envelope: Envelope,
+        journey: &Journey,
+    ) -> Result<Answer<L, O>, Problem> {
+        self.count(|counts| {
+            counts.attempts += 1;
+            counts.retries += u64::from(envelope.attempt > arrival.attempt);
+        });
+        let settings = self.shared.context.settings.clone();
+        let now = time::Instant::now();
+        let mut attempt = Attempt::new(&target.endpoint, target.group, settings, now);
+        journey.under_way.set(true);
+        let ended = if attempt.endpoint().own {
+            self.send_here(arrival, envelope).await
+        } else {
+            self.send_away(arrival, &envelope, attempt.endpoint()).await
+        };
+        match ended {
+            Ok((parts, source, owner)) => {
+                journey.end(Outcome::Ran);
+                attempt.answer(parts.status);
+                let passage = Passage {
+                    ingress: self.clone(),
+                    attempt,
+                    owner,
+                    payload: arrival.payload.clone(),
+                    route: arrival.route.name.clone(),
+                    status: parts.status,
+                    _entry: None,
+                };
+                Ok(Answer {
+                    parts,
+                    source,
+                    passage,
+                })
+            }
+            Err(problem) => {
+                journey.end(problem.outcome);
+                let ejected = attempt.end(&problem);
+                self.count(|counts| counts.ejected += u64::from(ejected));
+                self.observe_problem(arrival, &attempt, &problem);
+                Err(problem)
+            }
+        }
+    }
+
+    /// Hands an attempt to the owner in this process.
+    async fn send_here(
+        &self,
+        arrival: &Arrival,
+        envelope: Envelope,
+    ) -> Result<(http::response::Parts, Source, Option<Serving<L>>), Problem> {
+        let job = Job {
+            envelope,
+            head: arrival.head(),
+            payload: arrival.payload.clone(),
+        };
+        let served = self.shared.owner.serve(job).await?;
+        Ok((served.parts, served.source, served.watch))
+    }
+
+    /// Sends an attempt to the owner of `endpoint`.
+    async fn send_away(
+        &self,
+        arrival: &Arrival,
+        envelope: &Envelope,
+        endpoint: &Endpoint,
+    ) -> Result<(http::response::Parts, Source, Option<Serving<L>>), Problem> {
+        let Some(feed) = arrival.payload.feed() else {
+            return Err(broken_body(&arrival.payload, Outcome::NotRun));
+        };
+        let mut head = arrival.head();
+        envelope.write(&mut head.headers, time::Instant::now());
+        let headers = std::mem::take(&mut head.headers);
+        let request = build(&head, headers, endpoint.address, feed)?;
+        let pool = self.pool(endpoint.address);
+        let sent = pool.send(request).await;
+        let reply = match sent {
+            Ok(reply) => reply,
+            Err(failure) if arrival.payload.fault().is_some() => {
+                return Err(broken_body(&arrival.payload, failure.outcome()));
+            }
+            Err(failure) => return Err(failure.into()),
+        };
+        let (parts, source) = Source::split(reply);
+        self.check_match(&parts.headers, envelope)?;
+        let now = time::Instant::now();
+        if let Some(load) = Headers::number(&parts.headers, &Headers::LOAD) {
+            // Loads are small numbers.
+            #[allow(clippy::cast_precision_loss)]
+            endpoint.report(load as f64 / 10_000.0, now);
+        }
+        match Problem::read(&parts.headers) {
+            Some(problem) => Err(problem),
+            None => Ok((parts, source, None)),
+        }
+    }
+
+    /// Checks that an answer belongs to the attempt.
+    fn check_match(&self, headers: &http::HeaderMap, envelope: &Envelope) -> Result<(), Problem> {
+        let id = headers.get(Headers::REQUEST);
+        if id.is_some_and(|id| id == envelope.request.as_str()) {
+            return Ok(());
+        }
+        self.count(|counts| counts.mismatched += 1);
+        log::error!(request = envelope.request.as_str();
+            "invariant violated: an answer belongs to another request");
+        Err(Problem::unknown(Reason::Mismatched))
+    }
+
+    fn pool(&self, address: units::Address) -> Pool {
+        let mut state = self.shared.state.borrow_mut();
+        let place = state.pools.binary_search_by(|one| one.0.cmp(&address));
+        match place {
+            Ok(place) => state.pools[place].1.clone(),
+            Err(place) => {
+                let (settings, dialer) = (&self.shared.upstream, &self.shared.dialer);
+                let pool = Pool::new(address, settings.clone(), dialer.clone());
+                state.pools.insert(place, (address, pool.clone()));
+                pool
+            }
+        }
+    }
+
+    /// Tells the observer of an attempt that its version failed.
+    fn observe_problem(&self, arrival: &Arrival, attempt: &Attempt, problem: &Problem) {
+        let crashed = problem.reason.is(Reason::Crashed);
+        let late = problem.reason.is(Reason::Deadline) && problem.outcome == Outcome::Unknown;
+        if crashed || late {
+            self.observe(attempt, &arrival.route.name, true);
+        }
+    }
+
+    fn observe(&self, attempt: &Attempt, route: &CompactString, failed: bool) {
+        let endpoint = attempt.endpoint();
+        self.shared.observer.observe(&Sample {
+            service: endpoint.service.clone(),
+            version: endpoint.version.clone(),
+            route: route.clone(),
+            failed,
+            latency: attempt.elapsed(),
+        });
+    }
+}
+
+/// Whether the owner has no record of the key and has not run the request.
+fn is_key_not_found(problem: &Problem) -> bool {
+    let wanted = Reason::Refused(admission::Reason::KeyNotFound);
+    problem.reason.is(wanted)
+}
+
+impl State {
+    fn budget(&mut self, service: &CompactString, retry: &Retry) -> &mut Budget {
+        let place = self.budgets.binary_search_by(|one| one.0.cmp(service));
+        let place = place.unwrap_or_else(|place| {
+            let budget = Budget::new(retry.ratio, retry.saved);
+            self.budgets.insert(place, (service.clone(), budget));
+            place
+        });
+        &mut self.budgets[place].1
+    }
+}
+
+impl<L: peer::Link, O: Observer> Watch for Passage<L, O> {
+    fn end(mut self, ended: Ended) {
+        match ended {
+            Ended::Whole => {
+                let failed = self.status.is_server_error();
+                self.ingress.observe(&self.attempt, &self.route, failed);
+                self.ingress.count(|counts| counts.answered += 1);
+            }
+            Ended::Broken => {
+                self.attempt.break_off();
+                self.ingress.observe(&self.attempt, &self.route, true);
+                self.ingress.count(|counts| counts.truncated += 1);
+                self.payload.abandon();
+            }
+            Ended::Dropped => {
+                self.ingress.count(|counts| counts.cancelled += 1);
+                self.payload.abandon();
+            }
+        }
+        if let Some(owner) = self.owner.take() {
+            owner.end(ended);
+        }
+    }
+}
+
+/// Counts a request whose caller goes away before its answer.
+struct Gone<'i, L: peer::Link, O: Observer> {
+    ingress: &'i Ingress<L, O>,
+    payload: Option<Payload>,
+}
+
+impl<L: peer::Link, O: Observer> Drop for Gone<'_, L, O> {
+    fn drop(&mut self) {
+        if let Some(payload) = self.payload.take() {
+            self.ingress.count(|counts| counts.cancelled += 1);
+            payload.abandon();
+        }
+    }
+}
+
+impl<L: peer::Link, O: Observer> web::Handler for Ingress<L, O> {
+    type Body = Download<Passage<L, O>>;
+
+    async fn handle(self, request: http::Request<Incoming>) -> http::Response<Self::Body> {
+        self.count(|counts| counts.requests += 1);
+        let (head, body) = request.into_parts();
+        let id = Arrival::given_id(&head)
+            .unwrap_or_else(|| format_compact!("{:x}-{:x}", self.shared.origin, self.next_id()));
+        let request = http::Request::from_parts(head, body);
+        let answer = match self.arrive(request, &id) {
+            Ok(arrival) => {
+                let payload = Some(arrival.payload.clone());
+                let mut gone = Gone {
+                    ingress: &self,
+                    payload,
+                };
+                let deadline = arrival.deadline;
+                let served = self.serve(&arrival).await;
+                gone.payload = None;
+                served.map(|answer| (answer, deadline))
+            }
+            Err(problem) => Err(problem),
+        };
+        match answer {
+            Ok((answer, deadline)) => complete(answer, deadline, &id),
+            Err(problem) => {
+                self.count(|counts| match problem.outcome {
+                    Outcome::NotRun => counts.not_run += 1,
+                    Outcome::Unknown | Outcome::Ran => counts.unknown += 1,
+                });
+                respond(&problem, &id)
+            }
+        }
+    }
+}
+
+/// The answer as its caller gets it.
+fn complete<L: peer::Link, O: Observer>(
+    answer: Answer<L, O>,
+    deadline: time::Instant,
+    id: &str,
+) -> http::Response<Download<Passage<L, O>>> {
+    let download = Download::new(answer.source, Some(answer.passage), deadline);
+    let mut response = http::Response::from_parts(answer.parts, download);
+    *response.version_mut() = http::Version::HTTP_11;
+    response.headers_mut().remove(Headers::LOAD);
+    Headers::set(response.headers_mut(), Headers::REQUEST, id);
+    response
+}
+
+/// Hash of an idempotency key.
+fn hash_key(key: &str) -> u64 {
+    xxh3::xxh3_64(key.as_bytes())
+}
--- /dev/null
+++ b/node/src/call/ingress/selection.rs
@@ -0,0 +1,186 @@
+//! Choice of the backend server for an attempt.
+
+use std::rc;
+use std::time;
+
+use compact_str::CompactString;
+use config::Service;
+use routing::{Endpoint, Group, Observer};
+
+use super::{Arrival, Ingress, Problem, Reason, State, Target, hash_key};
+
+/// The owner that runs a request with a key, and the owners that may have run it before.
+pub(super) struct Home {
+    pub(super) target: Target,
+    /// When the owner was first seen.
+    pub(super) joined: time::Instant,
+    /// Where they can be asked, `None` for those that are gone, and when they were first seen.
+    pub(super) past: Vec<(Option<Target>, time::Instant)>,
+}
+
+impl Target {
+    /// Another attempt at the same place.
+    pub(super) fn again(&self) -> Self {
+        Self {
+            endpoint: self.endpoint.clone(),
+            group: self.group.clone(),
+        }
+    }
+}
+
+impl<L: peer::Link, O: Observer> Ingress<L, O> {
+    /// Chooses where the next attempt goes.
+    pub(super) fn choose(
+        &self,
+        arrival: &Arrival,
+        tried: &[units::Node],
+    ) -> Result<Target, Problem> {
+        let now = time::Instant::now();
+        let group = self.draw_group(arrival, rand::random())?;
+        let policy = &self.shared.context.settings.choice;
+        let endpoint = routing::choose(&group, tried, policy, now, &mut rand::rng());
+        // With every backend server tried, the first one may be better by now.
+        let endpoint =
+            endpoint.or_else(|| routing::choose(&group, &[], policy, now, &mut rand::rng()));
+        let endpoint = endpoint.ok_or_else(none_left)?;
+        Ok(Target {
+            endpoint,
+            group: Some(group),
+        })
+    }
+
+    /// The next backend server of the baseline.
+    pub(super) fn rotate(&self, arrival: &Arrival) -> Result<Target, Problem> {
+        let group = self.draw_group(arrival, rand::random())?;
+        let state = self.shared.state.borrow();
+        let endpoint = state.rotation.choose(&group).ok_or_else(none_left)?;
+        Ok(Target {
+            endpoint,
+            group: None,
+        })
+    }
+
+    /// Draws a version and gives the backend servers that it may use.
+    fn draw_group(&self, arrival: &Arrival, point: f64) -> Result<rc::Rc<Group>, Problem> {
+        let snapshot = self.shared.context.holder.get();
+        let service = snapshot.service(&arrival.route.service);
+        let service = service.ok_or(Problem::refused(Reason::NoRoute))?;
+        let state = self.shared.state.borrow();
+        let group = state.draw(service, point, &self.shared.context.withheld);
+        let group = group.ok_or_else(none_left)?;
+        let focus = self
+            .shared
+            .context
+            .focus
+            .get(&group.service, &group.version);
+        Ok(match focus {
+            Some(count) => rc::Rc::new(group.first(count)),
+            None => group,
+        })
+    }
+
+    /// Finds the owner that runs a request with `key`.
+    pub(super) fn home(&self, arrival: &Arrival, key: &CompactString) -> Result<Home, Problem> {
+        // The upper bits make a point from 0 up to 1, the same on every node.
+        #[allow(clippy::cast_precision_loss)]
+        let point = (hash_key(key) >> 11) as f64 / (1_u64 << 53) as f64;
+        let group = self.draw_group(arrival, point)?;
+        let now = time::Instant::now();
+        let home = self
+            .home_of(&group.service, &group.version, key, now)
+            .ok_or_else(none_left)?;
+        let mut past = self.past_targets(&home, now);
+        let versions = self
+            .shared
+            .state
+            .borrow()
+            .directory
+            .versions(&group.service);
+        for version in versions.iter().filter(|version| **version != group.version) {
+            // The key may have been drawn for another version when it was first sent.
+            if let Some(other) = self.home_of(&group.service, version, key, now) {
+                past.extend(self.past_targets(&other, now));
+                past.push((Some(target(&other.endpoint)), other.joined));
+            }
+        }
+        let node = home.endpoint.node.clone();
+        past.retain(|(target, _)| {
+            target
+                .as_ref()
+                .is_none_or(|target| target.endpoint.node != node)
+        });
+        Ok(Home {
+            target: Target {
+                endpoint: home.endpoint,
+                group: Some(group),
+            },
+            joined: home.joined,
+            past,
+        })
+    }
+
+    fn home_of(
+        &self,
+        service: &str,
+        version: &str,
+        key: &CompactString,
+        now: time::Instant,
+    ) -> Option<routing::Home> {
+        let view = self.shared.context.members.get();
+        let window = self.shared.context.settings.choice.key_window.0;
+        let state = self.shared.state.borrow();
+        let directory = &state.directory;
+        directory.home(service, version, hash_key(key), &view, window, now)
+    }
+
+    fn past_targets(
+        &self,
+        home: &routing::Home,
+        now: time::Instant,
+    ) -> Vec<(Option<Target>, time::Instant)> {
+        let view = self.shared.context.members.get();
+        let context = &self.shared.context;
+        let targets = home.past.iter().map(|past| {
+            let member = past.address.and_then(|_| view.member(&past.node));
+            let endpoint = member
+                .and_then(|member| Endpoint::new(member, &context.node, &context.data_centre, now));
+            (
+                endpoint.map(|endpoint| target(&rc::Rc::new(endpoint))),
+                past.joined,
+            )
+        });
+        targets.collect()
+    }
+}
+
+fn target(endpoint: &rc::Rc<Endpoint>) -> Target {
+    Target {
+        endpoint: endpoint.clone(),
+        group: None,
+    }
+}
+
+/// No backend server can take the request.
+fn none_left() -> Problem {
+    Problem::later(Reason::Refused(admission::Reason::NoBackend))
+}
+
+impl State {
+    /// Draws a version of `service` and finds its backend servers.
+    fn draw(
+        &self,
+        service: &Service,
+        point: f64,
+        withheld: &routing::Withheld,
+    ) -> Option<rc::Rc<Group>> {
+        let open = |version: &str| !withheld.contains(&service.name, version);
+        let drawn = routing::draw(service, point, open)?;
+        if let Some(group) = self.directory.find(&service.name, &drawn.version) {
+            return Some(group.clone());
+        }
+        let usable =
+            |version: &str| open(version) && self.directory.find(&service.name, version).is_some();
+        let other = routing::fall_back(service, drawn, usable)?;
+        self.directory.find(&service.name, &other.version).cloned()
+    }
+}
--- /dev/null
+++ b/node/src/call/keyed.rs
@@ -0,0 +1,216 @@
+//! Requests with idempotency keys at the owner.
+
+use std::collections::VecDeque;
+use std::time;
+
+use admission::{End, First, Start, Stored};
+use bytes::Bytes;
+use futures_channel::oneshot;
+use http_body_util::BodyExt;
+use upstream::Outcome;
+use xxhash_rust::xxh3;
+
+use super::owner::{Cancel, Job, Served, Serving};
+use super::{Download, Key, Owner, Problem, Reason, Source};
+
+/// What the first request with a key hands to its caller.
+type Given<L> = Result<Served<L>, Problem>;
+
+impl<L: peer::Link> Owner<L> {
+    /// Slack in the comparison of the records' age with what they have to cover.
+    const COVER_SLACK: time::Duration = time::Duration::from_millis(1_500);
+
+    /// Runs a request with a key, or gives the end of the one that ran.
+    pub(crate) async fn serve_keyed(&self, job: Job) -> Given<L> {
+        let Some(key) = job.envelope.key.clone() else {
+            return self.run(job).await;
+        };
+        let now = time::Instant::now();
+        let hash = key_hash(&job, &key);
+        let request = request_hash(&job);
+        let lost = self.records().age(now) + Self::COVER_SLACK < key.cover;
+        let start = self.records().begin(hash, request, key.recall || lost, now);
+        let start = match start {
+            // The records were lost in a restart, within the time in which the key may have run.
+            Err(refusal) if lost && refusal.reason == admission::Reason::KeyNotFound => {
+                return Err(Problem::unknown(Reason::KeyUnknown));
+            }
+            other => other?,
+        };
+        match start {
+            Start::Run(first) => self.run_first(job, first).await,
+            Start::Join(receiver) => self.join(&job, receiver).await,
+            Start::Ended(end) => self.give(end),
+        }
+    }
+
+    /// Runs the first request with its key to its end, even when its caller goes away.
+    async fn run_first(&self, job: Job, first: First) -> Given<L> {
+        let (sender, receiver) = oneshot::channel();
+        let owner = self.clone();
+        let payload = job.payload.clone();
+        compio::runtime::spawn(async move {
+            let given = owner.run_recorded(job, first).await;
+            let _ = sender.send(given);
+        })
+        .detach();
+        // Only the upload ends with its caller; the run itself goes on.
+        let guard = Cancel::new(self, payload);
+        let given = receiver.await;
+        guard.disarm();
+        given.unwrap_or(Err(Problem::unknown(Reason::KeyUnknown)))
+    }
+
+    async fn run_recorded(&self, job: Job, first: First) -> Given<L> {
+        let deadline = job.envelope.deadline;
+        let limit = self.key_answer_limit();
+        let served = match self.run(job).await {
+            Ok(served) => served,
+            Err(problem) => {
+                let end = match problem.outcome {
+                    Outcome::NotRun => End::NotRun,
+                    _ => End::Unknown,
+                };
+                first.finish(&end, time::Instant::now());
+                return Err(problem);
+            }
+        };
+        let status = served.parts.status;
+        let collected = collect(served, limit, deadline).await;
+        let now = time::Instant::now();
+        match collected {
+            Collected::Whole(parts, body) => {
+                let stored = Stored {
+                    status,
+                    headers: parts.headers.clone(),
+                    body: body.clone(),
+                };
+                first.finish(&End::Answer(stored), now);
+                Ok(Served {
+                    parts,
+                    source: Source::memory(body),
+                    watch: None,
+                })
+            }
+            Collected::Long(served) => {
+                first.finish(&End::Answered(status), now);
+                Ok(served)
+            }
+            Collected::Broken => {
+                first.finish(&End::Unknown, now);
+                Err(Problem::unknown(Reason::Failed(upstream::Cause::Broken)))
+            }
+        }
+    }
+
+    async fn join(&self, job: &Job, receiver: oneshot::Receiver<End>) -> Given<L> {
+        let waited = compio::time::timeout_at(job.envelope.deadline, receiver).await;
+        match waited {
+            Ok(Ok(end)) => self.give(end),
+            Ok(Err(_)) => Err(Problem::unknown(Reason::KeyUnknown)),
+            Err(_) => Err(Problem::unknown(Reason::Deadline)),
+        }
+    }
+
+    /// Gives a resend the end of the first request with its key.
+    fn give(&self, end: End) -> Given<L> {
+        self.count(|counts| counts.joined += 1);
+        match end {
+            End::Answer(stored) => {
+                let mut answer = http::Response::new(());
+                *answer.status_mut() = stored.status;
+                *answer.headers_mut() = stored.headers;
+                Ok(Served {
+                    parts: answer.into_parts().0,
+                    source: Source::memory(stored.body),
+                    watch: None,
+                })
+            }
+            End::Answered(_) => Err(Problem {
+                outcome: Outcome::Ran,
+                retry_after: None,
+                ..Problem::unknown(Reason::KeyAnswered)
+            }),
+            End::Unknown => Err(Problem {
+                retry_after: None,
+                ..Problem::unknown(Reason::KeyUnknown)
+            }),
+            End::NotRun => Err(Problem::later(Reason::KeyUnknown)),
+        }
+    }
+}
+
+/// An answer, as far as it was collected.
+enum Collected<L> {
+    Whole(http::response::Parts, Bytes),
+    /// It is longer than the limit; what was collected comes before the rest.
+    Long(Served<L>),
+    Broken,
+}
+
+/// Collects up to `limit` bytes of the answer.
+async fn collect<L: peer::Link>(
+    served: Served<L>,
+    limit: usize,
+    deadline: time::Instant,
+) -> Collected<L> {
+    let Served {
+        parts,
+        source,
+        watch,
+    } = served;
+    let mut download: Download<Serving<L>> = Download::new(source, watch, deadline);
+    let mut chunks = VecDeque::new();
+    let mut length = 0;
+    while let Some(frame) = download.frame().await {
+        let Ok(frame) = frame else {
+            return Collected::Broken;
+        };
+        // Trailers are not kept.
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        length += data.len();
+        chunks.push_back(data);
+        if length > limit {
+            let (rest, watch) = download.into_parts();
+            return Collected::Long(Served {
+                parts,
+                source: Source::Chained(chunks, Box::new(rest)),
+                watch,
+            });
+        }
+    }
+    Collected::Whole(parts, join_chunks(chunks, length))
+}
+
+fn join_chunks(mut chunks: VecDeque<Bytes>, length: usize) -> Bytes {
+    if chunks.len() == 1 {
+        return chunks.pop_front().unwrap_or_default();
+    }
+    let mut whole = Vec::with_capacity(length);
+    for chunk in chunks {
+        whole.extend_from_slice(&chunk);
+    }
+    whole.into()
+}
+
+/// Hash of the service and the key.
+fn key_hash(job: &Job, key: &Key) -> u128 {
+    let mut text = job.envelope.service.clone();
+    text.push('\n');
+    text.push_str(&key.text);
+    xxh3::xxh3_128(text.as_bytes())
+}
+
+/// Hash of what a resend has to share with the first request.
+fn request_hash(job: &Job) -> u64 {
+    let path = job
+        .head
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
+    let method = job.head.method.as_str();
+    let seed = xxh3::xxh3_64(method.as_bytes());
+    xxh3::xxh3_64_with_seed(path.as_bytes(), seed)
+}
--- /dev/null
+++ b/node/src/call/mod.rs
@@ -0,0 +1,35 @@
+//! The path of a call: from the caller through the ingress and the owner to the backend server.
+
+mod arrival;
+mod attempt;
+mod context;
+mod counts;
+mod download;
+mod envelope;
+mod headers;
+mod ingress;
+mod keyed;
+mod owner;
+mod problem;
+mod reason;
+mod retry;
+mod settings;
+mod source;
+mod status;
+mod timer;
+mod upkeep;
+
+pub use attempt::Attempt;
+pub use context::Context;
+pub use counts::{Ingress as IngressCounts, Owner as OwnerCounts};
+pub use download::{Download, Ended, Watch};
+pub use envelope::{Envelope, Key};
+pub use headers::Headers;
+pub use ingress::Ingress;
+pub use owner::{Dump as OwnerDump, Owner, Served};
+pub use problem::Problem;
+pub use reason::Reason;
+pub use retry::{Decision, Retry};
+pub use settings::Settings;
+pub use source::Source;
+pub use upkeep::Upkeep;
--- /dev/null
+++ b/node/src/call/owner.rs
@@ -0,0 +1,598 @@
+//! The owner of a backend server: the only one that sends requests to it.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use admission::{Announced, Ask, Crash, Gate, Permit, Records, Sharing, Standing};
+use hyper::body::Incoming;
+use serde::Serialize;
+use upstream::{Cause, Dialer, Failure, Payload, Pool};
+use xxhash_rust::xxh3;
+
+use super::counts::Owner as Counts;
+use super::{Context, Download, Ended, Envelope, Headers, Problem, Reason, Source, Watch};
+
+/// The owner of the backend server beside this node; clones share it.
+pub struct Owner<L> {
+    shared: rc::Rc<Shared<L>>,
+}
+
+struct Shared<L> {
+    context: Context,
+    gate: Gate,
+    records: Records,
+    sharing: Sharing<L>,
+    pool: cell::RefCell<Option<(u64, Pool)>>,
+    /// A crash that is not certain: the backend server may only have lost a connection.
+    crashed: cell::RefCell<Option<(Crash, time::Instant)>>,
+    counts: cell::Cell<Counts>,
+}
+
+/// State of an owner.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Dump {
+    /// What it lets through.
+    pub gate: admission::Dump,
+    /// Connections to the backend server.
+    pub connections: upstream::Counts,
+    /// Idempotency keys on record.
+    pub keys: usize,
+    /// Bytes of the answers kept for them.
+    pub key_bytes: usize,
+    /// Requests suspected of crashing backend servers.
+    pub suspects: usize,
+    /// Requests refused because they crashed backend servers.
+    pub quarantined: u64,
+    /// Figures.
+    pub counts: Counts,
+}
+
+/// A request at the owner.
+pub struct Job {
+    /// What the ingress says about it.
+    pub envelope: Envelope,
+    /// Method, path and headers as the caller sent them.
+    pub head: http::request::Parts,
+    /// Its body.
+    pub payload: Payload,
+}
+
+/// An answer at the owner.
+pub struct Served<L> {
+    /// Status and headers.
+    pub parts: http::response::Parts,
+    /// Its body.
+    pub source: Source,
+    /// To be told how the body ended; `None` when it is in memory.
+    pub watch: Option<Serving<L>>,
+}
+
+/// A request that runs at the backend server.
+pub struct Serving<L> {
+    owner: Owner<L>,
+    permit: Option<Permit>,
+    fingerprint: Fingerprint,
+}
+
+/// What tells a request from others when backend servers crash.
+struct Fingerprint {
+    /// Hash of method, path, length and key.
+    base: u64,
+    payload: Payload,
+}
+
+impl Fingerprint {
+    fn new(head: &http::request::Parts, payload: Payload) -> Self {
+        let mut text = compact_str::CompactString::from(head.method.as_str());
+        text.push(' ');
+        text.push_str(head.uri.path_and_query().map_or("/", |path| path.as_str()));
+        let mut base = xxh3::xxh3_64(text.as_bytes());
+        for name in [http::header::CONTENT_LENGTH, Headers::KEY] {
+            if let Some(value) = head.headers.get(name) {
+                base = xxh3::xxh3_64_with_seed(value.as_bytes(), base);
+            }
+        }
+        Self { base, payload }
+    }
+
+    /// Its value, with the first bytes of the body that have come.
+    fn value(&self) -> u64 {
+        self.base ^ self.payload.head_hash().rotate_left(1)
+    }
+}
+
+impl<L> Clone for Owner<L> {
+    fn clone(&self) -> Self {
+        let shared = self.shared.clone();
+        Self { shared }
+    }
+}
+
+impl<L: peer::Link> Owner<L> {
+    /// Time after a crash for which an announcement of the same start may be from before it.
+    const CRASH_SETTLES: time::Duration = time::Duration::from_millis(300);
+
+    /// An owner without a backend server; suspects are shared over `link`.
+    #[must_use]
+    pub fn new(context: Context, link: L) -> Self {
+        let settings = rc::Rc::new(context.settings.admission.clone());
+        let shared = Shared {
+            gate: Gate::new(settings.clone()),
+            records: Records::new(settings.clone(), time::Instant::now()),
+            sharing: Sharing::new(link, settings),
+            pool: cell::RefCell::default(),
+            crashed: cell::RefCell::default(),
+            counts: cell::Cell::default(),
+            context,
+        };
+        Self {
+            shared: rc::Rc::new(shared),
+        }
+    }
+
+    /// Takes what the backend server announces; `None` when its lease has run out.
+    pub fn announce(&self, announced: Option<&Announced>) {
+        self.connect_to(announced);
+        if let Some(announced) = announced {
+            self.settle_crash(announced, time::Instant::now());
+        }
+        self.shared.gate.announce(announced);
+    }
+
+    /// Refuses new requests from now on; those in flight end.
+    pub fn stop(&self) {
+        self.shared.gate.stop();
+    }
+
+    /// What it lets through.
+    #[must_use]
+    pub fn gate(&self) -> &Gate {
+        &self.shared.gate
+    }
+
+    /// Suspects; notices of other owners for the service [`admission::SERVICE`] go there.
+    #[must_use]
+    pub fn sharing(&self) -> &Sharing<L> {
+        &self.shared.sharing
+    }
+
+    /// Figures.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.shared.counts.get()
+    }
+
+    /// State.
+    #[must_use]
+    pub fn dump(&self) -> Dump {
+        let pool = self.shared.pool.borrow();
+        let connections = pool.as_ref().map(|(_, pool)| pool.counts());
+        Dump {
+            gate: self.shared.gate.dump(),
+            connections: connections.unwrap_or_default(),
+            keys: self.shared.records.len(),
+            key_bytes: self.shared.records.bytes(),
+            suspects: self.shared.sharing.len(),
+            quarantined: self.shared.sharing.quarantined(),
+            counts: self.counts(),
+        }
+    }
+
+    pub(crate) fn key_answer_limit(&self) -> usize {
+        self.shared.context.settings.admission.key_answer.as_len()
+    }
+
+    pub(crate) fn records(&self) -> &Records {
+        &self.shared.records
+    }
+
+    pub(crate) fn count(&self, change: impl FnOnce(&mut Counts)) {
+        let mut counts = self.shared.counts.get();
+        change(&mut counts);
+        self.shared.counts.set(counts);
+    }
+
+    /// Answers one request.
+    ///
+    /// # Errors
+    /// The problem says what became of the request.
+    pub async fn serve(&self, job: Job) -> Result<Served<L>, Problem> {
+        self.count(|counts| counts.requests += 1);
+        let payload = job.payload.clone();
+        let served = if job.envelope.key.is_some() && !self.shared.context.settings.baseline {
+            self.serve_keyed(job).await
+        } else {
+            let guard = Cancel::new(self, payload);
+            let served = self.run(job).await;
+            guard.disarm();
+            served
+        };
+        if let Err(problem) = &served {
+            let not_run = problem.outcome == upstream::Outcome::NotRun;
+            self.count(|counts| {
+                counts.refused += u64::from(not_run);
+                counts.unknown += u64::from(!not_run);
+            });
+        }
+        served
+    }
+
+    /// Runs one request at the backend server.
+    pub(crate) async fn run(&self, job: Job) -> Result<Served<L>, Problem> {
+        let fingerprint = Fingerprint::new(&job.head, job.payload.clone());
+        let permit = self.admit(&job, &fingerprint).await?;
+        let pool = self.shared.pool.borrow().clone();
+        let Some((instance, pool)) = pool else {
+            return Err(Problem::later(Reason::Refused(
+                admission::Reason::NoBackend,
+            )));
+        };
+        let Some(feed) = job.payload.feed() else {
+            return Err(broken_body(&job.payload, upstream::Outcome::NotRun));
+        };
+        let request = self.request(&job, pool.address(), feed)?;
+        self.count(|counts| counts.sent += 1);
+        let mut serving = Serving {
+            owner: self.clone(),
+            permit,
+            fingerprint,
+        };
+        let deadline = job.envelope.deadline;
+        match compio::time::timeout_at(deadline, pool.send(request)).await {
+            Ok(Ok(reply)) => serving.answer(reply, &job.envelope),
+            Ok(Err(failure)) => Err(serving.fail(failure, instance)),
+            Err(_) => {
+                job.payload.abandon();
+                serving.expire();
+                Err(Problem::unknown(Reason::Deadline))
+            }
+        }
+    }
+
+    /// Waits until the request may run; `None` in the baseline, which has no limits.
+    async fn admit(&self, job: &Job, fingerprint: &Fingerprint) -> Result<Option<Permit>, Problem> {
+        if self.shared.context.settings.baseline {
+            return Ok(None);
+        }
+        let alone = self.is_suspect(job, fingerprint).await?;
+        let ask = Ask {
+            caller: job.envelope.caller.clone(),
+            service: job.envelope.service.clone(),
+            version: job.envelope.version.clone(),
+            deadline: job.envelope.deadline,
+            alone,
+        };
+        Ok(Some(self.shared.gate.admit(&ask).await?))
+    }
+
+    /// Whether the request has to run alone.
+    async fn is_suspect(&self, job: &Job, fingerprint: &Fingerprint) -> Result<bool, Problem> {
+        let sharing = &self.shared.sharing;
+        if sharing.is_empty() && !job.envelope.suspect {
+            return Ok(false);
+        }
+        let reading = job.payload.read_head();
+        if compio::time::timeout_at(job.envelope.deadline, reading)
+            .await
+            .is_err()
+        {
+            return Err(Problem::refused(Reason::Deadline));
+        }
+        let value = fingerprint.value();
+        match sharing.standing(value, time::Instant::now()) {
+            Standing::Quarantined(left) => Err(Problem {
+                retry_after: Some(left),
+                ..Problem::refused(Reason::Refused(admission::Reason::Quarantined))
+            }),
+            Standing::Suspect => Ok(true),
+            Standing::Clean => Ok(job.envelope.suspect && !sharing.has_finished(value)),
+        }
+    }
+
+    /// The request as the backend server gets it.
+    fn request(
+        &self,
+        job: &Job,
+        address: units::Address,
+        feed: upstream::Feed,
+    ) -> Result<http::Request<upstream::Feed>, Problem> {
+        let mut headers = job.head.headers.clone();
+        Headers::strip_hop(&mut headers);
+        Headers::strip_internal(&mut headers);
+        job.envelope
+            .write_public(&mut headers, time::Instant::now());
+        build(&job.head, headers, address, feed)
+    }
+
+    /// Addresses of the other owners of the same service.
+    fn others(&self) -> Vec<units::Address> {
+        let Some(announced) = self.shared.gate.announced() else {
+            return Vec::new();
+        };
+        let view = self.shared.context.members.get();
+        let node = &self.shared.context.node;
+        let others = view.running().filter(|member| {
+            let backend = member.backend.as_ref();
+            member.node != *node
+                && backend.is_some_and(|one| one.service == announced.backend.service)
+        });
+        others.map(|member| member.peer_address).collect()
+    }
+
+    fn connect_to(&self, announced: Option<&Announced>) {
+        let Some(announced) = announced else {
+            return;
+        };
+        let instance = announced.backend.instance;
+        let mut pool = self.shared.pool.borrow_mut();
+        let kept = pool
+            .as_ref()
+            .is_some_and(|(held, pool)| *held == instance && pool.address() == announced.address);
+        if kept {
+            return;
+        }
+        let mut settings = self.shared.context.settings.upstream.clone();
+        settings.connections = settings
+            .connections
+            .min(announced.backend.connections as usize);
+        let dialer = Dialer::new(settings.dials_per_second);
+        *pool = Some((
+            instance,
+            Pool::new(announced.address, rc::Rc::new(settings), dialer),
+        ));
+    }
+
+    /// Withdraws a crash when the backend server still announces the same start.
+    fn settle_crash(&self, announced: &Announced, now: time::Instant) {
+        let crashed = self.shared.crashed.borrow().clone();
+        let Some((crash, at)) = crashed else {
+            return;
+        };
+        if announced.backend.instance != crash.instance {
+            self.shared.crashed.replace(None);
+        } else if now.saturating_duration_since(at) >= Self::CRASH_SETTLES {
+            self.shared.crashed.replace(None);
+            self.shared.sharing.withdraw(&crash, || self.others());
+        }
+    }
+
+    /// The connection broke with the request on it: the backend server has probably crashed.
+    fn accuse(&self, fingerprint: u64, instance: u64, alone: bool) {
+        let now = time::Instant::now();
+        let crash = Crash {
+            node: self.shared.context.node.clone(),
+            instance,
+            alone,
+        };
+        self.count(|counts| counts.crashed += 1);
+        self.shared.crashed.replace(Some((crash.clone(), now)));
+        self.shared
+            .sharing
+            .accuse(fingerprint, &crash, now, || self.others());
+    }
+}
+
+/// Builds a request to `address` with the method and path of `head`.
+pub(crate) fn build(
+    head: &http::request::Parts,
+    headers: http::HeaderMap,
+    address: units::Address,
+    feed: upstream::Feed,
+) -> Result<http::Request<upstream::Feed>, Problem> {
+    let malformed = |_| Problem::refused(Reason::Malformed);
+    let mut uri = http::uri::Parts::default();
+    uri.scheme = Some(http::uri::Scheme::HTTP);
+    let host = headers.get(http::header::HOST);
+    let host = host.and_then(|host| http::uri::Authority::try_from(host.as_bytes()).ok());
+    uri.authority = match host.or_else(|| head.uri.authority().cloned()) {
+        Some(authority) => Some(authority),
+        None => address.to_string().parse().ok(),
+    };
+    uri.path_and_query = head.uri.path_and_query().cloned();
+    let uri = http::Uri::from_parts(uri).map_err(malformed)?;
+    let mut request = http::Request::new(feed);
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = uri;
+    *request.version_mut() = http::Version::HTTP_2;
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+/// What a payload that broke off means for its request.
+pub(crate) fn broken_body(payload: &Payload, outcome: upstream::Outcome) -> Problem {
+    let reason = match payload.fault() {
+        Some(upstream::Fault::TooLong) => Reason::BodyTooLong,
+        _ => Reason::BodyBroken,
+    };
+    Problem {
+        outcome,
+        ..Problem::refused(reason)
+    }
+}
+
+impl<L: peer::Link> Serving<L> {
+    /// The backend server answered.
+    fn answer(mut self, reply: upstream::Reply, envelope: &Envelope) -> Result<Served<L>, Problem> {
+        if is_shed(&reply.response, envelope) {
+            if let Some(permit) = self.permit.take() {
+                permit.shed();
+            }
+            return Err(Problem::later(Reason::Shed));
+        }
+        self.owner.count(|counts| counts.answered += 1);
+        let (mut parts, source) = Source::split(reply);
+        Headers::strip_hop(&mut parts.headers);
+        Headers::strip_answer(&mut parts.headers);
+        Headers::set(
+            &mut parts.headers,
+            Headers::OUTCOME,
+            upstream::Outcome::Ran.as_str(),
+        );
+        Ok(Served {
+            parts,
+            source,
+            watch: Some(self),
+        })
+    }
+
+    /// The deadline passed without an answer.
+    fn expire(&mut self) {
+        if let Some(permit) = self.permit.take() {
+            // The time until now is the least that the answer would have taken.
+            permit.finish(time::Instant::now());
+        }
+    }
+
+    /// The backend server did not answer.
+    fn fail(&mut self, failure: Failure, instance: u64) -> Problem {
+        let payload = &self.fingerprint.payload;
+        if payload.fault().is_some() {
+            return broken_body(payload, failure.outcome());
+        }
+        let permit = self.permit.take();
+        let alone = permit.as_ref().is_some_and(Permit::is_alone);
+        match failure.cause {
+            Cause::Refused => {
+                if let Some(permit) = permit {
+                    permit.shed();
+                }
+                Problem::later(Reason::Shed)
+            }
+            Cause::Broken => {
+                self.owner.accuse(self.fingerprint.value(), instance, alone);
+                Problem::unknown(Reason::Crashed)
+            }
+            _ => failure.into(),
+        }
+    }
+}
+
+/// Whether the backend server says that it has not run the request.
+///
+/// The id is that of this attempt only, so that an answer to a call that the backend server has
+/// made itself, and passes on, cannot be taken for its own refusal.
+fn is_shed<B>(response: &http::Response<B>, envelope: &Envelope) -> bool {
+    use http::StatusCode;
+    const SHED: [StatusCode; 3] = [
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::GATEWAY_TIMEOUT,
+    ];
+    let says = |name, text: &str| {
+        response
+            .headers()
+            .get(name)
+            .is_some_and(|value| value == text)
+    };
+    SHED.contains(&response.status())
+        && says(Headers::OUTCOME, upstream::Outcome::NotRun.as_str())
+        && says(Headers::REQUEST, &envelope.request)
+}
+
+impl<L: peer::Link> Watch for Serving<L> {
+    fn end(mut self, ended: Ended) {
+        match ended {
+            Ended::Whole => {
+                if let Some(permit) = self.permit.take() {
+                    permit.finish(time::Instant::now());
+                }
+                let owner = &self.owner;
+                owner.count(|counts| counts.finished += 1);
+                let sharing = &owner.shared.sharing;
+                sharing.finish(self.fingerprint.value(), || owner.others());
+            }
+            Ended::Broken => self.owner.count(|counts| counts.truncated += 1),
+            Ended::Dropped => {
+                self.owner.count(|counts| counts.cancelled += 1);
+                self.fingerprint.payload.abandon();
+            }
+        }
+    }
+}
+
+/// Ends a payload with an error when its request is given up, and counts that.
+///
+/// Without it the backend server could take a cut body for a whole one.
+pub(crate) struct Cancel<'o, L: peer::Link> {
+    owner: &'o Owner<L>,
+    payload: Option<Payload>,
+}
+
+impl<'o, L: peer::Link> Cancel<'o, L> {
+    pub(crate) fn new(owner: &'o Owner<L>, payload: Payload) -> Self {
+        let payload = Some(payload);
+        Self { owner, payload }
+    }
+
+    pub(crate) fn disarm(mut self) {
+        self.payload = None;
+    }
+}
+
+impl<L: peer::Link> Drop for Cancel<'_, L> {
+    fn drop(&mut self) {
+        if let Some(payload) = self.payload.take() {
+            self.owner.count(|counts| counts.cancelled += 1);
+            payload.abandon();
+        }
+    }
+}
+
+impl<L: peer::Link> web::Handler for Owner<L> {
+    type Body = Download<Serving<L>>;
+
+    async fn handle(self, request: http::Request<Incoming>) -> http::Response<Self::Body> {
+        let (head, body) = request.into_parts();
+        let envelope = Envelope::read(&head.headers, time::Instant::now());
+        let deadline = envelope.as_ref().map(|envelope| envelope.deadline);
+        let id = envelope.as_ref().map(|envelope| envelope.request.clone());
+        let (id, deadline) = (
+            id.unwrap_or_default(),
+            deadline.unwrap_or(time::Instant::now()),
+        );
+        let served = match envelope {
+            Ok(envelope) => {
+                let body = web::Body::arriving(body, head.version, None);
+                let keep = self.shared.context.settings.upstream.replay.as_len();
+                let payload = Payload::new(body, keep);
+                let job = Job {
+                    envelope,
+                    head,
+                    payload,
+                };
+                self.serve(job).await
+            }
+            Err(problem) => Err(problem),
+        };
+        let mut answer = match served {
+            Ok(served) => {
+                let download = Download::new(served.source, served.watch, deadline);
+                http::Response::from_parts(served.parts, download)
+            }
+            Err(problem) => respond(&problem, &id),
+        };
+        Headers::set(answer.headers_mut(), Headers::REQUEST, &id);
+        let load = load_parts(self.shared.gate.load());
+        Headers::set_number(answer.headers_mut(), Headers::LOAD, load);
+        answer
+    }
+}
+
+/// Load in parts per 10,000.
+fn load_parts(load: f64) -> u64 {
+    const LARGEST: f64 = 1e6;
+    // Clamped to a small positive number.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let parts = (load * 10_000.0).clamp(0.0, LARGEST) as u64;
+    parts
+}
+
+/// The answer to a request with a problem.
+pub(crate) fn respond<W: Watch>(problem: &Problem, id: &str) -> http::Response<Download<W>> {
+    let (status, headers, body) = problem.answer(id);
+    let mut answer = http::Response::new(Download::memory(body));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
--- /dev/null
+++ b/node/src/call/problem.rs
@@ -0,0 +1,125 @@
+//! An answer of the system itself.
+
+use std::time;
+
+use bytes::Bytes;
+use http::header;
+use upstream::Outcome;
+
+use super::status::status;
+use super::{Headers, Reason};
+
+/// Why a request has no answer of a backend server, and what became of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Problem {
+    /// Why.
+    pub reason: Reason,
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// When it is worth coming back; `None` when it is not.
+    pub retry_after: Option<time::Duration>,
+}
+
+impl Problem {
+    /// Wait that is told where nothing better is known.
+    const WAIT: time::Duration = time::Duration::from_millis(200);
+    /// Longest wait that another node may tell.
+    const WAIT_LIMIT: time::Duration = time::Duration::from_secs(3600);
+
+    /// A request that was not run and will not be by coming back.
+    #[must_use]
+    pub const fn refused(reason: Reason) -> Self {
+        Self {
+            reason,
+            outcome: Outcome::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// A request that was not run and may be tried again.
+    #[must_use]
+    pub const fn later(reason: Reason) -> Self {
+        Self {
+            reason,
+            outcome: Outcome::NotRun,
+            retry_after: Some(Self::WAIT),
+        }
+    }
+
+    /// A request that may have run.
+    #[must_use]
+    pub const fn unknown(reason: Reason) -> Self {
+        Self {
+            reason,
+            outcome: Outcome::Unknown,
+            retry_after: Some(Self::WAIT),
+        }
+    }
+
+    /// The status of the answer.
+    #[must_use]
+    pub fn status(&self) -> http::StatusCode {
+        status(self.reason)
+    }
+
+    /// The answer, with one line of JSON.
+    #[must_use]
+    pub fn answer(&self, request: &str) -> (http::StatusCode, http::HeaderMap, Bytes) {
+        let mut headers = http::HeaderMap::with_capacity(8);
+        let json = http::HeaderValue::from_static("application/json");
+        headers.insert(header::CONTENT_TYPE, json);
+        Headers::set(&mut headers, Headers::OUTCOME, self.outcome.as_str());
+        Headers::set(&mut headers, Headers::REASON, self.reason.as_str());
+        Headers::set(&mut headers, Headers::REQUEST, request);
+        if let Some(wait) = self.retry_after {
+            let millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            let seconds = millis.div_ceil(1_000);
+            Headers::set_number(&mut headers, header::RETRY_AFTER, seconds);
+            Headers::set_number(&mut headers, Headers::RETRY_AFTER_MS, millis);
+        }
+        let (reason, outcome) = (self.reason.as_str(), self.outcome.as_str());
+        let body = format!("{{\"reason\":\"{reason}\",\"outcome\":\"{outcome}\"}}\n");
+        (self.status(), headers, body.into())
+    }
+
+    /// Reads the answer of another node; `None` when it is the backend server's.
+    ///
+    /// An answer that does not say what became of the request leaves that unknown.
+    #[must_use]
+    pub fn read(headers: &http::HeaderMap) -> Option<Self> {
+        let outcome = Headers::text(headers, &Headers::OUTCOME);
+        let outcome = outcome.and_then(|text| text.parse().ok());
+        let outcome = outcome.unwrap_or(Outcome::Unknown);
+        let reason = Headers::text(headers, &Headers::REASON);
+        if outcome == Outcome::Ran && reason.is_none() {
+            return None;
+        }
+        let wait = Headers::number(headers, &Headers::RETRY_AFTER_MS);
+        let wait = wait.map(time::Duration::from_millis);
+        Some(Self {
+            reason: Reason::remote(reason.as_deref().unwrap_or_default()),
+            outcome,
+            retry_after: wait.map(|wait| wait.min(Self::WAIT_LIMIT)),
+        })
+    }
+}
+
+impl From<admission::Refusal> for Problem {
+    fn from(refusal: admission::Refusal) -> Self {
+        Self {
+            reason: Reason::Refused(refusal.reason),
+            outcome: Outcome::NotRun,
+            retry_after: Some(refusal.retry_after.max(time::Duration::from_millis(1))),
+        }
+    }
+}
+
+impl From<upstream::Failure> for Problem {
+    fn from(failure: upstream::Failure) -> Self {
+        Self {
+            reason: Reason::Failed(failure.cause),
+            outcome: failure.outcome(),
+            retry_after: Some(Self::WAIT),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/call/source.rs
@@ -0,0 +1,63 @@
+//! Where the body of an answer comes from.
+
+use std::collections::VecDeque;
+use std::pin;
+use std::task;
+
+use bytes::Bytes;
+use http_body::Body as _;
+
+/// Where the body of an answer comes from.
+pub enum Source {
+    /// It is in memory.
+    Memory(web::Body),
+    /// It arrives over a connection.
+    Connection(web::Body, upstream::Lease),
+    /// Its beginning is in memory, the rest arrives.
+    Chained(VecDeque<Bytes>, Box<Source>),
+}
+
+impl Source {
+    /// A body in memory.
+    #[must_use]
+    pub fn memory(bytes: Bytes) -> Self {
+        Self::Memory(bytes.into())
+    }
+
+    /// The body of `reply`, which has to come whole, and the rest of the answer.
+    #[must_use]
+    pub fn split(reply: upstream::Reply) -> (http::response::Parts, Self) {
+        let (parts, incoming) = reply.response.into_parts();
+        let body = web::Body::arriving(incoming, http::Version::HTTP_2, None);
+        (parts, Self::Connection(body, reply.lease))
+    }
+
+    pub(crate) fn poll_frame(
+        &mut self,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<http_body::Frame<Bytes>, web::Fault>>> {
+        match self {
+            Self::Memory(body) | Self::Connection(body, _) => {
+                pin::Pin::new(body).poll_frame(context)
+            }
+            Self::Chained(bytes, rest) => match bytes.pop_front() {
+                Some(bytes) => task::Poll::Ready(Some(Ok(http_body::Frame::data(bytes)))),
+                None => rest.poll_frame(context),
+            },
+        }
+    }
+
+    pub(crate) fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Memory(body) | Self::Connection(body, _) => body.is_end_stream(),
+            Self::Chained(bytes, rest) => bytes.is_empty() && rest.is_end_stream(),
+        }
+    }
+
+    pub(crate) fn size_hint(&self) -> http_body::SizeHint {
+        match self {
+            Self::Memory(body) | Self::Connection(body, _) => body.size_hint(),
+            Self::Chained(..) => http_body::SizeHint::default(),
+        }
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The process beside each backend server: proxy, membership, distribution, moves, operator API.
 
 pub mod admin;
+pub mod call;
 pub mod dump;
 pub mod metrics;
 pub mod operator;
