--- a/testing/platform/src/server.rs
+++ b/testing/platform/src/server.rs
@@ -14,6 +14,12 @@
     /// An address cannot be bound.
     #[error("cannot listen at {0}: {1}")]
     Listen(units::Address, io::Error),
+    /// Signals cannot be received.
+    #[error("cannot receive signals")]
+    Signals,
+    /// A task panicked; the panic's message stands on standard error.
+    #[error("the server panicked")]
+    Panicked,
 }
 
 /// The stand-in, listening.
@@ -33,6 +39,7 @@
         header_timeout: time::Duration::from_secs(300),
         ping_after: time::Duration::from_secs(10),
         ping_timeout: time::Duration::from_secs(10),
+        linger: time::Duration::ZERO,
     };
 
     /// Binds the addresses of `settings`.
