config: apply a further change at the version of its log entry

A batch of changes is validated one by one but takes effect at one version; folding it through apply_all would validate the first changes again for each further one.

--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -91,9 +91,24 @@
         if let Some(version) = self.settled(&change.operation) {
             return Ok(Applied::Repeated(version));
         }
+        self.apply_at(change, self.version.next())
+    }
+
+    /// Applies a further change of the log entry that made this version.
+    ///
+    /// # Errors
+    /// See [`Refusal`]; `self` stays as it is.
+    pub fn apply_along(&self, change: &Change) -> Result<Applied, Refusal> {
+        if let Some(version) = self.settled(&change.operation) {
+            return Ok(Applied::Repeated(version));
+        }
+        self.apply_at(change, self.version)
+    }
+
+    fn apply_at(&self, change: &Change, version: units::Version) -> Result<Applied, Refusal> {
         self.check_expected(change)?;
         let mut next = self.clone();
-        next.version = self.version.next();
+        next.version = version;
         next.merge(change);
         let mut findings = Findings::default();
         next.check_resources(change, &mut findings);
