--- /dev/null
+++ b/components/distribution/src/spread.rs
@@ -0,0 +1,99 @@
+//! Push of new versions to the neighbours.
+//!
+//! Epidemic broadcast trees (Leitão, Pereira and Rodrigues, SRDS 2007), simplified by the total
+//! order of versions: a neighbour gets entries at once until it reports a duplicate; from then on
+//! it is told of new versions after a delay, and only when it is not known to hold them. A node
+//! that learns of a version in this way fetches it, and the link carries entries again.
+
+use std::rc;
+
+use membership::Member;
+use schema::distribution as wire;
+
+use crate::core::Core;
+
+/// Starts to feed all neighbours that are not known to hold the current version.
+pub(crate) fn start<S: platform::Store, L: peer::Link>(core: &rc::Rc<Core<S, L>>) {
+    let settings = &core.state.settings;
+    if settings.mode == crate::Mode::Direct || !core.state.is_ready() {
+        return;
+    }
+    for member in core.neighbours().iter() {
+        let place = core.fed.borrow().binary_search(&member.node);
+        let Err(place) = place else {
+            continue;
+        };
+        if is_behind(core, member) {
+            core.fed.borrow_mut().insert(place, member.node.clone());
+            compio::runtime::spawn(feed(core.clone(), member.clone())).detach();
+        }
+    }
+}
+
+fn is_behind<S: platform::Store, L: peer::Link>(core: &Core<S, L>, member: &Member) -> bool {
+    let announced = core.state.announced(&member.node);
+    announced.is_none_or(|one| one.current < core.state.version())
+}
+
+/// Feeds one neighbour until it holds the current version or fails.
+async fn feed<S: platform::Store, L: peer::Link>(core: rc::Rc<Core<S, L>>, member: rc::Rc<Member>) {
+    while is_behind(&core, &member) {
+        let going = if core.is_lazy(&member.node) {
+            tell(&core, &member).await
+        } else {
+            push(&core, &member).await
+        };
+        if !going {
+            break;
+        }
+    }
+    let mut fed = core.fed.borrow_mut();
+    if let Ok(place) = fed.binary_search(&member.node) {
+        fed.remove(place);
+    }
+}
+
+/// Tells a neighbour of the current version after a delay, unless it has learned of it meanwhile.
+async fn tell<S: platform::Store, L: peer::Link>(core: &Core<S, L>, member: &Member) -> bool {
+    compio::time::sleep(core.state.settings.lazy_delay.0).await;
+    if !is_behind(core, member) {
+        return false;
+    }
+    compare(core, member).await;
+    // What the neighbour lacks it fetches itself.
+    false
+}
+
+/// Announces the own version to `member`.
+pub(crate) async fn compare<S: platform::Store, L: peer::Link>(
+    core: &Core<S, L>,
+    member: &Member,
+) -> Option<wire::Reply> {
+    let digest = core.state.digest();
+    let kind = wire::request::Kind::Compare(wire::Compare { digest });
+    core.call(member, kind, core.call_timeout()).await.ok()
+}
+
+/// Sends entries to a neighbour; `false` ends the feeding.
+async fn push<S: platform::Store, L: peer::Link>(core: &Core<S, L>, member: &Member) -> bool {
+    let held = core.state.version();
+    let before = core.state.announced(&member.node).map(|one| one.current);
+    let from = before.unwrap_or(units::Version(held.0.saturating_sub(1)));
+    let entries = core.state.tail.borrow().after(from);
+    let Some(entries) = entries.filter(|entries| !entries.is_empty()) else {
+        compare(core, member).await;
+        return false;
+    };
+    let kind = wire::request::Kind::Publish(wire::Publish { entries });
+    let Ok(reply) = core.call(member, kind, core.call_timeout()).await else {
+        return false;
+    };
+    if let Some(wire::reply::Kind::Held(held)) = reply.kind
+        && held.duplicate
+    {
+        core.set_lazy(&member.node, true);
+    }
+    // A neighbour that did not move refuses the entries or fetches others meanwhile.
+    let after = core.state.announced(&member.node).map(|one| one.current);
+    after > before
+}
