moves: service, runner, evidence and decisions

Decisions and what was weighed: - One lease a shard of moves instead of one a move, so that renewals do not grow with the number of moves. - The id is the service's name and a number: the platform's conditional create is what allows one running move a service; a lock object of its own would cost two more calls a move. - A successor claims a move by writing its record, so that a runner that was paused past its lease finds its revision gone; its change to the configuration carries the revision that the service had. - Failures and slowness are compared period by period given the margins of the two-by-two table, which needs no assumption about the old version's rate; the mixture over the beginning of the badness keeps late badness as quickly seen as badness at once, at the cost of the logarithm of the number of periods.

--- /dev/null
+++ b/components/moves/src/plan.rs
@@ -0,0 +1,116 @@
+//! Schedule of a move, planned back from its deadline.
+
+use std::time;
+
+use crate::Settings;
+
+/// Schedule of a move: the phases and how long each may take.
+///
+/// Phase 0 only observes the old version, then follows one for each step; the last, at the full
+/// share, is the watch.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    phases: Vec<Phase>,
+    /// Time by which the last phase has ended.
+    end: time::Instant,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Phase {
+    share: units::Share,
+    /// Part of the time that it gets.
+    weight: f64,
+    shortest: time::Duration,
+}
+
+impl Plan {
+    /// Part of the time in which only the old version is observed.
+    const OBSERVE: f64 = 0.05;
+    /// Part of the time of the watch at the full share.
+    const WATCH: f64 = 0.25;
+
+    /// The plan of a move that has to end by `deadline`.
+    #[must_use]
+    pub fn new(settings: &Settings, deadline: time::Instant) -> Self {
+        let last = settings.steps.len().saturating_sub(1);
+        let rest = 1.0 - Self::OBSERVE - Self::WATCH;
+        let each = rest / f64::from(u32::try_from(last.max(1)).unwrap_or(u32::MAX));
+        let steps = settings
+            .steps
+            .iter()
+            .enumerate()
+            .map(|(index, share)| Phase {
+                share: *share,
+                weight: if index == last { Self::WATCH } else { each },
+                shortest: if index == last {
+                    settings.watch.0
+                } else {
+                    settings.hold.0
+                },
+            });
+        let observe = Phase {
+            share: units::Share::NONE,
+            weight: Self::OBSERVE,
+            shortest: settings.observe.0,
+        };
+        let reserved = deadline.checked_sub(settings.reserve.0);
+        Self {
+            phases: std::iter::once(observe).chain(steps).collect(),
+            end: reserved.unwrap_or(deadline),
+        }
+    }
+
+    /// Shortest time that a move can take.
+    #[must_use]
+    pub fn shortest(settings: &Settings) -> time::Duration {
+        let steps = u32::try_from(settings.steps.len().saturating_sub(1)).unwrap_or(u32::MAX);
+        let holds = settings.hold.0 * steps;
+        settings.observe.0 + holds + settings.watch.0 + settings.reserve.0
+    }
+
+    /// The last phase, at the full share.
+    #[must_use]
+    pub fn last(&self) -> usize {
+        self.phases.len() - 1
+    }
+
+    /// Share of the new version in `phase`; the whole after the last.
+    #[must_use]
+    pub fn share(&self, phase: usize) -> units::Share {
+        let phase = self.phases.get(phase);
+        phase.map_or(units::Share::WHOLE, |phase| phase.share)
+    }
+
+    /// Shortest time of `phase`.
+    #[must_use]
+    pub fn shortest_of(&self, phase: usize) -> time::Duration {
+        self.phases[phase.min(self.last())].shortest
+    }
+
+    /// Time that `phase` should take when it begins at `start`: its part of what is left, while
+    /// every later phase still gets its shortest time.
+    #[must_use]
+    pub fn hold(&self, phase: usize, start: time::Instant) -> time::Duration {
+        let phase = phase.min(self.last());
+        let left = self.end.saturating_duration_since(start);
+        let weights: f64 = self.phases[phase..].iter().map(|one| one.weight).sum();
+        let wanted = left.mul_f64((self.phases[phase].weight / weights).min(1.0));
+        let most = left.saturating_sub(self.rest(phase));
+        wanted.min(most).max(self.phases[phase].shortest)
+    }
+
+    /// Latest time at which `phase` may end.
+    #[must_use]
+    pub fn latest_end(&self, phase: usize) -> time::Instant {
+        let rest = self.rest(phase.min(self.last()));
+        self.end.checked_sub(rest).unwrap_or(self.end)
+    }
+
+    /// Shortest time of all phases after `phase`.
+    fn rest(&self, phase: usize) -> time::Duration {
+        self.phases[phase + 1..]
+            .iter()
+            .map(|one| one.shortest)
+            .sum()
+    }
+}
--- /dev/null
+++ b/components/moves/src/policy.rs
@@ -0,0 +1,254 @@
+//! Decides the next action of a move.
+
+use std::time;
+
+use compact_str::{CompactString, format_compact};
+
+use crate::{Analysis, Judge, Plan, Settings};
+
+units::record! { eq:
+    /// What the runner is to do next.
+    pub enum Action {
+        /// Nothing now, for this reason.
+        Hold(CompactString),
+        /// Begin this phase of the plan.
+        Step(usize),
+        /// Take the version back for this reason.
+        Back(CompactString),
+        /// The version has the full share and has been watched.
+        Done,
+    }
+}
+
+/// What the runner knows besides the evidence.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Facts {
+    /// Slots of the new version's ready backend servers.
+    pub slots: u32,
+}
+
+/// Decides the next action of a move; the time is a parameter, so that tests are exact.
+#[derive(Debug, Clone)]
+pub struct Policy {
+    settings: Settings,
+    plan: Plan,
+    judge: Judge,
+    phase: usize,
+    phase_since: time::Instant,
+    /// When this runner began, which may be long after the move did.
+    resumed: time::Instant,
+    deadline: time::Instant,
+    /// Since when the slots have not sufficed for the current share.
+    short_since: Option<time::Instant>,
+}
+
+impl Policy {
+    /// Steps up to this share may be left out where they would bring too little evidence in time.
+    const SKIPPED: units::Share = match units::Share::from_parts(1_000) {
+        Some(share) => share,
+        None => units::Share::NONE,
+    };
+
+    /// Goes on with a move whose current phase began at `phase_since`.
+    #[must_use]
+    pub fn new(
+        settings: &Settings,
+        alpha: f64,
+        deadline: time::Instant,
+        phase: usize,
+        phase_since: time::Instant,
+        now: time::Instant,
+    ) -> Self {
+        let plan = Plan::new(settings, deadline);
+        let horizon = horizon(settings, deadline.saturating_duration_since(now));
+        let mut judge = Judge::new(settings, alpha, horizon, now);
+        if phase > 0 {
+            judge.begin_step(phase == 1, plan.share(phase + 1), now);
+        }
+        Self {
+            settings: settings.clone(),
+            plan,
+            judge,
+            phase,
+            phase_since,
+            resumed: now,
+            deadline,
+            short_since: None,
+        }
+    }
+
+    /// The evidence.
+    #[must_use]
+    pub fn judge(&self) -> &Judge {
+        &self.judge
+    }
+
+    /// The evidence, to be added to.
+    pub fn judge_mut(&mut self) -> &mut Judge {
+        &mut self.judge
+    }
+
+    /// The current phase of the plan.
+    #[must_use]
+    pub fn phase(&self) -> usize {
+        self.phase
+    }
+
+    /// Share of the new version in `phase`.
+    #[must_use]
+    pub fn share(&self, phase: usize) -> units::Share {
+        self.plan.share(phase)
+    }
+
+    /// The next phase and the earliest time at which the plan begins it; `None` in the last.
+    #[must_use]
+    pub fn next(&self) -> Option<(usize, time::Instant)> {
+        let planned = self.phase_since + self.plan.hold(self.phase, self.phase_since);
+        (self.phase < self.plan.last()).then_some((self.phase + 1, planned))
+    }
+
+    /// Begins `phase`.
+    pub fn begin(&mut self, phase: usize, now: time::Instant) {
+        let is_first = self.phase == 0;
+        self.phase = phase;
+        self.phase_since = now;
+        self.short_since = None;
+        self.judge
+            .begin_step(is_first, self.plan.share(phase + 1), now);
+    }
+
+    /// Decides the next action.
+    #[must_use]
+    pub fn decide(&mut self, now: time::Instant, facts: Facts) -> Action {
+        if let Some(alarm) = self.judge.alarm() {
+            return Action::Back(alarm.clone());
+        }
+        if self.settings.analysis == Analysis::Sequential
+            && let Some(action) = self.check_slots(now, facts)
+        {
+            return action;
+        }
+        let hold = self.plan.hold(self.phase, self.phase_since);
+        if self.phase == self.plan.last() {
+            return self.decide_last(now, hold);
+        }
+        if now.saturating_duration_since(self.phase_since) < hold {
+            return self.hold_until(now, CompactString::const_new("the plan holds this share"));
+        }
+        if self.phase == 0 {
+            return self.decide_first(now, facts);
+        }
+        if let Some(missing) = self.judge.missing(hold, now) {
+            return self.hold_until(now, missing);
+        }
+        self.step(self.phase + 1, now, facts)
+    }
+
+    /// Decides at the full share.
+    fn decide_last(&self, now: time::Instant, hold: time::Duration) -> Action {
+        let watched = now.saturating_duration_since(self.phase_since);
+        let missing = self.judge.missing(hold, now);
+        if watched >= hold && missing.is_none() {
+            return Action::Done;
+        }
+        let resumed = self.resumed + self.plan.shortest_of(self.phase);
+        let latest = self.plan.latest_end(self.phase).max(resumed);
+        match missing {
+            Some(missing) if now >= latest => self.back(&missing),
+            Some(missing) => Action::Hold(missing),
+            None => Action::Hold(CompactString::const_new("the full share is watched")),
+        }
+    }
+
+    /// Chooses the first step: the smallest share that is expected to bring enough evidence, but
+    /// still a small one.
+    fn decide_first(&self, now: time::Instant, facts: Facts) -> Action {
+        let mut phase = 1;
+        while phase < self.plan.last()
+            && self.plan.share(phase + 1) <= Self::SKIPPED
+            && !self.expects(phase, now)
+        {
+            phase += 1;
+        }
+        self.step(phase, now, facts)
+    }
+
+    fn expects(&self, phase: usize, now: time::Instant) -> bool {
+        let hold = self.plan.hold(phase, now);
+        self.judge.expects(self.plan.share(phase), hold, now)
+    }
+
+    fn step(&self, phase: usize, now: time::Instant, facts: Facts) -> Action {
+        if !self.fits(self.plan.share(phase), facts) {
+            let share = self.plan.share(phase);
+            let slots = facts.slots;
+            let text =
+                format_compact!("{slots} ready slots of the new version do not take {share}");
+            return self.hold_until(now, text);
+        }
+        // A late step would leave the later phases less than their shortest times.
+        if now > self.plan.latest_end(self.phase) {
+            return self.back("the steps that are left do not fit before the deadline");
+        }
+        Action::Step(phase)
+    }
+
+    /// Holds while the later phases still fit before the deadline.
+    fn hold_until(&self, now: time::Instant, why: CompactString) -> Action {
+        if now >= self.plan.latest_end(self.phase) {
+            self.back(&why)
+        } else {
+            Action::Hold(why)
+        }
+    }
+
+    fn back(&self, why: &str) -> Action {
+        Action::Back(format_compact!("not shown to be good in time: {why}"))
+    }
+
+    /// Whether the new version's slots take `share` of the traffic.
+    fn fits(&self, share: units::Share, facts: Facts) -> bool {
+        if self.settings.analysis != Analysis::Sequential {
+            return true;
+        }
+        let room = f64::from(facts.slots) * self.settings.occupancy.as_fraction();
+        let demand = self.judge.demand().unwrap_or_default();
+        facts.slots > 0 && demand * share.as_fraction() <= room
+    }
+
+    /// Steps back where the slots have not sufficed for a while.
+    fn check_slots(&mut self, now: time::Instant, facts: Facts) -> Option<Action> {
+        if self.phase == 0 || self.fits(self.plan.share(self.phase), facts) {
+            self.short_since = None;
+            return None;
+        }
+        let since = *self.short_since.get_or_insert(now);
+        if now.saturating_duration_since(since) < self.settings.hold.0 {
+            return None;
+        }
+        if facts.slots == 0 {
+            let text = "no backend server of the new version is ready";
+            return Some(Action::Back(text.into()));
+        }
+        if self.phase > 1 {
+            return Some(Action::Step(self.phase - 1));
+        }
+        None
+    }
+
+    /// Time of the deadline.
+    #[must_use]
+    pub fn deadline(&self) -> time::Instant {
+        self.deadline
+    }
+}
+
+/// Number of periods in `time`, for the tests.
+pub(crate) fn horizon(settings: &Settings, time: time::Duration) -> u32 {
+    let report = settings.report.0.as_secs_f64().max(0.001);
+    let periods = (time.as_secs_f64() / report).min(1e6);
+    // Within the range by the bound above.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let periods = periods as u32;
+    periods
+}
--- /dev/null
+++ b/components/moves/src/record.rs
@@ -0,0 +1,212 @@
+//! The object of a move.
+
+use compact_str::CompactString;
+use config::Weight;
+use prost::Message;
+use schema::moves as wire;
+
+use crate::{Id, shares};
+
+/// Where a move stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// It takes its steps.
+    Running,
+    /// It is decided that the new version is taken back.
+    TakingBack,
+    /// Ended: the new version has the whole share.
+    Done,
+    /// Ended: the old version has its share again.
+    TakenBack,
+}
+
+units::record! {
+    /// The object of a move, as the platform holds it.
+    #[derive(serde::Serialize)]
+    pub struct Record {
+        /// Id of the move.
+        pub id: Id,
+        /// Operation that started it.
+        pub operation: units::Operation,
+        /// Version that gives its share.
+        pub from: CompactString,
+        /// Version that takes the share.
+        pub to: CompactString,
+        /// Time by which it ends.
+        pub deadline: units::Wall,
+        /// Time of its start.
+        pub started: units::Wall,
+        /// Time of its end.
+        pub ended: Option<units::Wall>,
+        /// Where it stands.
+        pub state: State,
+        /// Why it is taken back.
+        pub reason: CompactString,
+        /// Phase of the plan: 0 before the first step.
+        pub step: usize,
+        /// Time at which that phase began.
+        pub step_since: units::Wall,
+        /// Weights of the service before the move.
+        pub original: Vec<Weight>,
+        /// Node that runs it.
+        pub runner: Option<units::Node>,
+        /// Raised by each claim of a runner.
+        pub fence: u64,
+        /// Random number of the write, by which its writer knows it again.
+        pub nonce: u64,
+        /// Whether an operator has set other shares meanwhile.
+        pub overridden: bool,
+        /// Version of the configuration in which the shares were last as the move wants them.
+        pub accepted: units::Version,
+    }
+}
+
+impl Record {
+    /// Name of the service.
+    #[must_use]
+    pub fn service(&self) -> &str {
+        self.id.service()
+    }
+
+    /// Whether the move has ended.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        matches!(self.state, State::Done | State::TakenBack)
+    }
+
+    /// Whether the new version gets no traffic, whatever the configuration says.
+    ///
+    /// Shares that an operator has set during the move are obeyed.
+    #[must_use]
+    pub fn withholds(&self) -> bool {
+        matches!(self.state, State::TakingBack | State::TakenBack) && !self.overridden
+    }
+
+    /// Weights of the service at the share `step` of the move.
+    #[must_use]
+    pub fn weights(&self, step: units::Share) -> Vec<Weight> {
+        if step == units::Share::NONE {
+            return self.original.clone();
+        }
+        shares::at_step(&self.original, &self.from, &self.to, step)
+    }
+
+    /// Whether a record may follow this one: the end is written once, and nothing but a running
+    /// move becomes done.
+    #[must_use]
+    pub fn may_become(&self, later: &Self) -> bool {
+        match self.state {
+            State::Running => true,
+            State::TakingBack => matches!(later.state, State::TakingBack | State::TakenBack),
+            State::Done | State::TakenBack => self.state == later.state,
+        }
+    }
+
+    /// The wire form.
+    #[must_use]
+    pub fn encode(&self) -> wire::Record {
+        wire::Record {
+            id: self.id.to_string(),
+            operation: self.operation.to_string(),
+            service: self.service().to_owned(),
+            from: self.from.to_string(),
+            to: self.to.to_string(),
+            deadline_ms: self.deadline.0,
+            started_ms: self.started.0,
+            ended_ms: self.ended.unwrap_or_default().0,
+            state: encode_state(self.state).into(),
+            reason: self.reason.to_string(),
+            step: u32::try_from(self.step).unwrap_or(u32::MAX),
+            step_ms: self.step_since.0,
+            original: encode_weights(&self.original),
+            runner: self
+                .runner
+                .as_ref()
+                .map(ToString::to_string)
+                .unwrap_or_default(),
+            fence: self.fence,
+            nonce: self.nonce,
+            overridden: self.overridden,
+            accepted: self.accepted.0,
+        }
+    }
+
+    /// Reads the wire form; `None` when it is malformed.
+    #[must_use]
+    pub fn decode(wire: &wire::Record) -> Option<Self> {
+        let runner = match wire.runner.as_str() {
+            "" => None,
+            runner => Some(runner.parse().ok()?),
+        };
+        Some(Self {
+            id: wire.id.parse().ok()?,
+            operation: wire.operation.parse().ok()?,
+            from: wire.from.as_str().into(),
+            to: wire.to.as_str().into(),
+            deadline: units::Wall(wire.deadline_ms),
+            started: units::Wall(wire.started_ms),
+            ended: (wire.ended_ms > 0).then_some(units::Wall(wire.ended_ms)),
+            state: decode_state(wire.state())?,
+            reason: wire.reason.as_str().into(),
+            step: usize::try_from(wire.step).ok()?,
+            step_since: units::Wall(wire.step_ms),
+            original: decode_weights(&wire.original)?,
+            runner,
+            fence: wire.fence,
+            nonce: wire.nonce,
+            overridden: wire.overridden,
+            accepted: units::Version(wire.accepted),
+        })
+    }
+
+    /// The value of the object.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        self.encode().encode_to_vec()
+    }
+
+    /// Reads the value of an object; `None` when it is malformed.
+    #[must_use]
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        let wire = wire::Record::decode(bytes).ok()?;
+        Self::decode(&wire)
+    }
+}
+
+fn encode_state(state: State) -> wire::record::State {
+    match state {
+        State::Running => wire::record::State::Running,
+        State::TakingBack => wire::record::State::TakingBack,
+        State::Done => wire::record::State::Done,
+        State::TakenBack => wire::record::State::TakenBack,
+    }
+}
+
+fn decode_state(state: wire::record::State) -> Option<State> {
+    match state {
+        wire::record::State::Running => Some(State::Running),
+        wire::record::State::TakingBack => Some(State::TakingBack),
+        wire::record::State::Done => Some(State::Done),
+        wire::record::State::TakenBack => Some(State::TakenBack),
+        wire::record::State::Unspecified => None,
+    }
+}
+
+fn encode_weights(weights: &[Weight]) -> Vec<schema::config::Weight> {
+    let encode = |weight: &Weight| schema::config::Weight {
+        version: weight.version.to_string(),
+        share: weight.share.parts(),
+    };
+    weights.iter().map(encode).collect()
+}
+
+fn decode_weights(weights: &[schema::config::Weight]) -> Option<Vec<Weight>> {
+    let decode = |weight: &schema::config::Weight| {
+        Some(Weight {
+            version: weight.version.as_str().into(),
+            share: units::Share::from_parts(weight.share)?,
+        })
+    };
+    weights.iter().map(decode).collect()
+}
--- /dev/null
+++ b/components/moves/src/runner.rs
@@ -0,0 +1,381 @@
+//! Runs one move while this node holds the lease of its shard.
+
+use std::rc;
+use std::time;
+
+use compact_str::{CompactString, format_compact};
+use config::{Change, Put, Service, Weight};
+use distribution::{Accepted, Command, Verdict};
+use futures_channel::oneshot;
+
+use crate::fleets::Fleets;
+use crate::run::Run;
+use crate::shared::Shared;
+use crate::tenure::Tenure;
+use crate::writer::{Failed, RETRY_PAUSE, Writer};
+use crate::{Action, Facts, Id, Policy, Record, State, shares};
+
+/// Longest pause between two decisions.
+const LONGEST_TICK: time::Duration = time::Duration::from_millis(200);
+/// Longest wait for the verdict on a change.
+const VERDICT_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// Runs one move while this node holds the lease of its shard.
+struct Runner<S, L> {
+    writer: Writer<S, L>,
+    /// Fence of this runner's claim.
+    fence: u64,
+    fleets: Fleets,
+    /// Version of the configuration that this node has to hold before anything is decided.
+    awaited: units::Version,
+}
+
+/// How the service's weights stand to what the move wants.
+enum Standing {
+    /// This node's configuration is older than what was accepted for the move.
+    Behind,
+    /// As wanted, at this revision of the service.
+    Reached(units::Version),
+    /// The change of the last step has not taken effect.
+    Pending(units::Version),
+    /// An operator has set other shares, or removed the service.
+    Overridden,
+}
+
+/// Runs the move called `id` until it has ended or `tenure` is over.
+pub(crate) async fn run<S, L>(shared: rc::Rc<Shared<S, L>>, tenure: rc::Rc<Tenure>, id: Id)
+where
+    S: platform::Store,
+    L: peer::Link,
+{
+    let Some(writer) = Writer::open(shared, tenure, &id) else {
+        return;
+    };
+    let mut runner = Runner {
+        writer,
+        fence: 0,
+        fleets: Fleets::default(),
+        awaited: units::Version::default(),
+    };
+    let failed = runner.drive().await;
+    log::debug!(id:% = id, failed:? = failed; "runner of a move ends");
+}
+
+impl<S: platform::Store, L: peer::Link> Runner<S, L> {
+    /// Claims the move and takes its steps; returns when this runner has nothing to do any more.
+    async fn drive(&mut self) -> Failed {
+        let mut claimed = self.claim().await;
+        while claimed == Err(Failed::Changed) {
+            claimed = self.claim().await;
+        }
+        if let Err(failed) = claimed {
+            return failed;
+        }
+        let tick = self.shared().parts.settings.report.0.min(LONGEST_TICK);
+        loop {
+            self.writer.refresh();
+            if self.record().fence != self.fence {
+                return Failed::Lapsed;
+            }
+            let advanced = match self.record().state {
+                State::Running => self.advance().await,
+                State::TakingBack => self.take_back().await,
+                State::Done | State::TakenBack => return Failed::Gone,
+            };
+            match advanced {
+                Ok(()) | Err(Failed::Changed) => {}
+                Err(failed) => return failed,
+            }
+            if self.writer.tenure.has_ended() {
+                return Failed::Lapsed;
+            }
+            if !self.record().is_ended() {
+                compio::time::sleep(tick).await;
+            }
+        }
+    }
+
+    /// Writes this node's name into the record, so that an earlier runner's writes fail from now on.
+    async fn claim(&mut self) -> Result<(), Failed> {
+        if self.record().is_ended() {
+            return Err(Failed::Gone);
+        }
+        let node = self.shared().parts.node.clone();
+        let claimed = self.writer.write(|record| {
+            record.runner = Some(node);
+            record.fence += 1;
+        });
+        claimed.await?;
+        self.fence = self.record().fence;
+        self.shared().tally.claims.add(1);
+        self.open_run();
+        Ok(())
+    }
+
+    /// Makes the policy of the move, unless it is there from an earlier time of the lease.
+    fn open_run(&self) {
+        let record = self.record();
+        let mut runs = self.shared().runs.borrow_mut();
+        let Err(place) = runs.binary_search_by(|run| run.id.cmp(&record.id)) else {
+            return;
+        };
+        let (wall, now) = (units::Wall::now(), time::Instant::now());
+        let deadline = now + record.deadline.since(wall);
+        let past = wall.since(record.deadline);
+        let deadline = deadline.checked_sub(past).unwrap_or(deadline);
+        let since = now
+            .checked_sub(wall.since(record.step_since))
+            .unwrap_or(now);
+        let settings = &self.shared().parts.settings;
+        // The other half of the wrong alarms is that of the judges in the data centres.
+        let alpha = settings.alpha() / 2.0;
+        let policy = Policy::new(settings, alpha, deadline, record.step, since, now);
+        let run = Run {
+            id: record.id.clone(),
+            policy,
+            waiting: CompactString::default(),
+        };
+        runs.insert(place, run);
+    }
+
+    /// Decides and does the next thing of a running move.
+    async fn advance(&mut self) -> Result<(), Failed> {
+        if let Some(reason) = self.shared().alarm(&self.record().id) {
+            return self.begin_back(reason, false).await;
+        }
+        match self.standing() {
+            Standing::Behind => Ok(()),
+            Standing::Overridden => {
+                let reason = CompactString::const_new("an operator has changed the service");
+                self.begin_back(reason, true).await
+            }
+            Standing::Pending(revision) => self.apply_step(revision).await,
+            Standing::Reached(revision) => match self.decide() {
+                Action::Hold(_) => Ok(()),
+                Action::Step(phase) => self.begin_step(phase, revision).await,
+                Action::Back(reason) => self.begin_back(reason, false).await,
+                Action::Done => self.end(State::Done).await,
+            },
+        }
+    }
+
+    fn standing(&self) -> Standing {
+        let snapshot = self.shared().parts.holder.get();
+        let record = self.record();
+        if snapshot.version() < self.awaited || snapshot.version() < record.accepted {
+            return Standing::Behind;
+        }
+        let Some(service) = snapshot.service(record.service()) else {
+            return Standing::Overridden;
+        };
+        let wanted = record.weights(self.share_of(record.step));
+        if shares::are_same(&service.weights, &wanted) {
+            Standing::Reached(service.revision)
+        } else if service.revision <= record.accepted {
+            Standing::Pending(service.revision)
+        } else {
+            Standing::Overridden
+        }
+    }
+
+    fn decide(&mut self) -> Action {
+        let now = time::Instant::now();
+        let record = self.writer.record.clone();
+        let view = self.shared().parts.members.get();
+        let change = self.fleets.look(&record, &view, now);
+        let ready = self.shared().ready(record.service(), &record.to);
+        let facts = Facts { slots: ready.slots };
+        let shared = self.shared().clone();
+        let mut runs = shared.runs.borrow_mut();
+        let Ok(place) = runs.binary_search_by(|run| run.id.cmp(&record.id)) else {
+            return Action::Hold(CompactString::default());
+        };
+        let run = &mut runs[place];
+        if run.policy.phase() != record.step {
+            run.policy.begin(record.step, now);
+        }
+        let judge = run.policy.judge_mut();
+        if change.is_started {
+            judge.warm_up(now);
+        }
+        judge.absorb_fleets(change.old, change.new, change.elapsed);
+        let action = run.policy.decide(now, facts);
+        run.waiting = match &action {
+            Action::Hold(why) => why.clone(),
+            _ => CompactString::default(),
+        };
+        action
+    }
+
+    /// Writes the intent of a step; the change to the configuration follows.
+    async fn begin_step(&mut self, phase: usize, revision: units::Version) -> Result<(), Failed> {
+        let is_upward = phase > self.record().step;
+        self.writer
+            .write(|record| {
+                record.step = phase;
+                record.step_since = units::Wall::now();
+                record.accepted = revision;
+            })
+            .await?;
+        if is_upward {
+            self.shared().tally.steps.add(1);
+        }
+        Ok(())
+    }
+
+    /// Makes the change to the configuration that the last step asks for.
+    async fn apply_step(&mut self, revision: units::Version) -> Result<(), Failed> {
+        let record = self.record();
+        let (service, version) = (record.service(), record.to.as_str());
+        if self.shared().parts.withheld.contains(service, version) {
+            self.shared().tally.late_steps.add(1);
+            log::error!(id:% = record.id; "invariant violated: a withheld version was to get a larger share");
+            let reason = CompactString::const_new("the new version is withheld");
+            return self.begin_back(reason, false).await;
+        }
+        let weights = record.weights(self.share_of(record.step));
+        let purpose = format_compact!("{:016x}", record.nonce);
+        match self.accept(&purpose, weights, revision).await {
+            Verdict::Accepted(Accepted { version }) => {
+                self.awaited = version;
+                Ok(())
+            }
+            Verdict::Refused(findings) => {
+                let reason = format_compact!("the change to the shares was refused: {findings}");
+                self.begin_back(reason, false).await
+            }
+            // With a conflict the newer configuration says more; the others are tried again.
+            _ => {
+                compio::time::sleep(RETRY_PAUSE).await;
+                Ok(())
+            }
+        }
+    }
+
+    /// Decides to take the version back.
+    async fn begin_back(&mut self, reason: CompactString, overridden: bool) -> Result<(), Failed> {
+        let back = self.writer.write(|record| {
+            record.state = State::TakingBack;
+            record.reason = reason;
+            record.overridden = overridden;
+        });
+        back.await
+    }
+
+    /// Gives the old version its share again, then writes the end.
+    async fn take_back(&mut self) -> Result<(), Failed> {
+        // Before the intent of a first step is written no change can be on its way.
+        if self.record().step > 0 && !self.record().overridden && !self.restore().await? {
+            return Ok(());
+        }
+        self.end(State::TakenBack).await
+    }
+
+    /// Sets the shares from before the move; `true` when that is done or an operator has done
+    /// otherwise.
+    ///
+    /// It is a change also where the shares look right already: it raises the service's revision,
+    /// so that a step of an earlier runner that is still on its way is refused.
+    async fn restore(&mut self) -> Result<bool, Failed> {
+        let snapshot = self.shared().parts.holder.get();
+        let record = self.record();
+        if snapshot.version() < record.accepted {
+            return Ok(false);
+        }
+        let service = snapshot.service(record.service());
+        let Some(service) = service.filter(|service| self.is_of_move(service)) else {
+            self.writer.write(|record| record.overridden = true).await?;
+            return Ok(true);
+        };
+        let (weights, revision) = (record.original.clone(), service.revision);
+        match self.accept("back", weights, revision).await {
+            Verdict::Accepted(_) => Ok(true),
+            Verdict::Refused(findings) => {
+                log::error!(id:% = self.record().id, findings:% = findings; "the shares cannot be restored");
+                self.writer.write(|record| record.overridden = true).await?;
+                Ok(true)
+            }
+            _ => {
+                compio::time::sleep(RETRY_PAUSE).await;
+                Ok(false)
+            }
+        }
+    }
+
+    /// Whether the shares of `service` are ones that the move has set.
+    fn is_of_move(&self, service: &Service) -> bool {
+        let record = self.record();
+        let last = self.shared().parts.settings.steps.len();
+        (0..=last).any(|step| {
+            let weights = record.weights(self.share_of(step));
+            shares::are_same(&service.weights, &weights)
+        })
+    }
+
+    async fn end(&mut self, state: State) -> Result<(), Failed> {
+        let ended = self.writer.write(|record| {
+            record.state = state;
+            record.ended = Some(units::Wall::now());
+        });
+        ended.await?;
+        let tally = &self.shared().tally;
+        match state {
+            State::Done => tally.done.add(1),
+            _ => tally.taken_back.add(1),
+        }
+        let record = self.record();
+        log::info!(id:% = record.id, state:? = record.state, reason:% = record.reason; "move ended");
+        Ok(())
+    }
+
+    /// Has a change of the service's weights accepted, on the condition of its revision.
+    async fn accept(&self, purpose: &str, weights: Vec<Weight>, held: units::Version) -> Verdict {
+        let record = self.record();
+        let Ok(operation) = record.id.operation(purpose) else {
+            return Verdict::Unavailable;
+        };
+        let service = Service {
+            name: record.service().into(),
+            weights,
+            revision: units::Version::default(),
+        };
+        let change = Change {
+            operation,
+            puts: vec![Put::Service(service, Some(held))],
+            removes: Vec::new(),
+            author: format_compact!("move {}", record.id),
+        };
+        let (answer, verdict) = oneshot::channel();
+        let command = Command::Accept {
+            change,
+            dry_run: false,
+            answer,
+        };
+        if !self.writer.tenure.is_held() || self.shared().parts.distribution.send(command).is_err()
+        {
+            return Verdict::Unavailable;
+        }
+        let verdict = compio::time::timeout(VERDICT_TIMEOUT, verdict).await;
+        verdict
+            .ok()
+            .and_then(Result::ok)
+            .unwrap_or(Verdict::Unknown)
+    }
+
+    /// Share of the new version in the phase `step` of the plan.
+    fn share_of(&self, step: usize) -> units::Share {
+        let steps = &self.shared().parts.settings.steps;
+        match step.checked_sub(1) {
+            None => units::Share::NONE,
+            Some(index) => steps.get(index).copied().unwrap_or(units::Share::WHOLE),
+        }
+    }
+
+    fn record(&self) -> &Record {
+        &self.writer.record
+    }
+
+    fn shared(&self) -> &rc::Rc<Shared<S, L>> {
+        &self.writer.shared
+    }
+}
--- /dev/null
+++ b/components/moves/src/settings.rs
@@ -0,0 +1,129 @@
+//! Settings of moves.
+
+use findings::Findings;
+use serde::{Deserialize, Serialize};
+
+use crate::Analysis;
+
+units::record! {
+    /// Settings of moves; the same on every node.
+    #[derive(Serialize, Deserialize, schemars::JsonSchema)]
+    #[serde(deny_unknown_fields, default)]
+    pub struct Settings {
+        /// Shares that the new version gets one after the other; the last is the whole.
+        pub steps: Vec<units::Share>,
+        /// How badness is told from noise.
+        pub analysis: Analysis,
+        /// Good versions that may be taken for bad ones, of all moves of good versions.
+        pub wrong_alarms: units::Share,
+        /// Ratio of the odds to fail, new to old, up to which a version is not bad.
+        pub failure_odds: f64,
+        /// Ratio of the odds to be slow, new to old, up to which a version is not bad.
+        pub slow_odds: f64,
+        /// A request is slow when it takes this many times the old version's 90th percentile.
+        pub slowdown: f64,
+        /// Time by which a request has to exceed the old version's 90th percentile to be slow.
+        pub slack: units::Period,
+        /// Time between two reports of a node.
+        pub report: units::Period,
+        /// Shortest time before the first step, in which only the old version is seen.
+        pub observe: units::Period,
+        /// Shortest time at one step.
+        pub hold: units::Period,
+        /// Shortest time at the full share, in which the old version stays ready.
+        pub watch: units::Period,
+        /// Time before the deadline that is kept for slow answers of the platform.
+        pub reserve: units::Period,
+        /// Time after a step or a start of a backend server whose latencies do not count.
+        pub warm_up: units::Period,
+        /// Part of the new version's slots that its share may fill.
+        pub occupancy: units::Share,
+        /// A healthy backend server crashes at most once in this time.
+        pub crash_interval: units::Period,
+        /// Rate of failures that takes a version back with the analysis `threshold`.
+        pub threshold: units::Share,
+        /// Period of the leases under which runners write.
+        pub lease: units::Period,
+        /// Time for which ended moves are kept; the last of each service is always kept.
+        pub retention: units::Period,
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let steps = [100, 500, 2_500, 5_000, 9_500, 10_000];
+        Self {
+            steps: steps
+                .into_iter()
+                .filter_map(units::Share::from_parts)
+                .collect(),
+            analysis: Analysis::Sequential,
+            wrong_alarms: units::Share::from_parts(50).unwrap_or_default(),
+            failure_odds: 1.5,
+            slow_odds: 2.0,
+            slowdown: 1.5,
+            slack: units::Period::from_millis(2),
+            report: units::Period::from_millis(500),
+            observe: units::Period::from_secs(2),
+            hold: units::Period::from_secs(2),
+            watch: units::Period::from_secs(5),
+            reserve: units::Period::from_secs(3),
+            warm_up: units::Period::from_secs(2),
+            occupancy: units::Share::from_parts(8_000).unwrap_or_default(),
+            crash_interval: units::Period::from_secs(60 * 60),
+            threshold: units::Share::from_parts(500).unwrap_or_default(),
+            lease: units::Period::from_secs(10),
+            retention: units::Period::from_secs(24 * 60 * 60),
+        }
+    }
+}
+
+impl Settings {
+    /// Shortest period between reports and of leases.
+    const SHORTEST: units::Period = units::Period::from_millis(10);
+
+    /// Adds to `findings` what is wrong; `place` is the JSON pointer of the settings.
+    pub fn check(&self, place: &str, findings: &mut Findings) {
+        let rising = self.steps.is_sorted_by(|one, other| one < other);
+        let first = self.steps.first().is_some_and(|first| first.parts() > 0);
+        if !rising || !first || self.steps.last() != Some(&units::Share::WHOLE) {
+            let expected = "rising shares above 0% that end with 100%";
+            findings.add(format!("{place}/steps"), "wrong steps", expected);
+        }
+        let alarms = self.wrong_alarms;
+        if alarms == units::Share::NONE || alarms == units::Share::WHOLE {
+            let problem = format!("a rate of {alarms}");
+            findings.add(
+                format!("{place}/wrong_alarms"),
+                problem,
+                "between 0% and 100%",
+            );
+        }
+        self.check_ratios(place, findings);
+        for (name, period) in [("report", self.report), ("lease", self.lease)] {
+            if period < Self::SHORTEST {
+                let problem = format!("a period of {period}");
+                findings.add(format!("{place}/{name}"), problem, "at least 10ms");
+            }
+        }
+    }
+
+    fn check_ratios(&self, place: &str, findings: &mut Findings) {
+        for (name, ratio) in [
+            ("failure_odds", self.failure_odds),
+            ("slow_odds", self.slow_odds),
+            ("slowdown", self.slowdown),
+        ] {
+            if !(1.0..=10.0).contains(&ratio) {
+                let problem = format!("a ratio of {ratio}");
+                findings.add(format!("{place}/{name}"), problem, "a ratio from 1 to 10");
+            }
+        }
+    }
+
+    /// The rate of wrong alarms as a probability.
+    #[must_use]
+    pub fn alpha(&self) -> f64 {
+        self.wrong_alarms.as_fraction()
+    }
+}
