--- a/testing/load/src/cli.rs
+++ b/testing/load/src/cli.rs
@@ -6,7 +6,7 @@
 
 use crate::options::Options;
 use crate::requests::{Selection, Variant};
-use crate::{convergence, demo, requests};
+use crate::{convergence, demo, moves, requests};
 
 /// The whole command line.
 #[must_use]
@@ -19,6 +19,7 @@
         .subcommand(Command::new("demo").about("Runs the whole path once and says what it sees"))
         .subcommand(requests_command())
         .subcommand(convergence_command())
+        .subcommand(moves_command())
 }
 
 fn requests_command() -> Command {
@@ -46,6 +47,12 @@
     convergence::Selection::add(command)
 }
 
+fn moves_command() -> Command {
+    let command = Options::add(Command::new("moves"))
+        .about("Moves services to good and bad versions under faults, and counts how that ends");
+    moves::Selection::add(command)
+}
+
 fn selection(matches: &ArgMatches) -> Selection {
     let phases = matches.get_many("phases");
     let variants = matches.get_many("variants");
@@ -70,6 +77,11 @@
             let selection = convergence::Selection::read(matches);
             program::run(async move { convergence::run(&options, &selection).await })
         }
+        Some(("moves", matches)) => {
+            let options = Options::read(matches);
+            let selection = moves::Selection::read(matches);
+            program::run(async move { moves::run(&options, &selection).await })
+        }
         _ => process::ExitCode::from(program::USAGE),
     }
 }
--- a/testing/load/src/lib.rs
+++ b/testing/load/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod faults;
 pub mod fleet;
 pub mod judge;
+pub mod moves;
 pub mod operator;
 pub mod options;
 pub mod plain;
