--- a/node/src/assembly/listeners.rs
+++ b/node/src/assembly/listeners.rs
@@ -5,7 +5,6 @@
 use error_stack::{Report, ResultExt};
 use tonic::service::Routes;
 
-use super::requests::Unobserved;
 use super::{Builder, Error, Link, names};
 use crate::admin::Admin;
 use crate::call::{Ingress, Owner};
@@ -25,14 +24,14 @@
     let limits = request_limits(&settings);
     let owner: Owner<Link> = builder.find(names::OWNER)?;
     listen(builder, "mesh", settings.mesh, limits, owner).await?;
-    let ingress: Ingress<Link, Unobserved> = builder.find(names::INGRESS)?;
+    let ingress: Ingress<Link, moves::Recorder> = builder.find(names::INGRESS)?;
     listen(builder, "callers", settings.callers, limits, ingress).await
 }
 
 fn operator_api(builder: &Builder) -> Result<web::Grpc, Report<Error>> {
     let distribution = builder.find(names::DISTRIBUTION)?;
     let desk = builder.find(names::DESK)?;
-    let api = operator::Api::new(distribution, desk);
+    let api = operator::Api::new(distribution, desk, builder.find(names::MOVES)?);
     let access = operator::Access::new(&builder.settings.token());
     let service = schema::operator::operator_server::OperatorServer::with_interceptor(api, access);
     Ok(web::Grpc::new(Routes::new(service)))
--- a/node/src/assembly/mod.rs
+++ b/node/src/assembly/mod.rs
@@ -6,6 +6,7 @@
 mod foundation;
 mod listeners;
 mod members;
+mod moving;
 mod names;
 mod operators;
 mod peers;
@@ -46,6 +47,7 @@
     foundation::offer(&builder)?;
     members::start(&mut builder)?;
     distributing::start(&mut builder)?;
+    moving::start(&mut builder)?;
     requests::start(&mut builder)?;
     operators::start(&mut builder)?;
     peers::start(&mut builder)?;
--- a/node/src/assembly/names.rs
+++ b/node/src/assembly/names.rs
@@ -16,6 +16,8 @@
 pub(super) const EXPORTER: &str = "exporter";
 /// `routing::Focus`.
 pub(super) const FOCUS: &str = "focus";
+/// `distribution::Handle`.
+pub(super) const HELD: &str = "held";
 /// `call::Ingress`.
 pub(super) const INGRESS: &str = "ingress";
 /// `peer::Client`.
@@ -24,8 +26,12 @@
 pub(super) const MEMBERSHIP: &str = "membership";
 /// `peer::Meter`.
 pub(super) const METER: &str = "meter";
+/// `kernel::Mailbox<moves::Command>`.
+pub(super) const MOVES: &str = "moves";
 /// `call::Owner`.
 pub(super) const OWNER: &str = "owner";
+/// `moves::Recorder`.
+pub(super) const RECORDER: &str = "recorder";
 /// `membership::Reader`.
 pub(super) const VIEW: &str = "view";
 /// `platform::Client`.
--- a/node/src/assembly/operators.rs
+++ b/node/src/assembly/operators.rs
@@ -15,7 +15,7 @@
     let holder = builder.find(names::CONFIGURATION)?;
     builder.kernel.start(Desk::new(inbox, holder, dump.clone()));
     let exporter = builder.find(names::EXPORTER)?;
-    let ready: distribution::Readiness = builder.find(names::READINESS)?;
-    let admin = Admin::new(dump, exporter, move || ready.is_ready());
+    let held: distribution::Handle = builder.find(names::HELD)?;
+    let admin = Admin::new(dump, exporter, move || held.ready());
     builder.offer(names::ADMIN, admin)
 }
--- a/node/src/assembly/requests.rs
+++ b/node/src/assembly/requests.rs
@@ -14,14 +14,6 @@
 /// Time between two rounds of housekeeping on the request path.
 const MAINTENANCE: time::Duration = time::Duration::from_millis(500);
 
-/// Takes samples for moves.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Unobserved;
-
-impl routing::Observer for Unobserved {
-    fn observe(&self, _: &routing::Sample) {}
-}
-
 /// Starts what takes requests and announcements.
 pub(super) fn start(builder: &mut Builder) -> Result<(), Report<Error>> {
     let settings = builder.settings.clone();
@@ -36,7 +28,7 @@
     };
     let link: Link = builder.find(names::LINK)?;
     let owner = Owner::new(context.clone(), link);
-    let ingress = Ingress::new(context, Unobserved, owner.clone());
+    let ingress = Ingress::new(context, builder.find(names::RECORDER)?, owner.clone());
     start_suspects(builder, owner.clone())?;
     start_announcements(builder, owner.clone())?;
     start_maintenance(builder, ingress.clone());
@@ -66,7 +58,7 @@
     Ok(())
 }
 
-fn start_maintenance(builder: &mut Builder, ingress: Ingress<Link, Unobserved>) {
+fn start_maintenance(builder: &mut Builder, ingress: Ingress<Link, moves::Recorder>) {
     builder.kernel.start_task("maintenance", |stop| async move {
         while stop.sleep(MAINTENANCE).await {
             ingress.maintain(time::Instant::now());
@@ -77,7 +69,7 @@
 fn show(
     builder: &Builder,
     owner: &Owner<Link>,
-    ingress: &Ingress<Link, Unobserved>,
+    ingress: &Ingress<Link, moves::Recorder>,
 ) -> Result<(), Report<Error>> {
     let dump: Dump = builder.find(names::DUMP)?;
     let exporter: Exporter = builder.find(names::EXPORTER)?;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,7 +1,9 @@
 //! The process beside each backend server: proxy, membership, distribution, moves, operator API.
 
 pub mod admin;
+pub mod announce;
 pub mod ask;
+pub mod assembly;
 pub mod call;
 pub mod dump;
 pub mod metrics;
--- a/node/src/operator/api.rs
+++ b/node/src/operator/api.rs
@@ -1,9 +1,12 @@
 //! Remote procedure calls of operators.
 
 use std::pin;
+use std::task;
 
 use config::Change;
 use distribution::{Command, Verdict};
+use futures_channel::mpsc;
+use futures_util::StreamExt;
 use futures_util::stream;
 use schema::operator as wire;
 use tonic_types::StatusExt;
@@ -16,13 +19,22 @@
 pub struct Api {
     distribution: kernel::Mailbox<Command>,
     desk: kernel::Mailbox<Query>,
+    moves: kernel::Mailbox<moves::Command>,
 }
 
 impl Api {
-    /// Sends changes to `distribution` and questions to `desk`.
+    /// Sends changes to `distribution`, questions to `desk`, and what concerns moves to `moves`.
     #[must_use]
-    pub fn new(distribution: kernel::Mailbox<Command>, desk: kernel::Mailbox<Query>) -> Self {
-        Self { distribution, desk }
+    pub fn new(
+        distribution: kernel::Mailbox<Command>,
+        desk: kernel::Mailbox<Query>,
+        moves: kernel::Mailbox<moves::Command>,
+    ) -> Self {
+        Self {
+            distribution,
+            desk,
+            moves,
+        }
     }
 }
 
@@ -35,6 +47,13 @@
     tonic::Status::with_error_details(tonic::Code::InvalidArgument, message, details)
 }
 
+/// The error for a field that is no valid value of its unit.
+fn malformed(field: &'static str, error: &units::Error) -> tonic::Status {
+    let details = tonic_types::ErrorDetails::with_bad_request_violation(field, error.expected);
+    let message = error.to_string();
+    tonic::Status::with_error_details(tonic::Code::InvalidArgument, message, details)
+}
+
 /// The reply for `verdict` on `operation`.
 fn reply(operation: String, verdict: Verdict) -> wire::ApplyReply {
     use wire::apply_reply::Outcome;
@@ -102,12 +121,9 @@
         request: tonic::Request<wire::OperationRequest>,
     ) -> Reply<wire::OperationReply> {
         let text = request.into_inner().operation;
-        let operation = text.parse().map_err(|error: units::Error| {
-            let details =
-                tonic_types::ErrorDetails::with_bad_request_violation("operation", error.expected);
-            let message = error.to_string();
-            tonic::Status::with_error_details(tonic::Code::InvalidArgument, message, details)
-        })?;
+        let operation = text
+            .parse()
+            .map_err(|error| malformed("operation", &error))?;
         let verdict = ask(&self.distribution, |answer| Command::Settle {
             operation,
             answer,
@@ -127,35 +143,126 @@
 
     async fn start_move(
         &self,
-        _: tonic::Request<wire::StartMoveRequest>,
+        request: tonic::Request<wire::StartMoveRequest>,
     ) -> Reply<wire::MoveReply> {
-        Err(tonic::Status::unimplemented("moves are not wired yet"))
+        let start = decode_start(request.into_inner())?;
+        let answer = ask(&self.moves, |answer| moves::Command::Start {
+            start,
+            answer,
+        })
+        .await?;
+        reply_move(answer)
     }
 
     async fn list_moves(
         &self,
         _: tonic::Request<wire::ListMovesRequest>,
     ) -> Reply<wire::ListMovesReply> {
-        Err(tonic::Status::unimplemented("moves are not wired yet"))
+        let moves = ask(&self.moves, |answer| moves::Command::List { answer }).await?;
+        Ok(tonic::Response::new(wire::ListMovesReply { moves }))
     }
 
-    async fn show_move(&self, _: tonic::Request<wire::ShowMoveRequest>) -> Reply<wire::MoveReply> {
-        Err(tonic::Status::unimplemented("moves are not wired yet"))
+    async fn show_move(
+        &self,
+        request: tonic::Request<wire::ShowMoveRequest>,
+    ) -> Reply<wire::MoveReply> {
+        let id = request.into_inner().id.into();
+        let answer = ask(&self.moves, |answer| moves::Command::Show { id, answer }).await?;
+        reply_move(answer)
     }
 
-    type WatchMoveStream = pin::Pin<Box<stream::Empty<Result<wire::MoveReply, tonic::Status>>>>;
+    type WatchMoveStream = States;
 
     async fn watch_move(
         &self,
-        _: tonic::Request<wire::ShowMoveRequest>,
+        request: tonic::Request<wire::ShowMoveRequest>,
     ) -> Reply<Self::WatchMoveStream> {
-        Err(tonic::Status::unimplemented("moves are not wired yet"))
+        let id = request.into_inner().id.into();
+        let states = ask(&self.moves, |answer| moves::Command::Watch { id, answer }).await?;
+        let states = states.map_err(refuse)?;
+        Ok(tonic::Response::new(States(states)))
     }
 
     async fn cancel_move(
         &self,
-        _: tonic::Request<wire::CancelMoveRequest>,
+        request: tonic::Request<wire::CancelMoveRequest>,
     ) -> Reply<wire::MoveReply> {
-        Err(tonic::Status::unimplemented("moves are not wired yet"))
+        let request = request.into_inner();
+        let id = request.id.into();
+        let reason = request.reason.into();
+        let answer = ask(&self.moves, |answer| moves::Command::Cancel {
+            id,
+            reason,
+            answer,
+        })
+        .await?;
+        reply_move(answer)
+    }
+}
+
+/// The states of one move, until it has ended.
+pub struct States(mpsc::UnboundedReceiver<wire::Move>);
+
+impl stream::Stream for States {
+    type Item = Result<wire::MoveReply, tonic::Status>;
+
+    fn poll_next(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Self::Item>> {
+        let state = task::ready!(self.0.poll_next_unpin(context));
+        let reply = state.map(|state| {
+            Ok(wire::MoveReply {
+                r#move: Some(state),
+            })
+        });
+        task::Poll::Ready(reply)
+    }
+}
+
+fn decode_start(request: wire::StartMoveRequest) -> Result<moves::Start, tonic::Status> {
+    for (field, text) in [
+        ("service", &request.service),
+        ("from", &request.from),
+        ("to", &request.to),
+    ] {
+        if text.is_empty() {
+            return Err(missing(field));
+        }
+    }
+    if request.deadline_ms == 0 {
+        return Err(missing("deadline_ms"));
     }
+    let operation = match request.operation.as_str() {
+        "" => units::Operation::random(),
+        text => text
+            .parse()
+            .map_err(|error| malformed("operation", &error))?,
+    };
+    Ok(moves::Start {
+        operation,
+        service: request.service.into(),
+        from: request.from.into(),
+        to: request.to.into(),
+        deadline: units::Wall(request.deadline_ms),
+    })
+}
+
+fn reply_move(answer: Result<wire::Move, moves::Refusal>) -> Reply<wire::MoveReply> {
+    let state = answer.map_err(refuse)?;
+    Ok(tonic::Response::new(wire::MoveReply {
+        r#move: Some(state),
+    }))
+}
+
+/// The status of a refused command about moves.
+fn refuse(refusal: moves::Refusal) -> tonic::Status {
+    let code = match refusal.kind() {
+        moves::Kind::Invalid => tonic::Code::InvalidArgument,
+        moves::Kind::Missing => tonic::Code::NotFound,
+        moves::Kind::Precondition => tonic::Code::FailedPrecondition,
+        moves::Kind::Unavailable => tonic::Code::Unavailable,
+        moves::Kind::Unknown => tonic::Code::Unknown,
+    };
+    tonic::Status::new(code, refusal.to_string())
 }
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -49,6 +49,15 @@
     /// Connections between nodes for control messages.
     #[serde(default)]
     pub peers: peer::Settings,
+    /// Membership.
+    #[serde(default)]
+    pub membership: membership::Settings,
+    /// Distribution of the configuration.
+    #[serde(default)]
+    pub distribution: distribution::Settings,
+    /// Moves.
+    #[serde(default)]
+    pub moves: moves::Settings,
     /// Request path.
     #[serde(default)]
     pub requests: call::Settings,
@@ -73,6 +82,18 @@
         }
     }
 
+    /// What the node says of itself to others.
+    #[must_use]
+    pub fn identity(&self) -> membership::Identity {
+        membership::Identity {
+            node: self.node.clone(),
+            data_centre: self.data_centre.clone(),
+            region: self.region.as_str().into(),
+            peer_address: self.peer,
+            mesh_address: self.mesh,
+        }
+    }
+
     /// The addresses that the node listens on, with the names of their settings.
     fn listeners(&self) -> [(&'static str, units::Address); 6] {
         [
@@ -107,5 +128,8 @@
             findings.add("/operator_token", "it is missing or too short", expected);
         }
         self.store.check("/store", findings);
+        self.membership.check("/membership", findings);
+        self.distribution.check("/distribution", findings);
+        self.moves.check("/moves", findings);
     }
 }
