--- /dev/null
+++ b/components/membership/src/compare.rs
@@ -0,0 +1,190 @@
+//! Compares views with other nodes and exchanges only the records that differ.
+
+use std::rc;
+use std::time;
+
+use schema::membership as wire;
+use wire::request::Kind;
+
+use crate::digest::is_running;
+use crate::shared::{Shared, jitter};
+use crate::table::{Record, Way};
+use crate::{Digest, Table, Update};
+
+/// Most records in one exchange.
+const EXCHANGE_RECORDS: usize = 4096;
+
+impl<S: platform::Store, L: peer::Link> Shared<S, L> {
+    /// Time within which another node answers a comparison.
+    const COMPARE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+    /// Most buckets that one comparison exchanges; the rest waits for the next one.
+    const COMPARE_BUCKETS: usize = 256;
+    /// Comparisons with one node in a row, while they bring many differences.
+    const COMPARE_ROUNDS: usize = 8;
+    /// More records than this from one exchange are not passed on: others compare too.
+    const PASSED_ON: usize = 32;
+
+    /// First time between two comparisons; it doubles up to the period, since a node that started
+    /// together with many others has missed much of their news.
+    const COMPARE_FIRST: time::Duration = time::Duration::from_secs(1);
+
+    /// Compares with a random member near by from time to time.
+    pub(crate) async fn run_compares(self: rc::Rc<Self>, stop: kernel::Stop) {
+        let mut period = Self::COMPARE_FIRST;
+        while stop.sleep(jitter(period)).await {
+            period = (period * 2).min(self.settings.compare_period.0);
+            let chosen = self.scope().sample(1, &self.identity.node);
+            for member in chosen {
+                stop.guard(self.compare_with(member.peer_address)).await;
+            }
+            let now = time::Instant::now();
+            let retention = self.settings.retention.0;
+            self.table.borrow_mut().purge(retention, now);
+        }
+    }
+
+    /// Compares with a random other data centre, when this node is one of the bridges.
+    pub(crate) async fn run_bridge(self: rc::Rc<Self>, stop: kernel::Stop) {
+        while stop.sleep(jitter(self.settings.bridge_period.0)).await {
+            let scope = self.scope();
+            let own = &self.identity;
+            let bridges = self.settings.bridges;
+            if !scope.ranks().is_first(&own.data_centre, bridges, &own.node) {
+                continue;
+            }
+            let centres = scope.far_centres();
+            let centre = rand::seq::IndexedRandom::choose(centres.as_slice(), &mut rand::rng());
+            let bridge = centre.and_then(|centre| scope.bridge(centre, bridges));
+            if let Some(bridge) = bridge {
+                stop.guard(self.compare_with(bridge.peer_address)).await;
+            }
+        }
+    }
+
+    /// Compares with the node at `to` until both agree; returns whether it answered.
+    pub(crate) async fn compare_with(&self, to: units::Address) -> bool {
+        for _ in 0..Self::COMPARE_ROUNDS {
+            self.counter.add(|counts| counts.compares += 1);
+            match self.compare_once(to).await {
+                Ok(false) => return true,
+                Ok(true) => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    /// Compares once; returns whether more differences are left.
+    async fn compare_once(&self, to: units::Address) -> Result<bool, peer::Error> {
+        let centres = self.table.borrow().digest().summary();
+        let kind = Kind::Compare(wire::Compare { centres });
+        let compared: wire::Compared = self.request(to, kind, Self::COMPARE_TIMEOUT).await?;
+        let (buckets, more) = self.choose_buckets(&compared);
+        if buckets.is_empty() {
+            return Ok(false);
+        }
+        let entries = entries(&self.table.borrow(), &buckets);
+        let kind = Kind::Exchange(wire::Exchange { buckets, entries });
+        let exchanged: wire::Exchanged = self.request(to, kind, Self::COMPARE_TIMEOUT).await?;
+        self.finish(to, &exchanged).await;
+        Ok(more)
+    }
+
+    /// The buckets to exchange now, and whether others differ too.
+    fn choose_buckets(&self, compared: &wire::Compared) -> (Vec<wire::Buckets>, bool) {
+        let table = self.table.borrow();
+        let mut chosen = Vec::new();
+        let mut count = 0;
+        for centre in &compared.centres {
+            if count >= Self::COMPARE_BUCKETS {
+                return (chosen, true);
+            }
+            let numbers = table.digest().differing_buckets(centre);
+            count += numbers.len();
+            if !numbers.is_empty() {
+                let centre = centre.name.clone();
+                chosen.push(wire::Buckets { centre, numbers });
+            }
+        }
+        (chosen, false)
+    }
+
+    /// Takes in what the other node sent, and sends it what it lacks.
+    async fn finish(&self, to: units::Address, exchanged: &wire::Exchanged) {
+        let way = if exchanged.updates.len() > Self::PASSED_ON {
+            Way::Bulk
+        } else {
+            Way::Gossip
+        };
+        let before = self.counter.get().news;
+        let newer = self.learn(&exchanged.updates, way);
+        let repaired = self.counter.get().news - before;
+        self.counter.add(|counts| counts.repaired += repaired);
+        let mut lacking: Vec<_> = newer.iter().map(Update::encode).collect();
+        {
+            let table = self.table.borrow();
+            let wanted = exchanged.wanted.iter().take(EXCHANGE_RECORDS);
+            let wanted = wanted.filter_map(|node| table.record(&node.parse().ok()?));
+            lacking.extend(wanted.map(|record| Update::of(record.member.clone()).encode()));
+        }
+        if !lacking.is_empty() {
+            self.send_news(to, lacking).await;
+        }
+    }
+}
+
+/// The running members of `table` in `buckets`.
+fn entries(table: &Table, buckets: &[wire::Buckets]) -> Vec<wire::Entry> {
+    let entry = |record: &Record| wire::Entry {
+        node: record.member.node.to_string(),
+        incarnation: record.member.incarnation,
+    };
+    let chosen = chosen(table, buckets);
+    chosen.take(EXCHANGE_RECORDS).map(entry).collect()
+}
+
+/// The records of running members of `table` in `buckets`.
+fn chosen<'t>(table: &'t Table, buckets: &'t [wire::Buckets]) -> impl Iterator<Item = &'t Record> {
+    table.records().iter().filter(move |record| {
+        let member = &record.member;
+        let of_centre = |one: &&wire::Buckets| one.centre == member.data_centre.as_str();
+        let bucket = || Digest::bucket(&member.node);
+        let listed = |one: &wire::Buckets| one.numbers.iter().any(|one| *one as usize == bucket());
+        is_running(member) && buckets.iter().find(of_centre).is_some_and(listed)
+    })
+}
+
+/// Answers an exchange: what the sender lacks, and what it has in a newer form.
+pub(crate) fn exchange(table: &Table, exchange: &wire::Exchange) -> wire::Exchanged {
+    let mut theirs: Vec<_> = exchange.entries.iter().collect();
+    theirs.sort_by(|one, other| one.node.cmp(&other.node));
+    let held = |record: &Record| {
+        let node = record.member.node.as_str();
+        let place = theirs.binary_search_by(|entry| entry.node.as_str().cmp(node));
+        place.is_ok()
+    };
+    let mut answer = wire::Exchanged::default();
+    for entry in &theirs {
+        let record = entry.node.parse().ok().and_then(|node| table.record(&node));
+        match record {
+            Some(record) if is_newer(record, entry) => answer.updates.push(encode(record)),
+            Some(record) if record.member.incarnation >= entry.incarnation => {}
+            _ => answer.wanted.push(entry.node.clone()),
+        }
+    }
+    let lacking = chosen(table, &exchange.buckets).filter(|record| !held(record));
+    answer.updates.extend(lacking.map(encode));
+    answer.updates.truncate(EXCHANGE_RECORDS);
+    answer
+}
+
+/// Whether `record` is newer than a running member at the incarnation of `entry`.
+fn is_newer(record: &Record, entry: &wire::Entry) -> bool {
+    let member = &record.member;
+    let ended = !is_running(member) && member.incarnation >= entry.incarnation;
+    ended || member.incarnation > entry.incarnation
+}
+
+fn encode(record: &Record) -> wire::Update {
+    Update::of(record.member.clone()).encode()
+}
--- /dev/null
+++ b/components/membership/src/join.rs
@@ -0,0 +1,243 @@
+//! Joins the mesh through seeds, and keeps the seed object of the data centre.
+
+use std::rc;
+use std::time;
+
+use futures_channel::oneshot;
+use prost::Message;
+use rand::seq::SliceRandom;
+use schema::membership as wire;
+use wire::request::Kind;
+
+use crate::Ranks;
+use crate::shared::{Shared, jitter};
+use crate::table::Way;
+
+impl<S: platform::Store, L: peer::Link> Shared<S, L> {
+    /// Prefix of the seed objects on the platform.
+    const SEED_PREFIX: &'static str = "seed/";
+    /// Longest time that the platform may take to list the seeds.
+    const STORE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+    /// Time within which another node answers with a page of its view.
+    const PULL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+    /// Most pages of one view.
+    const PAGES: usize = 1000;
+    /// First wait before another attempt to join; it doubles up to the longest.
+    const RETRY_MIN: time::Duration = time::Duration::from_millis(250);
+    const RETRY_MAX: time::Duration = time::Duration::from_secs(10);
+    /// The first check of the seed object comes this soon, on average.
+    const FIRST_CHECK: time::Duration = time::Duration::from_secs(2);
+
+    /// Joins, then checks the seeds from time to time; joins again after a very long pause.
+    pub(crate) async fn run_joins(self: rc::Rc<Self>, stop: kernel::Stop) {
+        let mut check = jitter(Self::FIRST_CHECK);
+        loop {
+            if stop.guard(self.join()).await.is_none() {
+                return;
+            }
+            if !stop.sleep(check).await {
+                return;
+            }
+            check = jitter(self.settings.seed_period.0);
+            if self.joined.get() {
+                stop.guard(self.check_seeds()).await;
+            }
+        }
+    }
+
+    /// Forgets all members and joins again.
+    pub(crate) fn rejoin(&self) {
+        self.table.borrow_mut().forget();
+        self.joined.set(false);
+    }
+
+    /// Tries seeds until one has given its whole view, or there is certainly no other node.
+    async fn join(&self) {
+        let mut wait = Self::RETRY_MIN;
+        while !self.joined.get() {
+            let (seeds, complete) = self.find_seeds().await;
+            let alone = seeds.is_empty() && complete;
+            if alone || self.pull_from_any(&seeds).await {
+                self.joined.set(true);
+                self.table.borrow_mut().announce();
+                log::info!(members = self.table.borrow().records().len(); "joined the mesh");
+                return;
+            }
+            compio::time::sleep(jitter(wait)).await;
+            wait = (wait * 2).min(Self::RETRY_MAX);
+        }
+    }
+
+    /// Addresses of other nodes, those of the own data centre first, and whether the platform was read.
+    async fn find_seeds(&self) -> (Vec<units::Address>, bool) {
+        let own = format!("{}{}", Self::SEED_PREFIX, self.identity.data_centre);
+        let objects = self.list_seeds().await;
+        let mut near = self.seeds.clone();
+        let mut far = Vec::new();
+        for object in objects.iter().flatten() {
+            let list = if object.key.as_str() == own {
+                &mut near
+            } else {
+                &mut far
+            };
+            list.extend(decode_seeds(&object.value));
+        }
+        near.shuffle(&mut rand::rng());
+        far.shuffle(&mut rand::rng());
+        near.append(&mut far);
+        near.retain(|address| *address != self.identity.peer_address);
+        (near, objects.is_some())
+    }
+
+    /// The seed objects; `None` when the platform cannot be read.
+    async fn list_seeds(&self) -> Option<Vec<platform::Object>> {
+        let listing = self.store.list(Self::SEED_PREFIX);
+        let listing = compio::time::timeout(Self::STORE_TIMEOUT, listing).await;
+        listing.ok()?.ok().map(|listing| listing.objects)
+    }
+
+    async fn pull_from_any(&self, seeds: &[units::Address]) -> bool {
+        for seed in seeds {
+            match self.pull_from(*seed).await {
+                Ok(()) => return true,
+                Err(error) => log::debug!(seed:% = seed, error:% = error; "seed gave no view"),
+            }
+        }
+        false
+    }
+
+    /// Takes the whole view of the node at `seed`, page by page.
+    async fn pull_from(&self, seed: units::Address) -> Result<(), peer::Error> {
+        let mut after = String::new();
+        for _ in 0..Self::PAGES {
+            let kind = Kind::Pull(wire::Pull {
+                after: after.clone(),
+            });
+            let page: wire::Page = self.request(seed, kind, Self::PULL_TIMEOUT).await?;
+            self.learn(&page.updates, Way::Bulk);
+            let last = page
+                .updates
+                .last()
+                .and_then(|update| update.member.as_ref());
+            match last {
+                Some(last) if page.more && last.node > after => after.clone_from(&last.node),
+                _ => return Ok(()),
+            }
+        }
+        Ok(())
+    }
+
+    /// Looks for parts of the mesh that this node does not know, and keeps the seed object.
+    async fn check_seeds(&self) {
+        for seed in self.unknown(&self.seeds) {
+            self.compare_with(seed).await;
+        }
+        let own = &self.identity;
+        if !self
+            .scope()
+            .ranks()
+            .is_first(&own.data_centre, 1, &own.node)
+        {
+            return;
+        }
+        let Some(objects) = self.list_seeds().await else {
+            return;
+        };
+        for object in &objects {
+            let seeds = decode_seeds(&object.value);
+            // One answer is enough to learn of the whole data centre.
+            for seed in self.unknown(&seeds) {
+                if self.compare_with(seed).await {
+                    break;
+                }
+            }
+        }
+        self.keep_seeds(&objects).await;
+    }
+
+    /// Those of `seeds` at which no member is known.
+    fn unknown(&self, seeds: &[units::Address]) -> Vec<units::Address> {
+        let table = self.table.borrow();
+        let known = |seed: &&units::Address| {
+            let records = table.records();
+            records
+                .iter()
+                .any(|record| record.member.peer_address == **seed)
+        };
+        let unknown = seeds.iter().filter(|seed| !known(seed));
+        unknown.copied().collect()
+    }
+
+    /// Writes the seed object when it names too few running members of the data centre.
+    async fn keep_seeds(&self, objects: &[platform::Object]) {
+        let own = &self.identity.data_centre;
+        let Ok(key) = format!("{}{own}", Self::SEED_PREFIX).parse::<platform::Key>() else {
+            return;
+        };
+        let scope = self.scope();
+        let first = scope.ranks().first(own, Ranks::KEPT);
+        let wanted: Vec<_> = first.map(|member| member.peer_address).collect();
+        let present = objects.iter().find(|object| object.key == key);
+        let listed = present.map(|object| decode_seeds(&object.value));
+        let listed = listed.unwrap_or_default();
+        let usable = wanted.iter().filter(|address| listed.contains(address));
+        if usable.count() >= wanted.len().div_ceil(2) {
+            return;
+        }
+        let value = encode_seeds(&wanted);
+        let written = match present {
+            Some(object) => self.store.update(&key, object.revision, value).await,
+            None => self.store.create(&key, value).await,
+        };
+        if let Err(error) = written {
+            log::debug!(error:% = error; "the seed object was not written");
+        }
+    }
+
+    /// Takes requests of the other services of this node.
+    pub(crate) async fn run_commands(
+        self: rc::Rc<Self>,
+        mut inbox: kernel::Inbox<crate::Command>,
+        stop: kernel::Stop,
+    ) {
+        while let Some(Some(command)) = stop.guard(inbox.receive()).await {
+            match command {
+                crate::Command::Announce {
+                    announcement,
+                    answer,
+                } => {
+                    // Whoever announced may have given up.
+                    let _ = answer.send(self.announce(&announcement));
+                }
+                crate::Command::Drain { done } => self.drain(done),
+            }
+        }
+    }
+
+    fn drain(&self, done: oneshot::Sender<()>) {
+        self.draining.set(true);
+        let mut table = self.table.borrow_mut();
+        if table.own().backend.is_some() {
+            table.renew(|own| {
+                if let Some(backend) = &mut own.backend {
+                    backend.phase = crate::Phase::Draining;
+                }
+            });
+        }
+        let since = time::Instant::now();
+        let drain = crate::shared::Drain { since, done };
+        self.drains.borrow_mut().push(drain);
+    }
+}
+
+fn encode_seeds(addresses: &[units::Address]) -> Vec<u8> {
+    let addresses = addresses.iter().map(ToString::to_string).collect();
+    wire::Seeds { addresses }.encode_to_vec()
+}
+
+/// The addresses in a seed object; those that cannot be read are left out.
+fn decode_seeds(value: &[u8]) -> Vec<units::Address> {
+    let seeds = wire::Seeds::decode(value).unwrap_or_default();
+    let parsed = seeds.addresses.iter().map(|address| address.parse());
+    parsed.filter_map(Result::ok).collect()
+}
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -1,9 +1,47 @@
 //! Which nodes and backend servers there are, learned from announcements and gossip.
 
+mod announce;
 mod backend;
+mod command;
+mod compare;
+mod counts;
+mod digest;
+mod gossip;
+mod health;
+mod herd;
+mod identity;
+mod join;
 mod member;
+mod members;
+mod monitor;
+mod probe;
+mod pulse;
+mod ranks;
+mod rumors;
+mod scope;
+mod serve;
+mod settings;
+mod shared;
+mod suspicion;
+mod table;
+mod update;
 mod view;
 
 pub use backend::{Backend, Phase};
+pub use command::Command;
+pub use counts::Counts;
+pub use digest::Digest;
+pub use health::Health;
+pub use herd::{Group, Herd};
+pub use identity::Identity;
 pub use member::{Member, State};
+pub use members::Members;
+pub use monitor::{Dump, Entry, Monitor};
+pub use pulse::Pulse;
+pub use ranks::Ranks;
+pub use rumors::Rumors;
+pub use settings::Settings;
+pub use suspicion::Suspicion;
+pub use table::{Outcome, Record, Table, Way};
+pub use update::Update;
 pub use view::{Reader, View};
--- a/components/membership/src/member.rs
+++ b/components/membership/src/member.rs
@@ -1,5 +1,7 @@
 //! One node as its peers know it.
 
+use std::cmp;
+
 use serde::Serialize;
 
 use crate::Backend;
@@ -38,3 +40,17 @@
         pub backend: Option<Backend>,
     }
 }
+
+impl Member {
+    /// Compares two records of the same member by how new they are.
+    ///
+    /// A higher incarnation is newer; within one, the worse state is. The order is total, so that
+    /// merging by the newest record is commutative, associative and idempotent.
+    #[must_use]
+    pub fn compare(&self, other: &Self) -> cmp::Ordering {
+        let incarnation = self.incarnation.cmp(&other.incarnation);
+        incarnation
+            .then(self.state.cmp(&other.state))
+            .then_with(|| self.cmp(other))
+    }
+}
--- /dev/null
+++ b/components/membership/src/probe.rs
@@ -0,0 +1,196 @@
+//! Probes members one after the other, and accuses those that do not answer.
+
+use std::rc;
+use std::time;
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use rand::seq::SliceRandom;
+use schema::membership as wire;
+use wire::request::Kind;
+
+use crate::digest::is_running;
+use crate::shared::{Shared, jitter};
+use crate::table::Way;
+use crate::{Member, State, Update};
+
+/// What the helpers of a probe say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Evidence {
+    /// The member answered one of them, or this node at last.
+    Reached,
+    /// At least one of them works and has no answer from the member.
+    Unreached,
+    /// None of them answered: this node itself may be cut off.
+    None,
+}
+
+impl<S: platform::Store, L: peer::Link> Shared<S, L> {
+    /// Every so many probes, one goes to a member that is believed dead, so that splits heal.
+    const REVISIT: u64 = 10;
+
+    /// Probes one member a period (Das et al., SWIM, 2002): each once in a random order.
+    pub(crate) async fn run_probes(self: rc::Rc<Self>, stop: kernel::Stop) {
+        let mut round: Vec<units::Node> = Vec::new();
+        let mut wait = jitter(self.settings.probe_period.0);
+        while stop.sleep(wait).await {
+            let started = time::Instant::now();
+            if let Some(member) = self.next_target(&mut round) {
+                stop.guard(self.probe(&member)).await;
+            }
+            let period = self.settings.probe_period.0 * self.health.get().factor();
+            wait = period.saturating_sub(started.elapsed());
+        }
+    }
+
+    fn next_target(&self, round: &mut Vec<units::Node>) -> Option<rc::Rc<Member>> {
+        let probes = self.counter.get().probes;
+        self.counter.add(|counts| counts.probes += 1);
+        if probes % Self::REVISIT == Self::REVISIT - 1 {
+            let lost = self.lost_member();
+            if lost.is_some() {
+                return lost;
+            }
+        }
+        if round.is_empty() {
+            let scope = self.scope();
+            round.extend(scope.near().iter().map(|member| member.node.clone()));
+            round.shuffle(&mut rand::rng());
+        }
+        while let Some(node) = round.pop() {
+            let table = self.table.borrow();
+            let record = table.record(&node);
+            if let Some(record) = record.filter(|record| is_running(&record.member)) {
+                return Some(record.member.clone());
+            }
+        }
+        None
+    }
+
+    /// A random member that is believed dead.
+    fn lost_member(&self) -> Option<rc::Rc<Member>> {
+        let table = self.table.borrow();
+        let dead = table.records().iter().map(|record| &record.member);
+        let dead = dead.filter(|member| member.state == State::Dead);
+        rand::seq::IteratorRandom::choose(dead, &mut rand::rng()).cloned()
+    }
+
+    async fn probe(&self, member: &rc::Rc<Member>) {
+        let pauses = self.counter.get().pauses;
+        let timeout = self.probe_timeout();
+        if self.ping(&member.node, member.peer_address, timeout).await {
+            self.improve_health();
+            self.table.borrow_mut().doubt(&member.node, false);
+            return;
+        }
+        self.counter.add(|counts| counts.unanswered += 1);
+        if !is_running(member) {
+            return;
+        }
+        let evidence = self.ask_helpers(member, timeout).await;
+        let now = time::Instant::now();
+        let paused = pauses != self.counter.get().pauses || now < self.grace.get();
+        if !paused {
+            self.judge(member, evidence, now);
+        }
+    }
+
+    fn judge(&self, member: &Member, evidence: Evidence, now: time::Instant) {
+        let mut table = self.table.borrow_mut();
+        match evidence {
+            Evidence::Reached => {
+                drop(table);
+                self.improve_health();
+            }
+            Evidence::Unreached => {
+                self.counter.add(|counts| counts.accusations += 1);
+                table.accuse(&member.node, &self.identity.node, now);
+            }
+            Evidence::None => {
+                self.counter.add(|counts| counts.doubts += 1);
+                table.doubt(&member.node, true);
+                drop(table);
+                self.worsen_health();
+            }
+        }
+    }
+
+    /// Pings `node` at `address`, with news; a suspect learns of the suspicion and can refute it.
+    pub(crate) async fn ping(
+        &self,
+        node: &units::Node,
+        address: units::Address,
+        timeout: time::Duration,
+    ) -> bool {
+        let mut updates: Vec<_> = self.bad_news(node).into_iter().collect();
+        updates.extend(self.take_news(self.settings.piggyback_limit));
+        let ping = wire::Ping {
+            target: node.to_string(),
+            updates,
+        };
+        let answer = self.request(address, Kind::Ping(ping), timeout).await;
+        let answer: Result<wire::Pong, _> = answer;
+        let Ok(pong) = answer else {
+            return false;
+        };
+        self.learn(&pong.updates, Way::Gossip);
+        true
+    }
+
+    /// What `node` should know and refute.
+    pub(crate) fn bad_news(&self, node: &units::Node) -> Option<wire::Update> {
+        let table = self.table.borrow();
+        let record = table.record(node)?;
+        let alive = record.member.state == State::Alive;
+        (!alive).then(|| Update::of(record.member.clone()).encode())
+    }
+
+    /// Asks other members to ping `member`, and pings it once more over a new connection.
+    async fn ask_helpers(&self, member: &Member, timeout: time::Duration) -> Evidence {
+        let scope = self.scope();
+        let helpers = scope.sample(self.settings.indirect_probes, &member.node);
+        if helpers.is_empty() {
+            let reached = self.ping(&member.node, member.peer_address, timeout).await;
+            return if reached {
+                Evidence::Reached
+            } else {
+                Evidence::Unreached
+            };
+        }
+        let mut asked: FuturesUnordered<_> = helpers
+            .iter()
+            .map(|helper| self.ask_helper(helper, member, timeout))
+            .collect();
+        let again = self.ping(&member.node, member.peer_address, timeout);
+        let gather = async {
+            let mut evidence = Evidence::None;
+            while let Some(said) = asked.next().await {
+                match said {
+                    Some(true) => return Evidence::Reached,
+                    Some(false) => evidence = Evidence::Unreached,
+                    None => {}
+                }
+            }
+            evidence
+        };
+        let (again, evidence) = futures_util::join!(again, gather);
+        if again { Evidence::Reached } else { evidence }
+    }
+
+    /// Whether `helper` reached `member`; `None` when the helper itself does not answer.
+    async fn ask_helper(
+        &self,
+        helper: &Member,
+        member: &Member,
+        timeout: time::Duration,
+    ) -> Option<bool> {
+        let probe = wire::Probe {
+            target: member.node.to_string(),
+            address: member.peer_address.to_string(),
+        };
+        // The helper takes up to its own probe timeout before it says no.
+        let limit = timeout + self.settings.probe_timeout.0;
+        let kind = Kind::Probe(probe);
+        let probed: Result<wire::Probed, _> = self.request(helper.peer_address, kind, limit).await;
+        probed.ok().map(|probed| probed.reached)
+    }
+}
