--- a/testing/load/src/cli.rs
+++ b/testing/load/src/cli.rs
@@ -6,7 +6,7 @@
 
 use crate::options::Options;
 use crate::requests::{Selection, Variant};
-use crate::{convergence, demo, moves, requests};
+use crate::{convergence, demo, moves, requests, soak};
 
 /// The whole command line.
 #[must_use]
@@ -20,6 +20,7 @@
         .subcommand(requests_command())
         .subcommand(convergence_command())
         .subcommand(moves_command())
+        .subcommand(soak_command())
 }
 
 fn requests_command() -> Command {
@@ -53,6 +54,12 @@
     moves::Selection::add(command)
 }
 
+fn soak_command() -> Command {
+    let command = Options::add(Command::new("soak"))
+        .about("Runs everything at once under faults, and ends with a line for each promise");
+    soak::Selection::add(command)
+}
+
 fn selection(matches: &ArgMatches) -> Selection {
     let phases = matches.get_many("phases");
     let variants = matches.get_many("variants");
@@ -82,6 +89,11 @@
             let selection = moves::Selection::read(matches);
             program::run(async move { moves::run(&options, &selection).await })
         }
+        Some(("soak", matches)) => {
+            let options = Options::read(matches);
+            let selection = soak::Selection::read(matches);
+            program::run(async move { soak::run(&options, &selection).await })
+        }
         _ => process::ExitCode::from(program::USAGE),
     }
 }
--- a/testing/load/src/convergence/costs.rs
+++ b/testing/load/src/convergence/costs.rs
@@ -175,7 +175,8 @@
 }
 
 /// Sum of every whole number in `value`.
-pub(crate) fn sum_all(value: &serde_json::Value) -> u64 {
+#[must_use]
+pub fn sum_all(value: &serde_json::Value) -> u64 {
     match value {
         serde_json::Value::Object(fields) => fields.values().map(sum_all).sum(),
         serde_json::Value::Array(items) => items.iter().map(sum_all).sum(),
--- a/testing/load/src/convergence/history.rs
+++ b/testing/load/src/convergence/history.rs
@@ -73,13 +73,11 @@
         self.starts.iter().rev().find(within).copied()
     }
 
-    /// Times at which a lower version followed a higher one within one life of the process.
+    /// Times at which a lower version followed a higher one, restarts included.
     #[must_use]
     pub fn reversals(&self) -> u64 {
-        let fell = self.entries.windows(2).filter(|pair| {
-            let restarted = self.started_between(pair[0].at, pair[1].at).is_some();
-            pair[1].version < pair[0].version && !restarted
-        });
+        let pairs = self.entries.windows(2);
+        let fell = pairs.filter(|pair| pair[1].version < pair[0].version);
         fell.count() as u64
     }
 }
--- a/testing/load/src/convergence/mod.rs
+++ b/testing/load/src/convergence/mod.rs
@@ -12,7 +12,8 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
-pub use changes::{Change, schedule};
+pub use changes::{Change, Due, schedule};
+pub use costs::{Calls, Costs, sum_all};
 pub use figures::Stage;
 pub use history::{Entry, History};
 pub use variant::Variant;
--- a/testing/load/src/fleet/addresses.rs
+++ b/testing/load/src/fleet/addresses.rs
@@ -15,6 +15,8 @@
 impl Ports {
     /// Callers' port of a node.
     pub const CALLERS: u16 = 8000;
+    /// Port of a relay in front of the callers' port of a node.
+    pub const CALLERS_RELAY: u16 = 8001;
     /// Port of a node for requests of other nodes.
     pub const MESH: u16 = 7401;
     /// Port of a node for control messages.
--- a/testing/load/src/fleet/mesh.rs
+++ b/testing/load/src/fleet/mesh.rs
@@ -14,6 +14,8 @@
 /// A platform, nodes and backend servers as processes; all are killed when it is dropped.
 pub struct Mesh {
     shape: Shape,
+    /// Faults of the backend servers, in the order of the sites.
+    faults: Vec<Faults>,
     addresses: Addresses,
     binaries: Binaries,
     /// The platform stand-in.
@@ -77,6 +79,7 @@
         let platform = Process::start("platform", program, file)?;
         let sites = shape.sites.len();
         let mut mesh = Self {
+            faults: vec![shape.faults.clone(); sites],
             shape,
             addresses,
             binaries,
@@ -166,6 +169,11 @@
         if let Some((_, current)) = &mut self.shape.sites[index].backend {
             *current = version.into();
         }
+        self.rewrite_backend(index)
+    }
+
+    /// Writes the settings of the backend server of site `index` again.
+    fn rewrite_backend(&self, index: usize) -> Result<(), Error> {
         let Some(settings) = self.backend_settings(index) else {
             return Ok(());
         };
@@ -226,8 +234,13 @@
         Console::new(program, operator, Self::TOKEN)
     }
 
-    /// Sets the faults of the backend server of site `index`; `false` when it does not answer.
-    pub async fn set_faults(&self, index: usize, faults: &Faults) -> bool {
+    /// Sets the faults of the backend server of site `index`, also for its next starts; `false`
+    /// when it does not answer.
+    pub async fn set_faults(&mut self, index: usize, faults: &Faults) -> bool {
+        self.faults[index] = faults.clone();
+        if self.rewrite_backend(index).is_err() {
+            return false;
+        }
         let control = self.addresses.vm(index, Ports::BACKEND_CONTROL);
         plain::post(control, "/faults", faults)
             .await
@@ -363,7 +376,7 @@
             cold_start: self.shape.cold_start.clone(),
             service_time: self.shape.service_time.clone(),
             drain: self.shape.drain,
-            faults: self.shape.faults.clone(),
+            faults: self.faults[index].clone(),
             record_file: Some(self.record_file(index)),
             record_limit: 1_000,
             seed: self.shape.seed + index as u64,
--- a/testing/load/src/lib.rs
+++ b/testing/load/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod relay;
 pub mod report;
 pub mod requests;
+pub mod soak;
--- a/testing/load/src/moves/mod.rs
+++ b/testing/load/src/moves/mod.rs
@@ -11,7 +11,7 @@
 
 pub use case::{Badness, Case, cases};
 pub use figures::{Ended, Summary};
-pub use observe::{Observed, Sample};
+pub use observe::{Observed, Sample, watch};
 pub use variant::Variant;
 
 use crate::failure::Failure;
--- a/testing/load/src/moves/observe.rs
+++ b/testing/load/src/moves/observe.rs
@@ -87,12 +87,7 @@
 }
 
 /// Looks at the move `id` until `until`, through one node after the other.
-pub(super) async fn watch(
-    addresses: Addresses,
-    nodes: usize,
-    id: &str,
-    until: time::Instant,
-) -> Observed {
+pub async fn watch(addresses: Addresses, nodes: usize, id: &str, until: time::Instant) -> Observed {
     let started = time::Instant::now();
     let mut observed = Observed::default();
     let mut node = 0;
--- a/testing/load/src/moves/round.rs
+++ b/testing/load/src/moves/round.rs
@@ -179,7 +179,7 @@
         self.configure().await
     }
 
-    async fn set_faults(&self, cases: &[Case]) {
+    async fn set_faults(&mut self, cases: &[Case]) {
         for (service, case) in cases.iter().enumerate() {
             let site = service * VMS + 1 - self.current[service];
             let faults = case.faults(&prefix(service));
--- a/testing/load/src/operator.rs
+++ b/testing/load/src/operator.rs
@@ -84,6 +84,18 @@
         }
     }
 
+    /// Revision at which the node holds the route `name`; none where it holds no such route.
+    ///
+    /// # Errors
+    /// See [`Error`].
+    pub async fn route_revision(&self, name: &str) -> Result<Option<units::Version>, Error> {
+        let request = self.request(operator::ReadRequest {});
+        let reply = finish(self.client.clone().read(request)).await?;
+        let held = reply.configuration.unwrap_or_default();
+        let route = held.routes.iter().find(|route| route.name == name);
+        Ok(route.map(|route| units::Version(route.revision)))
+    }
+
     /// On how many nodes `version` is in force.
     ///
     /// # Errors
--- a/testing/load/src/requests/bench.rs
+++ b/testing/load/src/requests/bench.rs
@@ -94,7 +94,7 @@
     }
 
     /// Sets the faults of every backend server.
-    pub async fn set_faults(&self, faults: &Faults) {
+    pub async fn set_faults(&mut self, faults: &Faults) {
         for site in Self::sites() {
             self.mesh.set_faults(site, faults).await;
         }
--- a/testing/load/src/requests/outage.rs
+++ b/testing/load/src/requests/outage.rs
@@ -16,7 +16,7 @@
 
 pub(super) async fn run(variant: Variant, seed: u64) -> Result<Phase, Failure> {
     let shape = Bench::shape(variant, seed)?;
-    let bench = Bench::start(shape, TIMEOUT).await?;
+    let mut bench = Bench::start(shape, TIMEOUT).await?;
     let earlier = bench.mesh.events()?.len();
     bench.set_faults(&failing()).await;
     let mix = Mix::reads("outage", RATE, LENGTH, Bench::HOST, Bench::PATH);
--- a/testing/load/tests/faults.rs
+++ b/testing/load/tests/faults.rs
@@ -32,3 +32,21 @@
         assert!(overlap.is_none_or(|one| one.begin > fault.end));
     }
 }
+
+#[test]
+fn soak_same_seed() {
+    let sites: Vec<_> = (0..12).collect();
+    let schedule = |seed, seconds| {
+        radishgap_load::soak::schedule(seed, units::Period::from_secs(seconds), &sites)
+    };
+    assert_eq!(schedule(5, 180), schedule(5, 180));
+    assert_ne!(schedule(5, 180), schedule(6, 180));
+    for seconds in [30, 180] {
+        let faults = schedule(5, seconds);
+        let length = units::Period::from_secs(seconds);
+        assert!(faults.iter().all(|fault| fault.end < length));
+        let herds = faults.chunk_by(|one, other| one.begin == other.begin);
+        let herds = herds.filter(|herd| herd.len() == sites.len() / 3);
+        assert_eq!(herds.count() as u64, (seconds / 60).max(1));
+    }
+}
--- a/testing/load/tests/history.rs
+++ b/testing/load/tests/history.rs
@@ -32,14 +32,8 @@
 
 #[test]
 fn history_reversals() {
-    let cases = [
-        (vec!["00"], 1),
-        (vec!["00", "07"], 0),
-        (vec!["00", "03"], 1),
-    ];
-    for (starts, reversals) in cases {
-        let times = starts.iter().map(|start| wall(start)).collect();
-        let history = History::parse(LOG, times);
-        assert_eq!(history.reversals(), reversals, "{starts:?}");
-    }
+    let history = History::parse(LOG, vec![wall("00"), wall("07")]);
+    assert_eq!(history.reversals(), 1);
+    let rising = History::parse(&LOG.replace(":4}", ":6}"), Vec::new());
+    assert_eq!(rising.reversals(), 0);
 }
