--- a/components/membership/src/identity.rs
+++ b/components/membership/src/identity.rs
@@ -2,6 +2,7 @@
 
 units::record! { eq:
     /// What a node knows of itself from its settings.
+    #[derive(serde::Serialize)]
     pub struct Identity {
         /// Its id, stable over restarts.
         pub node: units::Node,
--- a/node/src/assembly/error.rs
+++ b/node/src/assembly/error.rs
@@ -12,6 +12,9 @@
     /// Metrics cannot be exported.
     #[error("metrics cannot be exported")]
     Metrics,
+    /// The connection to the platform cannot be set up.
+    #[error("the connection to the platform cannot be set up")]
+    Platform,
     /// Signals cannot be received.
     #[error("signals cannot be received")]
     Signals,
--- a/node/src/assembly/foundation.rs
+++ b/node/src/assembly/foundation.rs
@@ -12,7 +12,8 @@
     let settings = &builder.settings;
     let meter = peer::Meter::default();
     let link = Link::new(settings.node.clone(), settings.peers.clone(), meter.clone());
-    let store = platform::Client::new(settings.platform, settings.store.clone());
+    let opened = platform::Client::open(settings.platform, settings.store.clone());
+    let store = opened.change_context(Error::Platform)?;
     let metrics = telemetry::Metrics::start().change_context(Error::Metrics)?;
     let exporter = Exporter::new(metrics);
     let dump = Dump::default();
--- a/testing/load/src/caller/connection.rs
+++ b/testing/load/src/caller/connection.rs
@@ -78,7 +78,7 @@
     /// Sends one request.
     ///
     /// # Errors
-    /// See [`Error`].
+    /// Says whether the request may have been sent.
     pub async fn send(
         &self,
         request: http::Request<Full<Bytes>>,
