--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -73,6 +73,16 @@
     /// Environment variable with the operators' token.
     pub const TOKEN_VARIABLE: &'static str = "RADISHGAP_OPERATOR_TOKEN";
 
+    /// The page `docs/SETTINGS.md`: every setting with its default, from the code's own schema.
+    #[must_use]
+    pub fn reference() -> String {
+        let table = settings::reference::<Self>();
+        format!(
+            "# Settings of a node\n\nA place is a JSON pointer into the settings file. \
+             `cargo run -p radishgap-node --example reference` writes this page.\n\n{table}"
+        )
+    }
+
     /// The token that operators send; the environment goes before the file.
     #[must_use]
     pub fn token(&self) -> CompactString {
