--- a/components/membership/tests/mesh.rs
+++ b/components/membership/tests/mesh.rs
@@ -6,6 +6,8 @@
 use kernel::Service;
 use membership::{Command, Members, Monitor, Phase, Reader, Settings, State};
 use prost::Message;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use schema::{announce, membership as wire};
 
 /// Bound on each wait; a machine under load may need long.
@@ -437,6 +439,29 @@
         .await;
 }
 
+/// Whatever bytes arrive, each request is answered and nothing is learned from them.
+#[compio::test]
+async fn request_arbitrary_bytes() {
+    let mesh = Mesh::start(2, 1, patient()).await;
+    let link = mesh.network.link(name(99), address(99));
+    let mut rng = StdRng::seed_from_u64(11);
+    for _ in 0..2_000 {
+        let mut payload = vec![0; rng.random_range(0..200)];
+        rng.fill(payload.as_mut_slice());
+        // Half of them begin like a real request.
+        if let [kind, length, ..] = payload.as_mut_slice()
+            && rng.random()
+        {
+            *kind = rng.random_range(1..7) << 3 | 2;
+            *length = rng.random_range(0..120);
+        }
+        let answer = peer::Link::call(&link, address(0), "membership", payload, LIMIT).await;
+        assert_ne!(answer, Err(peer::Error::Timeout));
+    }
+    assert_eq!(mesh.nodes[0].reader.get().members().len(), 2);
+    mesh.wait_all_alive().await;
+}
+
 #[compio::test]
 async fn stop_is_seen_as_left() {
     let mut mesh = Mesh::start(5, 1, patient()).await;
--- /dev/null
+++ b/components/membership/tests/policy.rs
@@ -0,0 +1,87 @@
+//! The policies of suspicion, health, pauses and herds, with exact times.
+
+use std::time;
+
+use membership::{Group, Health, Herd, Pulse, Suspicion};
+
+const PERIOD: time::Duration = time::Duration::from_secs(1);
+
+fn millis(period: time::Duration) -> u128 {
+    period.as_millis()
+}
+
+#[test]
+fn suspicion_cases() {
+    let suspicion = Suspicion::new(PERIOD, 3);
+    let cases = [
+        // Members, accusers, factor, period in milliseconds.
+        (2, 1, 1, 3_000),
+        (10, 1, 1, 9_000),
+        (10, 2, 1, 6_000),
+        (10, 4, 1, 3_000),
+        (10, 9, 1, 3_000),
+        (1_000, 1, 1, 27_000),
+        (1_000, 4, 1, 9_000),
+        (1_000, 4, 3, 27_000),
+    ];
+    for (members, accusers, factor, expected) in cases {
+        let period = suspicion.period(members, accusers, factor);
+        let difference = millis(period).abs_diff(expected);
+        assert!(difference <= 1, "{members} {accusers} {factor}: {period:?}");
+    }
+}
+
+#[test]
+fn health_bounds() {
+    let mut health = Health::default();
+    health.improve();
+    assert_eq!(health.factor(), 1);
+    for _ in 0..100 {
+        health.worsen();
+    }
+    assert_eq!(health.score(), Health::WORST);
+    health.improve();
+    assert_eq!(health.factor(), Health::WORST);
+}
+
+#[test]
+fn pulse_cases() {
+    let start = time::Instant::now();
+    let mut pulse = Pulse::new(start, PERIOD);
+    let ticks = [
+        (1_000, 0),
+        (2_100, 100),
+        (3_000, 0),
+        (63_000, 59_000),
+        (64_000, 0),
+    ];
+    for (at, late) in ticks {
+        let tick = pulse.tick(start + time::Duration::from_millis(at));
+        assert_eq!(millis(tick), late, "tick at {at} ms");
+    }
+}
+
+#[test]
+fn herd_cases() {
+    let share = units::Share::from_parts(2500).expect("a share");
+    let herd = Herd::new(share);
+    let cases = [
+        // Members, silent ones, whether they are a herd.
+        (0, 0, false),
+        (1, 1, false),
+        (2, 1, false),
+        (2, 2, true),
+        (4, 2, false),
+        (4, 3, true),
+        (12, 2, false),
+        (12, 3, true),
+        (100, 24, false),
+        (100, 25, true),
+        (16_000, 3_999, false),
+        (16_000, 4_000, true),
+    ];
+    for (members, silent, expected) in cases {
+        let group = Group { members, silent };
+        assert_eq!(herd.includes(group), expected, "{group:?}");
+    }
+}
--- a/components/peer/tests/client.rs
+++ b/components/peer/tests/client.rs
@@ -7,6 +7,9 @@
 use compio::io::{AsyncRead, AsyncWriteExt};
 use kernel::Service;
 use peer::Link;
+use prost::Message;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 const TIMEOUT: time::Duration = time::Duration::from_secs(10);
 const SHORT: time::Duration = time::Duration::from_millis(300);
@@ -203,3 +206,32 @@
     assert_eq!(again, Ok(vec![3]), "a new connection must carry on");
     server.close().await;
 }
+
+/// Whatever bytes arrive, the server refuses them and carries on.
+#[compio::test]
+async fn serve_arbitrary_bytes() {
+    let server = start(peer::Settings::default());
+    let to = server.address;
+    let noise = std::thread::spawn(move || {
+        let socket = nng::Socket::new(nng::Protocol::Req0).expect("a socket");
+        socket.dial(&format!("tcp://{to}")).expect("a connection");
+        let mut rng = StdRng::seed_from_u64(5);
+        for _ in 0..500 {
+            let mut bytes = vec![0; rng.random_range(0..100)];
+            rng.fill(bytes.as_mut_slice());
+            socket.send(bytes.as_slice()).expect("a sent message");
+            let reply = socket.recv().expect("a reply");
+            schema::peer::Reply::decode(reply.as_slice()).expect("a readable reply");
+        }
+        let mut raw = net::TcpStream::connect(to.0).expect("a connection");
+        std::io::Write::write_all(&mut raw, &[0xff; 64]).expect("written bytes");
+    });
+    while !noise.is_finished() {
+        let echo = client().call(to, "echo", vec![1], TIMEOUT).await;
+        assert_eq!(echo, Ok(vec![1]));
+    }
+    noise.join().expect("no panic");
+    let echo = client().call(to, "echo", vec![1], TIMEOUT).await;
+    assert_eq!(echo, Ok(vec![1]));
+    server.close().await;
+}
