--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -20,6 +20,8 @@
     groups: Vec<rc::Rc<Group>>,
     /// Owners of now and of the key window, sorted by service, version and node.
     seen: Vec<Seen>,
+    /// A backend server has been seen.
+    started: bool,
 }
 
 /// An owner of a version of a service, now or within the key window.
@@ -30,6 +32,8 @@
     node: units::Node,
     joined: time::Instant,
     left: Option<time::Instant>,
+    /// It was there before this node looked.
+    early: bool,
 }
 
 impl Seen {
@@ -52,6 +56,7 @@
             endpoints: Vec::new(),
             groups: Vec::new(),
             seen: Vec::new(),
+            started: false,
         }
     }
 
@@ -112,8 +117,8 @@
 
     /// Where a request with an idempotency key of hash `key` runs, and may have run before.
     ///
-    /// The owner is the highest-ranked one of the version. The owners that may have been it at some
-    /// time within the window are those that rank above the first one that was there all the time.
+    /// It runs at the highest-ranked owner that is there. Within the window it may have run at those
+    /// that rank higher and have gone, and at those that rank lower and were there before.
     #[must_use]
     pub fn home(
         &self,
@@ -127,22 +132,21 @@
         let group = self.find(service, version)?;
         let mut ranked: Vec<_> = self.seen_of(service, version).iter().collect();
         ranked.sort_by_cached_key(|one| std::cmp::Reverse(rank(&one.node, key)));
-        let settled =
-            |one: &Seen| one.left.is_none() && now.saturating_duration_since(one.joined) >= window;
-        let end = ranked.iter().position(|one| settled(one));
-        ranked.truncate(end.map_or(ranked.len(), |end| end + 1));
-        let present = ranked.iter().find(|one| one.left.is_none())?;
+        let place = ranked.iter().position(|one| one.left.is_none())?;
+        let present = ranked[place];
         let endpoint = group.all().find(|one| one.node == present.node)?.clone();
-        let mut past = Vec::new();
         let mut joined = present.joined;
-        for one in ranked.iter().filter(|one| !std::ptr::eq(**one, *present)) {
+        let mut past = Vec::new();
+        let mut add = |one: &Seen| {
             if one.node == endpoint.node {
                 // It left and came back; its records cover both times unless it was restarted.
                 joined = joined.min(one.joined);
             } else if past.len() < Self::PAST_LIMIT {
                 add_past(&mut past, one, view);
             }
-        }
+        };
+        ranked[..place].iter().for_each(|one| add(one));
+        earlier(present, &ranked[place + 1..], window, now).for_each(add);
         Some(Home {
             endpoint,
             joined,
@@ -171,7 +175,8 @@
 
     /// Brings the owners of the key window up to date.
     fn remember(&mut self, view: &View, policy: &Policy, now: time::Instant) {
-        let first = self.seen.is_empty();
+        let first = !self.started;
+        self.started |= !self.endpoints.is_empty();
         let window = policy.key_window.0;
         let mut seen = std::mem::take(&mut self.seen);
         for one in &mut seen {
@@ -199,6 +204,7 @@
                 node: endpoint.node.clone(),
                 joined: now,
                 left: None,
+                early: first,
             });
         }
         if first {
@@ -231,6 +237,34 @@
     (&endpoint.service, &endpoint.version, &endpoint.node)
 }
 
+/// Those of `lower`, ranked below `present`, that were the highest-ranked ones at some time before.
+fn earlier<'s>(
+    present: &'s Seen,
+    lower: &'s [&'s Seen],
+    window: time::Duration,
+    now: time::Instant,
+) -> impl Iterator<Item = &'s Seen> {
+    // Before this time none of those seen so far was there.
+    let mut bound = present.joined;
+    lower.iter().copied().filter(move |one| {
+        let recent = |at: time::Instant| now.saturating_duration_since(at) < window;
+        if !recent(bound) {
+            return false;
+        }
+        if present.early && one.early {
+            // Which of them came first is not known here.
+            return one.left.is_none();
+        }
+        if one.joined >= bound {
+            return false;
+        }
+        if one.left.is_none_or(|left| left >= bound) {
+            bound = one.joined;
+        }
+        true
+    })
+}
+
 /// Adds an owner that may have run a request; one that stands there twice counts from its first time.
 fn add_past(past: &mut Vec<Past>, seen: &Seen, view: &View) {
     if let Some(known) = past.iter_mut().find(|known| known.node == seen.node) {
@@ -274,5 +308,6 @@
         node: member.node.clone(),
         joined: now,
         left: Some(now),
+        early: true,
     })
 }
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -251,6 +251,9 @@
         .http2()
         .timer(CompioTimer)
         .max_concurrent_streams(limits.streams)
+        // Callers that give up many requests at once must not cost others the connection.
+        .max_pending_accept_reset_streams(Some(limits.streams as usize))
+        .max_local_error_reset_streams(Some(limits.streams as usize))
         .max_header_list_size(limits.header_bytes)
         .keep_alive_interval(limits.ping_after)
         .keep_alive_timeout(limits.ping_timeout);
--- /dev/null
+++ b/node/examples/path.rs
@@ -0,0 +1,232 @@
+//! Measures the request path: `path backend I`, `path node I OWNERS`, `path load ADDRESS RATE SECONDS`.
+//!
+//! Node `I` has the backend server `I` beside it when `I` is below `OWNERS`; all nodes know all
+//! owners without gossip.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use config::{Applied, Change, Put, Route, Service, Weight};
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use membership::{Backend, Member, Phase, Reader, State, View};
+use node::call::{Context, Ingress, Owner, Settings};
+
+const BACKEND_PORT: u16 = 17_000;
+const CALLERS_PORT: u16 = 18_000;
+const MESH_PORT: u16 = 19_000;
+const ANSWER: &[u8] = &[b'a'; 256];
+const SLOTS: u32 = 64;
+
+fn address(port: u16, index: u16) -> units::Address {
+    let port = port + index;
+    units::Address(std::net::SocketAddr::from(([127, 0, 0, 1], port)))
+}
+
+#[derive(Clone)]
+struct Answering;
+
+impl web::Handler for Answering {
+    type Body = web::Body;
+
+    async fn handle(self, request: http::Request<Incoming>) -> http::Response<web::Body> {
+        let _ = request.into_body().collect().await;
+        http::Response::new(Bytes::from_static(ANSWER).into())
+    }
+}
+
+#[derive(Clone)]
+struct Blind;
+
+impl routing::Observer for Blind {
+    fn observe(&self, _: &routing::Sample) {}
+}
+
+#[derive(Clone)]
+struct Alone;
+
+impl peer::Link for Alone {
+    async fn call(
+        &self,
+        _: units::Address,
+        _: &'static str,
+        _: Vec<u8>,
+        _: Duration,
+    ) -> Result<Vec<u8>, peer::Error> {
+        Err(peer::Error::Timeout)
+    }
+}
+
+fn limits() -> web::Limits {
+    web::Limits::default()
+}
+
+async fn run_backend(index: u16) {
+    let bound = web::Server::bind(address(BACKEND_PORT, index), limits()).await;
+    let (_trigger, stop) = kernel::stop();
+    bound.expect("a free port").run(Answering, stop).await;
+}
+
+fn backend() -> Backend {
+    Backend {
+        service: "menus".into(),
+        version: "v1".into(),
+        slots: SLOTS,
+        connections: 120,
+        phase: Phase::Ready,
+        instance: 1,
+    }
+}
+
+fn member(index: u16, owners: u16) -> Member {
+    Member {
+        node: format!("n{index}").parse().expect("a node id"),
+        data_centre: "ba".parse().expect("a data centre"),
+        peer_address: address(MESH_PORT, index),
+        mesh_address: address(MESH_PORT, index),
+        incarnation: 1,
+        state: State::Alive,
+        backend: (index < owners).then(backend),
+    }
+}
+
+fn configuration() -> config::Snapshot {
+    let weight = Weight {
+        version: "v1".into(),
+        share: units::Share::WHOLE,
+    };
+    let service = Service {
+        name: "menus".into(),
+        weights: vec![weight],
+        revision: units::Version::default(),
+    };
+    let route = Route {
+        name: "menus".into(),
+        host: "".into(),
+        path_prefix: "/".into(),
+        service: "menus".into(),
+        timeout: units::Period::from_secs(5),
+        idempotency: config::Idempotency::ByMethod,
+        max_body: units::Size(1 << 20),
+        revision: units::Version::default(),
+    };
+    let change = Change {
+        operation: units::Operation::random(),
+        puts: vec![Put::Service(service, None), Put::Route(route, None)],
+        removes: Vec::new(),
+        author: "example".into(),
+    };
+    match config::Snapshot::default().apply(&change) {
+        Ok(Applied::Accepted(snapshot)) => snapshot,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+async fn run_node(index: u16, owners: u16) {
+    let members = Reader::default();
+    let all = (0..owners.max(index + 1)).map(|index| Rc::new(member(index, owners)));
+    members.set(View::new(all.collect(), 1));
+    let holder = distribution::Holder::default();
+    holder.advance(configuration());
+    let context = Context {
+        node: format!("n{index}").parse().expect("a node id"),
+        data_centre: "ba".parse().expect("a data centre"),
+        holder,
+        members,
+        withheld: routing::Withheld::default(),
+        focus: routing::Focus::default(),
+        settings: Rc::new(Settings::default()),
+    };
+    let owner = Owner::new(context.clone(), Alone);
+    if index < owners {
+        let address = address(BACKEND_PORT, index);
+        let backend = backend();
+        owner.announce(Some(&admission::Announced { address, backend }));
+    }
+    let ingress = Ingress::new(context, Blind, owner.clone());
+    let mesh = web::Server::bind(address(MESH_PORT, index), limits()).await;
+    let callers = web::Server::bind(address(CALLERS_PORT, index), limits()).await;
+    let (_trigger, stop) = kernel::stop();
+    let mesh = mesh.expect("a free port").run(owner, stop.clone());
+    let callers = callers.expect("a free port").run(ingress, stop);
+    futures_util::future::join(mesh, callers).await;
+}
+
+/// Open-loop load: each call starts when it is due, however late the others are.
+async fn run_load(target: units::Address, rate: u64, seconds: u64) {
+    let connections = 8;
+    let mut open = Vec::new();
+    for _ in 0..connections {
+        let connection = web::Connection::<Full<Bytes>>::open(target, Duration::from_secs(5)).await;
+        open.push(connection.expect("a connection"));
+    }
+    let histogram = Rc::new(RefCell::new(Histogram::<u64>::new(3).expect("a histogram")));
+    let failed = Rc::new(Cell::new(0_u64));
+    let left = Rc::new(Cell::new(0_u64));
+    let started = Instant::now();
+    let warm = Duration::from_secs(seconds.min(5) / 2);
+    for number in 0..rate * seconds {
+        let due = started + Duration::from_nanos(number * 1_000_000_000 / rate);
+        let now = Instant::now();
+        if due > now {
+            compio::time::sleep(due - now).await;
+        }
+        let mut connection = open[usize::try_from(number % connections).unwrap_or(0)].clone();
+        let (histogram, failed, left) = (histogram.clone(), failed.clone(), left.clone());
+        left.set(left.get() + 1);
+        compio::runtime::spawn(async move {
+            let request = http::Request::get("http://menus.example/menu/7");
+            let request = request.body(Full::default()).expect("a request");
+            let whole = match connection.send(request).await {
+                Ok(answer) if answer.status().is_success() => answer.collect().await.is_ok(),
+                _ => false,
+            };
+            if !whole {
+                failed.set(failed.get() + 1);
+            } else if due.duration_since(started) >= warm {
+                let micros = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
+                let _ = histogram.borrow_mut().record(micros);
+            }
+            left.set(left.get() - 1);
+        })
+        .detach();
+    }
+    while left.get() > 0 && started.elapsed() < Duration::from_secs(seconds + 10) {
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let histogram = histogram.borrow();
+    println!(
+        "rate {rate}/s, {} answers, {} failed, p50 {} us, p99 {} us, p99.9 {} us, max {} us, {:.0}/s",
+        histogram.len(),
+        failed.get(),
+        histogram.value_at_quantile(0.5),
+        histogram.value_at_quantile(0.99),
+        histogram.value_at_quantile(0.999),
+        histogram.max(),
+        (rate * seconds - failed.get()) as f64 / started.elapsed().as_secs_f64(),
+    );
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let number = |place: usize| -> u64 {
+        let text = arguments.get(place);
+        text.and_then(|text| text.parse().ok()).expect("a number")
+    };
+    let small = |place: usize| u16::try_from(number(place)).expect("a small number");
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    match arguments.first().map(String::as_str) {
+        Some("backend") => runtime.block_on(run_backend(small(1))),
+        Some("node") => runtime.block_on(run_node(small(1), small(2))),
+        Some("load") => {
+            let target = arguments[1].parse().expect("an address");
+            runtime.block_on(run_load(target, number(2), number(3)));
+        }
+        _ => {
+            eprintln!("usage: path backend I | path node I OWNERS | path load ADDRESS RATE SECONDS")
+        }
+    }
+}
--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -65,6 +65,9 @@
 }
 
 impl Envelope {
+    /// Longest time that another node may leave.
+    const DEADLINE_LIMIT: time::Duration = time::Duration::from_secs(3600);
+
     /// Writes it into the headers of a request to another node.
     pub fn write(&self, headers: &mut http::HeaderMap, now: time::Instant) {
         self.write_public(headers, now);
@@ -114,7 +117,7 @@
         });
         Ok(Self {
             request: text(Headers::REQUEST)?,
-            deadline: now + time::Duration::from_millis(left),
+            deadline: now + time::Duration::from_millis(left).min(Self::DEADLINE_LIMIT),
             attempt: small(Headers::ATTEMPT).ok_or_else(missing)?,
             depth: small(Headers::DEPTH).ok_or_else(missing)?,
             service: text(Headers::SERVICE)?,
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -67,7 +67,8 @@
 /// What has become of a request so far.
 #[derive(Default)]
 struct Journey {
-    worst: cell::Cell<Option<Outcome>>,
+    /// The problem of the attempt with the worst outcome, the last one among equals.
+    worst: cell::Cell<Option<Problem>>,
     under_way: cell::Cell<bool>,
 }
 
@@ -93,7 +94,10 @@
 impl Journey {
     /// What became of the request: the worst of its attempts, one under way included.
     fn outcome(&self) -> Outcome {
-        let worst = self.worst.get().unwrap_or(Outcome::NotRun);
+        let worst = self
+            .worst
+            .get()
+            .map_or(Outcome::NotRun, |worst| worst.outcome);
         if self.under_way.get() {
             worst.max(Outcome::Unknown)
         } else {
@@ -101,9 +105,20 @@
         }
     }
 
-    fn end(&self, outcome: Outcome) {
+    /// An attempt ended with `problem`.
+    fn end(&self, problem: Problem) {
         self.under_way.set(false);
-        self.worst.set(Some(self.outcome().max(outcome)));
+        if problem.outcome >= self.outcome() {
+            self.worst.set(Some(problem));
+        }
+    }
+
+    /// What its caller is told when it ends with `last`: a later refusal hides no earlier attempt.
+    fn tell(&self, last: Problem) -> Problem {
+        match self.worst.get() {
+            Some(worst) if worst.outcome > last.outcome => worst,
+            _ => last,
+        }
     }
 }
 
@@ -227,6 +242,9 @@
 
     /// Runs a request to an answer or a problem within its deadline.
     async fn serve(&self, arrival: &Arrival) -> Result<Answer<L, O>, Problem> {
+        if arrival.left().is_zero() {
+            return Err(Problem::refused(Reason::Deadline));
+        }
         let Some(entry) = self.shared.quota.enter(&arrival.route.service) else {
             return Err(Problem::later(Reason::Refused(
                 admission::Reason::OverShare,
@@ -247,10 +265,7 @@
                 answer.passage._entry = Some(entry);
                 Ok(answer)
             }
-            Ok(Err(problem)) => Err(Problem {
-                outcome: problem.outcome.max(journey.outcome()),
-                ..problem
-            }),
+            Ok(Err(problem)) => Err(journey.tell(problem)),
             Err(_) => Err(Problem {
                 outcome: journey.outcome(),
                 ..Problem::unknown(Reason::Deadline)
@@ -463,7 +478,7 @@
         };
         match ended {
             Ok((parts, source, owner)) => {
-                journey.end(Outcome::Ran);
+                journey.under_way.set(false);
                 attempt.answer(parts.status);
                 let passage = Passage {
                     ingress: self.clone(),
@@ -481,7 +496,7 @@
                 })
             }
             Err(problem) => {
-                journey.end(problem.outcome);
+                journey.end(problem);
                 let ejected = attempt.end(&problem);
                 self.count(|counts| counts.ejected += u64::from(ejected));
                 self.observe_problem(arrival, &attempt, &problem);
--- /dev/null
+++ b/node/tests/call/faults.rs
@@ -0,0 +1,140 @@
+//! What callers are told when backend servers fail in exact ways.
+
+use crate::caller::Caller;
+use crate::fleet::Fleet;
+use crate::script::{Act, Script};
+
+struct Case {
+    act: Act,
+    method: &'static str,
+    status: u16,
+    outcome: &'static str,
+    /// Whether a second, working backend server may get the request.
+    resent: bool,
+}
+
+const fn case(
+    act: Act,
+    method: &'static str,
+    status: u16,
+    outcome: &'static str,
+    resent: bool,
+) -> Case {
+    Case {
+        act,
+        method,
+        status,
+        outcome,
+        resent,
+    }
+}
+
+const CANCEL: u32 = 8;
+const INTERNAL: u32 = 2;
+const NO_ERROR: u32 = 0;
+
+const CASES: [Case; 16] = [
+    case(Act::Answer, "GET", 200, "ran", false),
+    case(Act::Answer, "POST", 200, "ran", false),
+    case(Act::Refuse, "GET", 503, "not-run", true),
+    case(Act::Refuse, "POST", 503, "not-run", true),
+    case(Act::GoAwayBelow, "GET", 503, "not-run", true),
+    case(Act::GoAwayBelow, "POST", 503, "not-run", true),
+    case(Act::GoAwayAt, "GET", 502, "unknown", true),
+    case(Act::GoAwayAt, "POST", 502, "unknown", false),
+    case(Act::Reset(INTERNAL), "GET", 502, "unknown", true),
+    case(Act::Reset(INTERNAL), "POST", 502, "unknown", false),
+    case(Act::Reset(CANCEL), "POST", 502, "unknown", false),
+    case(Act::Reset(NO_ERROR), "POST", 502, "unknown", false),
+    case(Act::Close, "GET", 502, "unknown", true),
+    case(Act::Close, "POST", 502, "unknown", false),
+    // The second attempt at the same server is still under way at the deadline.
+    case(Act::Silent, "GET", 504, "unknown", true),
+    case(Act::Silent, "POST", 502, "unknown", false),
+];
+
+#[compio::test]
+async fn outcome_of_each_fault() {
+    for case in &CASES {
+        let script = Script::start(&[case.act]).await;
+        let mut fleet = Fleet::start(&[script.address]).await;
+        for ingress in [0, fleet.add_ingress().await] {
+            let before = script.ran.get();
+            let caller = Caller::open(fleet.nodes[ingress].callers).await;
+            let got = caller.send(case.method, "/seats").await;
+            let ran = script.ran.get() - before;
+            let seen = (
+                case.act,
+                case.method,
+                ingress,
+                got.status,
+                got.outcome.as_str(),
+            );
+            let wanted = (case.act, case.method, ingress, case.status, case.outcome);
+            assert_eq!(seen, wanted, "{got:?}");
+            assert!(
+                got.outcome != "not-run" || ran == 0,
+                "{wanted:?} ran {ran} times"
+            );
+            assert!(
+                case.method != "POST" || ran <= 1,
+                "{wanted:?} ran {ran} times"
+            );
+            let told = got.headers.contains_key("retry-after");
+            assert_eq!(told, case.status != 200, "{wanted:?}");
+        }
+        assert_eq!(fleet.violations(), 0);
+    }
+}
+
+#[compio::test]
+async fn resend_to_working_server() {
+    for case in &CASES {
+        let faulty = Script::start(&[case.act]).await;
+        let working = Script::start(&[Act::Answer]).await;
+        let mut fleet = Fleet::start(&[faulty.address, working.address]).await;
+        let ingress = fleet.add_ingress().await;
+        let caller = Caller::open(fleet.nodes[ingress].callers).await;
+        for _ in 0..12 {
+            let before = faulty.ran.get() + working.ran.get();
+            let got = caller.send(case.method, "/seats").await;
+            let ran = faulty.ran.get() + working.ran.get() - before;
+            let place = (case.act, case.method, got.status, ran);
+            assert!(case.method != "POST" || ran <= 1, "{place:?}");
+            assert!(got.outcome != "not-run" || ran == 0, "{place:?}");
+            if case.resent {
+                assert_eq!(got.status, 200, "{place:?} {got:?}");
+                assert_eq!(got.body.as_deref(), Some(b"whole".as_slice()));
+            } else {
+                assert!(
+                    got.status == 200 || got.outcome == case.outcome,
+                    "{place:?}"
+                );
+            }
+        }
+        assert_eq!(fleet.violations(), 0);
+    }
+}
+
+#[compio::test]
+async fn answer_cut_short() {
+    let acts = [
+        Act::Cut(NO_ERROR),
+        Act::Cut(CANCEL),
+        Act::Cut(INTERNAL),
+        Act::CutClose,
+    ];
+    for act in acts {
+        let script = Script::start(&[act]).await;
+        let mut fleet = Fleet::start(&[script.address]).await;
+        for ingress in [0, fleet.add_ingress().await] {
+            let caller = Caller::open(fleet.nodes[ingress].callers).await;
+            let got = caller.send("GET", "/menu").await;
+            let whole = got.status == 200 && got.body.is_some();
+            assert!(!whole, "{act:?} {got:?}");
+            let counts = fleet.nodes[ingress].ingress.counts();
+            assert_eq!(counts.answered, 0, "{act:?}");
+            assert!(counts.truncated + counts.unknown >= 1, "{act:?} {counts:?}");
+        }
+    }
+}
--- /dev/null
+++ b/node/tests/call/fleet.rs
@@ -0,0 +1,256 @@
+//! Nodes in one process, without gossip: all read one view.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use admission::Announced;
+use config::{Applied, Change, Put, Route, Service, Weight};
+use membership::{Backend, Member, Phase, Reader, State, View};
+use node::call::{Context, Ingress, Owner, Settings};
+use routing::{Observer, Sample};
+
+/// Link that delivers at once.
+#[derive(Clone, Default)]
+pub(crate) struct Wire {
+    owners: Rc<RefCell<Owners>>,
+}
+
+type Owners = Vec<(units::Address, Owner<Wire>)>;
+
+impl peer::Link for Wire {
+    async fn call(
+        &self,
+        to: units::Address,
+        _: &'static str,
+        payload: Vec<u8>,
+        _: Duration,
+    ) -> Result<Vec<u8>, peer::Error> {
+        let owners = self.owners.borrow().clone();
+        let owner = owners.into_iter().find(|(address, _)| *address == to);
+        let (_, owner) = owner.ok_or(peer::Error::Timeout)?;
+        let (answer, receiver) = peer::Answer::channel();
+        let from = "other".parse().expect("a node id");
+        let incoming = peer::Incoming {
+            from,
+            payload,
+            answer,
+        };
+        owner.sharing().take(incoming, std::time::Instant::now());
+        let reply = receiver.await.map_err(|_| peer::Error::Timeout)?;
+        Ok(reply.payload)
+    }
+}
+
+/// Observer that keeps what it saw.
+#[derive(Clone, Default)]
+pub(crate) struct Seen {
+    pub(crate) samples: Rc<RefCell<Vec<Sample>>>,
+}
+
+impl Observer for Seen {
+    fn observe(&self, sample: &Sample) {
+        self.samples.borrow_mut().push(sample.clone());
+    }
+}
+
+pub(crate) struct Node {
+    pub(crate) ingress: Ingress<Wire, Seen>,
+    pub(crate) owner: Owner<Wire>,
+    pub(crate) callers: units::Address,
+    pub(crate) seen: Seen,
+    member: Member,
+    _stops: Vec<kernel::Trigger>,
+}
+
+pub(crate) struct Fleet {
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) members: Reader,
+    pub(crate) holder: distribution::Holder,
+    wire: Wire,
+    settings: Rc<Settings>,
+    generation: u64,
+}
+
+impl Fleet {
+    /// One node for each backend server.
+    pub(crate) async fn start(backends: &[units::Address]) -> Self {
+        Self::with(backends, Settings::default()).await
+    }
+
+    pub(crate) async fn with(backends: &[units::Address], settings: Settings) -> Self {
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            members: Reader::default(),
+            holder: distribution::Holder::default(),
+            wire: Wire::default(),
+            settings: Rc::new(settings),
+            generation: 0,
+        };
+        fleet.configure(&[route("menus", "/", 2_000)]);
+        for (index, address) in backends.iter().enumerate() {
+            let node = fleet.node(index).await;
+            fleet.nodes.push(node);
+            fleet.announce(index, *address, 1, Phase::Ready);
+        }
+        fleet
+    }
+
+    /// A node without a backend server, which only takes callers.
+    pub(crate) async fn add_ingress(&mut self) -> usize {
+        let index = self.nodes.len();
+        let node = self.node(index).await;
+        self.nodes.push(node);
+        self.publish();
+        index
+    }
+
+    pub(crate) fn configure(&self, routes: &[Route]) {
+        let mut puts = vec![Put::Service(service("menus"), None)];
+        puts.extend(routes.iter().map(|route| Put::Route(route.clone(), None)));
+        let change = Change {
+            operation: units::Operation::random(),
+            puts,
+            removes: Vec::new(),
+            author: "test".into(),
+        };
+        match self.holder.get().apply(&change) {
+            Ok(Applied::Accepted(next)) => assert!(self.holder.advance(next)),
+            other => panic!("the configuration is not accepted: {other:?}"),
+        }
+    }
+
+    /// The backend server beside node `index` announces itself.
+    pub(crate) fn announce(
+        &mut self,
+        index: usize,
+        address: units::Address,
+        instance: u64,
+        phase: Phase,
+    ) {
+        let backend = Backend {
+            service: "menus".into(),
+            version: "v1".into(),
+            slots: 8,
+            connections: 20,
+            phase,
+            instance,
+        };
+        let announced = Announced {
+            address,
+            backend: backend.clone(),
+        };
+        self.nodes[index].owner.announce(Some(&announced));
+        self.nodes[index].member.backend = Some(backend);
+        self.publish();
+    }
+
+    /// The other nodes learn that node `index` is in `state`.
+    pub(crate) fn set_state(&mut self, index: usize, state: State) {
+        self.nodes[index].member.state = state;
+        self.publish();
+    }
+
+    fn publish(&mut self) {
+        self.generation += 1;
+        let members = self.nodes.iter().map(|node| Rc::new(node.member.clone()));
+        self.members
+            .set(View::new(members.collect(), self.generation));
+    }
+
+    async fn node(&self, index: usize) -> Node {
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let id: units::Node = format!("n{index}").parse().expect("a node id");
+        let data_centre: units::DataCentre = "ba".parse().expect("a data centre");
+        let context = Context {
+            node: id.clone(),
+            data_centre: data_centre.clone(),
+            holder: self.holder.clone(),
+            members: self.members.clone(),
+            withheld: routing::Withheld::default(),
+            focus: routing::Focus::default(),
+            settings: self.settings.clone(),
+        };
+        let seen = Seen::default();
+        let owner = Owner::new(context.clone(), self.wire.clone());
+        let ingress = Ingress::new(context, seen.clone(), owner.clone());
+        let mesh = web::Server::bind(any, web::Limits::default())
+            .await
+            .expect("a port");
+        let callers = web::Server::bind(any, web::Limits::default())
+            .await
+            .expect("a port");
+        let mesh_address = mesh.address().expect("an address");
+        let callers_address = callers.address().expect("an address");
+        let (mesh_trigger, mesh_stop) = kernel::stop();
+        let (callers_trigger, callers_stop) = kernel::stop();
+        compio::runtime::spawn(mesh.run(owner.clone(), mesh_stop)).detach();
+        compio::runtime::spawn(callers.run(ingress.clone(), callers_stop)).detach();
+        self.wire
+            .owners
+            .borrow_mut()
+            .push((mesh_address, owner.clone()));
+        let member = Member {
+            node: id,
+            data_centre,
+            peer_address: mesh_address,
+            mesh_address,
+            incarnation: 1,
+            state: State::Alive,
+            backend: None,
+        };
+        Node {
+            ingress,
+            owner,
+            callers: callers_address,
+            seen,
+            member,
+            _stops: vec![mesh_trigger, callers_trigger],
+        }
+    }
+
+    /// Invariants that any node has seen violated.
+    pub(crate) fn violations(&self) -> u64 {
+        let nodes = self.nodes.iter();
+        let of_node = |node: &Node| {
+            node.ingress.counts().violations() + node.owner.gate().counts().violations
+        };
+        nodes.map(of_node).sum()
+    }
+}
+
+pub(crate) fn route(name: &str, prefix: &str, timeout_ms: u64) -> Route {
+    Route {
+        name: name.into(),
+        host: "menus.example".into(),
+        path_prefix: prefix.into(),
+        service: "menus".into(),
+        timeout: units::Period::from_millis(timeout_ms),
+        idempotency: config::Idempotency::ByMethod,
+        max_body: units::Size(256 * 1024),
+        revision: units::Version::default(),
+    }
+}
+
+fn service(name: &str) -> Service {
+    let weight = Weight {
+        version: "v1".into(),
+        share: units::Share::WHOLE,
+    };
+    Service {
+        name: name.into(),
+        weights: vec![weight],
+        revision: units::Version::default(),
+    }
+}
+
+/// Waits until `done`, up to a generous bound.
+pub(crate) async fn until(done: impl Fn() -> bool) {
+    for _ in 0..1_000 {
+        if done() {
+            return;
+        }
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the condition was not reached");
+}
--- /dev/null
+++ b/node/tests/call/main.rs
@@ -0,0 +1,13 @@
+//! The request path end to end: callers, ingress, owner and small backend servers on loopback.
+
+mod backend;
+mod caller;
+mod fleet;
+mod script;
+
+mod bodies;
+mod faults;
+mod keys;
+mod limits;
+mod poison;
+mod routes;
