--- a/testing/generate/src/main.rs
+++ b/testing/generate/src/main.rs
@@ -5,11 +5,13 @@
 
 use clap::{Arg, Command, value_parser};
 
-const PROTO_FILES: [&str; 6] = [
+const PROTO_FILES: [&str; 8] = [
+    "admission.proto",
     "announce.proto",
     "config.proto",
     "distribution.proto",
     "membership.proto",
+    "moves.proto",
     "operator.proto",
     "peer.proto",
 ];
--- a/testing/load/src/fleet/mesh.rs
+++ b/testing/load/src/fleet/mesh.rs
@@ -9,10 +9,13 @@
 use super::settings;
 use super::{Addresses, Binaries, Console, Error, Folder, Ports, Process, Shape, Site};
 use crate::plain;
+use crate::relay::Relay;
 
 /// A platform, nodes and backend servers as processes; all are killed when it is dropped.
 pub struct Mesh {
     shape: Shape,
+    /// Faults of the backend servers, in the order of the sites.
+    faults: Vec<Faults>,
     addresses: Addresses,
     binaries: Binaries,
     /// The platform stand-in.
@@ -21,6 +24,8 @@
     pub nodes: Vec<Option<Process>>,
     /// Backend servers in the order of the sites; `None` where a site has none.
     pub backends: Vec<Option<Process>>,
+    /// Relays in front of the backend servers, in the order of the sites.
+    pub relays: Vec<Option<Relay>>,
     // Last, so that the processes have ended before their folder is removed.
     folder: Folder,
 }
@@ -45,6 +50,7 @@
             mesh.start_node(index)?;
         }
         for index in 0..mesh.shape.sites.len() {
+            mesh.start_relay(index).await?;
             mesh.start_backend(index)?;
         }
         mesh.await_ready().await?;
@@ -73,12 +79,14 @@
         let platform = Process::start("platform", program, file)?;
         let sites = shape.sites.len();
         let mut mesh = Self {
+            faults: vec![shape.faults.clone(); sites],
             shape,
             addresses,
             binaries,
             platform,
             nodes: (0..sites).map(|_| None).collect(),
             backends: (0..sites).map(|_| None).collect(),
+            relays: (0..sites).map(|_| None).collect(),
             folder,
         };
         let control = mesh.addresses.platform(Ports::PLATFORM_CONTROL);
@@ -138,6 +146,21 @@
         Ok(())
     }
 
+    /// Starts the relay of site `index`, where the shape has one.
+    ///
+    /// # Errors
+    /// The error of the operating system.
+    pub async fn start_relay(&mut self, index: usize) -> Result<(), Error> {
+        let (Some(delay), Some(_)) = (self.shape.relayed, &self.site(index).backend) else {
+            return Ok(());
+        };
+        let listen = self.addresses.vm(index, Ports::RELAY);
+        let target = self.addresses.vm(index, Ports::BACKEND);
+        let relay = Relay::open(listen, target, delay.0).await;
+        self.relays[index] = Some(relay.map_err(Error::system("cannot start a relay"))?);
+        Ok(())
+    }
+
     /// Gives site `index` another version of its service; it is in effect from the next start on.
     ///
     /// # Errors
@@ -146,6 +169,11 @@
         if let Some((_, current)) = &mut self.shape.sites[index].backend {
             *current = version.into();
         }
+        self.rewrite_backend(index)
+    }
+
+    /// Writes the settings of the backend server of site `index` again.
+    fn rewrite_backend(&self, index: usize) -> Result<(), Error> {
         let Some(settings) = self.backend_settings(index) else {
             return Ok(());
         };
@@ -206,14 +234,26 @@
         Console::new(program, operator, Self::TOKEN)
     }
 
-    /// Sets the faults of the backend server of site `index`; `false` when it does not answer.
-    pub async fn set_faults(&self, index: usize, faults: &Faults) -> bool {
+    /// Sets the faults of the backend server of site `index`, also for its next starts; `false`
+    /// when it does not answer.
+    pub async fn set_faults(&mut self, index: usize, faults: &Faults) -> bool {
+        self.faults[index] = faults.clone();
+        if self.rewrite_backend(index).is_err() {
+            return false;
+        }
         let control = self.addresses.vm(index, Ports::BACKEND_CONTROL);
         plain::post(control, "/faults", faults)
             .await
             .is_ok_and(|reply| reply.status.is_success())
     }
 
+    /// Sets the faults of the platform; `false` when it does not answer.
+    pub async fn set_platform_faults<T: serde::Serialize>(&self, faults: &T) -> bool {
+        let control = self.addresses.platform(Ports::PLATFORM_CONTROL);
+        let reply = plain::post(control, "/faults", faults).await;
+        reply.is_ok_and(|reply| reply.status.is_success())
+    }
+
     /// Every event that the backend servers wrote down, those of crashed processes included.
     ///
     /// # Errors
@@ -325,6 +365,7 @@
         let vm = |port| self.addresses.vm(index, port);
         Some(radishgap_backend::Settings {
             listen: vm(Ports::BACKEND),
+            advertise: self.shape.relayed.map(|_| vm(Ports::RELAY)),
             announce: Some(vm(Ports::ANNOUNCE)),
             control: Some(vm(Ports::BACKEND_CONTROL)),
             service,
@@ -335,7 +376,7 @@
             cold_start: self.shape.cold_start.clone(),
             service_time: self.shape.service_time.clone(),
             drain: self.shape.drain,
-            faults: self.shape.faults.clone(),
+            faults: self.faults[index].clone(),
             record_file: Some(self.record_file(index)),
             record_limit: 1_000,
             seed: self.shape.seed + index as u64,
