--- /dev/null
+++ b/components/moves/examples/seeded/simulation.rs
@@ -0,0 +1,225 @@
+//! One move over virtual time.
+
+use std::time;
+
+use moves::{Action, Analysis, Facts, Fleet, Judge, Policy, Settings, shares};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::outcome::{End, Outcome};
+use crate::version::Version;
+use crate::world::{BACKENDS, CENTRES, SLOTS, Traffic, draw};
+
+/// Time between two reports and decisions.
+const PERIOD: time::Duration = time::Duration::from_millis(500);
+/// Time until every node has a change of the configuration or of the withheld versions.
+const SPREADING: time::Duration = time::Duration::from_millis(300);
+/// Time after the deadline at which a move counts as never ended.
+const PATIENCE: time::Duration = time::Duration::from_secs(120);
+
+/// One move over virtual time.
+struct Simulation {
+    version: Version,
+    policy: Policy,
+    /// Judges of the data centres, which go on while the runner is paused.
+    local: Vec<Judge>,
+    random: StdRng,
+    begin: time::Instant,
+    deadline: time::Instant,
+    /// Faults: the runner is paused, the platform is down.
+    paused: Window,
+    outage: Window,
+    /// Share in force on the nodes.
+    share: units::Share,
+    first_share: Option<time::Instant>,
+    withheld: Option<(time::Instant, String)>,
+    /// Traffic and slots, in multiples of the usual.
+    scale: f64,
+    outcome: Outcome,
+}
+
+/// A time in which a fault lasts.
+#[derive(Clone, Copy)]
+struct Window {
+    from: time::Instant,
+    to: time::Instant,
+}
+
+impl Window {
+    fn draw(begin: time::Instant, whole: time::Duration, random: &mut StdRng) -> Self {
+        let from = begin + whole.mul_f64(random.random());
+        // Every second move has none.
+        let length = if random.random() {
+            random.random_range(0..20)
+        } else {
+            0
+        };
+        Self {
+            from,
+            to: from + time::Duration::from_secs(length),
+        }
+    }
+
+    fn holds(self, now: time::Instant) -> bool {
+        now >= self.from && now < self.to
+    }
+}
+
+/// Runs one move of `version` with the faults and the traffic that `seed` draws.
+pub(crate) fn run(analysis: Analysis, version: Version, seed: u64) -> Outcome {
+    let mut simulation = Simulation::new(analysis, version, seed);
+    let mut now = simulation.begin;
+    while simulation.outcome.end.is_none() && now < simulation.deadline + PATIENCE {
+        now += PERIOD;
+        simulation.advance(now);
+    }
+    simulation.outcome
+}
+
+impl Simulation {
+    fn new(analysis: Analysis, version: Version, seed: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let settings = Settings {
+            analysis,
+            ..Settings::default()
+        };
+        let begin = time::Instant::now();
+        let whole = time::Duration::from_secs(random.random_range(180..600));
+        let deadline = begin + whole;
+        let alpha = settings.alpha() / 2.0;
+        let policy = Policy::new(&settings, alpha, deadline, 0, begin, begin);
+        // The number of periods is far below 2^32.
+        let horizon = u32::try_from(whole.as_millis() / PERIOD.as_millis()).unwrap_or(u32::MAX);
+        let local = CENTRES.map(|_| Judge::new(&settings, alpha / 2.0, horizon, begin));
+        Self {
+            version,
+            policy,
+            local: local.into(),
+            paused: Window::draw(begin, whole, &mut random),
+            outage: Window::draw(begin, whole, &mut random),
+            scale: 10.0_f64.powf(random.random_range(-1.0..0.3)),
+            random,
+            begin,
+            deadline,
+            share: units::Share::NONE,
+            first_share: None,
+            withheld: None,
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn advance(&mut self, now: time::Instant) {
+        self.run_traffic(now);
+        if !self.paused.holds(now) {
+            self.absorb_crashes(now);
+            self.decide(now);
+        }
+        if let Some((since, _)) = &self.withheld
+            && now >= *since + SPREADING
+        {
+            self.share = units::Share::NONE;
+        }
+    }
+
+    fn run_traffic(&mut self, now: time::Instant) {
+        let running = self
+            .first_share
+            .map_or(time::Duration::ZERO, |first| now - first);
+        let traffic = Traffic {
+            version: self.version,
+            share: self.share.as_fraction(),
+            focus: shares::focus(self.share, BACKENDS),
+            running,
+            scale: self.scale,
+        };
+        for (index, centre) in CENTRES.into_iter().enumerate() {
+            let period = draw(traffic, PERIOD, &mut self.random);
+            self.outcome.requests += period.requests;
+            self.outcome.harmed += period.harmed;
+            self.local[index].absorb(centre, &period.evidence, now);
+            if let Some(alarm) = self.local[index].alarm() {
+                let alarm = alarm.to_string();
+                self.withhold(now, alarm);
+            }
+            if !self.paused.holds(now) {
+                self.policy
+                    .judge_mut()
+                    .absorb(centre, &period.evidence, now);
+            }
+        }
+    }
+
+    /// One new backend server crashes every so often.
+    fn absorb_crashes(&mut self, now: time::Instant) {
+        let fleet = |crashed| Fleet {
+            ready: u32::try_from(BACKENDS).unwrap_or(u32::MAX),
+            crashed,
+        };
+        let crashed = match (self.version, self.first_share) {
+            (Version::Crashes(every), Some(first)) => {
+                let ticks = (now - first).as_millis() / PERIOD.as_millis();
+                let every = u128::from(every) * 1_000 / PERIOD.as_millis();
+                u32::from(ticks > 0 && ticks.is_multiple_of(every))
+            }
+            _ => 0,
+        };
+        let judge = self.policy.judge_mut();
+        judge.absorb_fleets(fleet(0), fleet(crashed), PERIOD);
+    }
+
+    fn decide(&mut self, now: time::Instant) {
+        if let Some((_, reason)) = self.withheld.clone() {
+            self.end(End::TakenBack, reason, now);
+            return;
+        }
+        let backends = f64::from(u32::try_from(BACKENDS).unwrap_or(u32::MAX));
+        // Between 8 and 160.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let slots = (SLOTS * self.scale * backends).ceil() as u32;
+        let facts = Facts { slots };
+        match self.policy.decide(now, facts) {
+            Action::Hold(_) => {}
+            Action::Step(phase) if !self.outage.holds(now) => self.step(phase, now),
+            Action::Step(_) => {}
+            Action::Back(reason) => {
+                self.withhold(now, reason.to_string());
+                self.end(End::TakenBack, reason.to_string(), now);
+            }
+            Action::Done => self.end(End::Done, String::new(), now),
+        }
+    }
+
+    fn step(&mut self, phase: usize, now: time::Instant) {
+        let share = self.policy.share(phase);
+        if self.withheld.is_some() && share > self.share {
+            self.outcome.violations += 1;
+        }
+        let is_first = self.first_share.is_none();
+        self.policy.begin(phase, now);
+        for judge in &mut self.local {
+            judge.begin_step(is_first, share, now);
+        }
+        self.first_share.get_or_insert(now);
+        self.share = share;
+        self.outcome.highest = self.outcome.highest.max(share);
+    }
+
+    fn withhold(&mut self, now: time::Instant, reason: String) {
+        if self.withheld.is_none() {
+            self.withheld = Some((now, reason));
+        }
+    }
+
+    /// The end is written once the platform answers.
+    fn end(&mut self, end: End, reason: String, now: time::Instant) {
+        if self.outage.holds(now) {
+            return;
+        }
+        if self.outcome.end.is_some() {
+            self.outcome.violations += 1;
+        }
+        self.outcome.end = Some(end);
+        self.outcome.reason = reason;
+        self.outcome.in_time = now <= self.deadline;
+    }
+}
--- a/components/moves/src/health.rs
+++ b/components/moves/src/health.rs
@@ -12,7 +12,8 @@
     /// Excess that is to be ruled out, from 0 to 1.
     excess: f64,
     log: f64,
-    requests: u64,
+    /// The test has ended at its first crossing of the bound.
+    is_shown: bool,
 }
 
 impl Health {
@@ -29,7 +30,7 @@
         Self {
             excess,
             log: 0.0,
-            requests: 0,
+            is_shown: false,
         }
     }
 
@@ -39,19 +40,13 @@
         let hits = real(new.hits) * (same / higher).ln();
         let others = real(new.total - new.hits) * ((1.0 - same) / (1.0 - higher)).ln();
         self.log += hits + others;
-        self.requests += new.total;
+        self.is_shown |= self.log >= -Self::BETA.ln();
     }
 
     /// Whether the evidence suffices.
     #[must_use]
     pub fn is_shown(&self) -> bool {
-        self.log >= -Self::BETA.ln()
-    }
-
-    /// Requests to the new version so far.
-    #[must_use]
-    pub fn requests(&self) -> u64 {
-        self.requests
+        self.is_shown
     }
 
     /// Requests that a version as good as the old one is expected to need.
--- a/components/moves/src/judge.rs
+++ b/components/moves/src/judge.rs
@@ -4,13 +4,14 @@
 
 use compact_str::{CompactString, format_compact};
 
-use crate::trial::{Bounds, Trial};
-use crate::{Analysis, Counts, Crashes, Evidence, Fleet, Meter, Pair, Settings, Trials};
+use crate::trial::{Bounds, Season, Trial};
+use crate::{Analysis, Crashes, Evidence, Fleet, Meter, Settings, Trials};
 
 /// Judges a new version by what requests to it and to the old one show.
 ///
 /// Each route has a test of its own for failures and one for slowness, so that one bad route
-/// suffices; the rate of wrong alarms is divided among them.
+/// suffices, and so have all routes together, for services with little traffic. The rate of wrong
+/// alarms is divided among them.
 #[derive(Debug, Clone)]
 pub struct Judge {
     settings: Settings,
@@ -83,15 +84,19 @@
 
     /// Takes what requests in one data centre showed in one period.
     pub fn absorb(&mut self, data_centre: &str, evidence: &Evidence, now: time::Instant) {
-        let is_cold = now < self.cold_until;
-        let is_warm = now >= self.warm_from;
+        let season = Season {
+            now,
+            is_cold: now < self.cold_until,
+            is_warm: now >= self.warm_from,
+        };
         let bounds = Bounds::from(&self.settings);
         let mut latency = time::Duration::ZERO;
         for (route, pair) in evidence.routes() {
             latency += pair.old.latency + pair.new.latency;
             let trial = self.trial(route);
-            let slow = trial.absorb(data_centre, pair, &bounds, is_cold, is_warm);
-            self.pooled.absorb_pooled(pair, slow, is_cold);
+            let slow = trial.absorb(data_centre, pair, bounds, season);
+            self.pooled
+                .absorb_slow(data_centre, pair, slow, bounds, season);
         }
         self.meter.absorb(latency, now);
         self.look();
@@ -140,14 +145,6 @@
         })
     }
 
-    /// Whether the requests expected at `share` over `hold` suffice as evidence.
-    #[must_use]
-    pub fn expects(&self, share: units::Share, hold: time::Duration, now: time::Instant) -> bool {
-        let elapsed = now.saturating_duration_since(self.step_since);
-        let ahead = hold.as_secs_f64() / elapsed.as_secs_f64().max(0.001);
-        self.pooled.all_requests() * ahead * share.as_fraction() >= self.pooled.needed()
-    }
-
     /// The evidence by route since the last step.
     pub fn trials(&self) -> impl Iterator<Item = &Trial> {
         self.trials.iter()
@@ -156,7 +153,8 @@
     /// Logarithm of the evidence that a test has to exceed.
     #[must_use]
     pub fn bound(&self) -> f64 {
-        let tests = u32::try_from(2 * self.trials.len() + 1).unwrap_or(u32::MAX);
+        // Two for each route and for all routes together, and that of crashes.
+        let tests = u32::try_from(2 * self.trials.len() + 3).unwrap_or(u32::MAX);
         (f64::from(tests) / self.alpha).ln()
     }
 
@@ -190,47 +188,17 @@
                 "{count} crashes of backend servers of the new version"
             ));
         }
-        self.trials.iter().find_map(|trial| trial.alarm(bound))
+        let mut trials = self.trials.iter().chain([&self.pooled]);
+        trials.find_map(|trial| trial.alarm(bound))
     }
 
     /// The comparison for experiments: a bare threshold of the rate of failures at this step.
     fn look_threshold(&self) -> Option<CompactString> {
-        const LEAST_REQUESTS: u64 = 20;
-        let shown = self.pooled.failures();
-        let rate = shown.rate();
-        let above = rate > self.settings.threshold.as_fraction();
-        (above && shown.total >= LEAST_REQUESTS).then(|| {
-            let (hits, total) = (shown.hits, shown.total);
-            format_compact!("{hits} of {total} requests failed")
-        })
-    }
-}
-
-/// Requests that failed.
-pub(crate) fn failures(counts: &Counts) -> Trials {
-    Trials {
-        total: counts.requests,
-        hits: counts.failures,
-    }
-}
-
-/// What was slow in one period, old version and new version.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Slow {
-    pub(crate) old: Trials,
-    pub(crate) new: Trials,
-}
-
-impl Slow {
-    /// Counts requests above the bucket `limit` as slow.
-    pub(crate) fn of(pair: &Pair, limit: usize) -> Self {
-        let side = |counts: &Counts| Trials {
-            total: counts.histogram.total(),
-            hits: counts.histogram.above(limit),
-        };
-        Self {
-            old: side(&pair.old),
-            new: side(&pair.new),
-        }
+        const LEAST_REQUESTS: u64 = 50;
+        let Trials { total, hits } = self.pooled.failures();
+        let threshold = u64::from(self.settings.threshold.parts());
+        let is_above = hits * u64::from(units::Share::WHOLE.parts()) > total * threshold;
+        (is_above && total >= LEAST_REQUESTS)
+            .then(|| format_compact!("{hits} of {total} requests failed"))
     }
 }
--- a/components/moves/src/lib.rs
+++ b/components/moves/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod alarm;
 mod analysis;
+mod block;
 mod catalogue;
 mod command;
 pub mod contrast;
--- a/components/moves/src/plan.rs
+++ b/components/moves/src/plan.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, Clone)]
 pub struct Plan {
     phases: Vec<Phase>,
-    /// Time by which the last phase has ended.
+    /// Latest time at which the last phase may end.
     end: time::Instant,
 }
 
@@ -26,6 +26,9 @@
 impl Plan {
     /// Part of the time in which only the old version is observed.
     const OBSERVE: f64 = 0.05;
+    /// Part of the time that is left free at the end, so that an outage of the platform does not
+    /// make a good version late.
+    const MARGIN: f64 = 0.1;
     /// Part of the time of the watch at the full share.
     const WATCH: f64 = 0.25;
 
@@ -94,6 +97,7 @@
         let phase = phase.min(self.last());
         let left = self.end.saturating_duration_since(start);
         let weights: f64 = self.phases[phase..].iter().map(|one| one.weight).sum();
+        let weights = weights + Self::MARGIN;
         let wanted = left.mul_f64((self.phases[phase].weight / weights).min(1.0));
         let most = left.saturating_sub(self.rest(phase));
         wanted.min(most).max(self.phases[phase].shortest)
--- a/components/moves/src/policy.rs
+++ b/components/moves/src/policy.rs
@@ -43,12 +43,6 @@
 }
 
 impl Policy {
-    /// Steps up to this share may be left out where they would bring too little evidence in time.
-    const SKIPPED: units::Share = match units::Share::from_parts(1_000) {
-        Some(share) => share,
-        None => units::Share::NONE,
-    };
-
     /// Goes on with a move whose current phase began at `phase_since`.
     #[must_use]
     pub fn new(
@@ -136,7 +130,7 @@
             return self.hold_until(now, CompactString::const_new("the plan holds this share"));
         }
         if self.phase == 0 {
-            return self.decide_first(now, facts);
+            return self.step(1, now, facts);
         }
         if let Some(missing) = self.judge.missing(hold, now) {
             return self.hold_until(now, missing);
@@ -160,24 +154,6 @@
         }
     }
 
-    /// Chooses the first step: the smallest share that is expected to bring enough evidence, but
-    /// still a small one.
-    fn decide_first(&self, now: time::Instant, facts: Facts) -> Action {
-        let mut phase = 1;
-        while phase < self.plan.last()
-            && self.plan.share(phase + 1) <= Self::SKIPPED
-            && !self.expects(phase, now)
-        {
-            phase += 1;
-        }
-        self.step(phase, now, facts)
-    }
-
-    fn expects(&self, phase: usize, now: time::Instant) -> bool {
-        let hold = self.plan.hold(phase, now);
-        self.judge.expects(self.plan.share(phase), hold, now)
-    }
-
     fn step(&self, phase: usize, now: time::Instant, facts: Facts) -> Action {
         if !self.fits(self.plan.share(phase), facts) {
             let share = self.plan.share(phase);
--- a/components/moves/src/settings.rs
+++ b/components/moves/src/settings.rs
@@ -10,7 +10,8 @@
     #[derive(Serialize, Deserialize, schemars::JsonSchema)]
     #[serde(deny_unknown_fields, default)]
     pub struct Settings {
-        /// Shares that the new version gets one after the other; the last is the whole.
+        /// Shares that the new version gets one after the other; the last is the whole. A bad version
+        /// harms at most the first of them before its badness can be seen.
         pub steps: Vec<units::Share>,
         /// How badness is told from noise.
         pub analysis: Analysis,
@@ -51,7 +52,7 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        let steps = [100, 500, 2_500, 5_000, 9_500, 10_000];
+        let steps = [200, 500, 2_500, 5_000, 9_500, 10_000];
         Self {
             steps: steps
                 .into_iter()
--- a/components/moves/src/trial.rs
+++ b/components/moves/src/trial.rs
@@ -4,13 +4,16 @@
 
 use compact_str::{CompactString, format_compact};
 
+use crate::block::Block;
 use crate::contrast::{Logs, against, contrast};
-use crate::judge::{Slow, failures};
-use crate::{Detector, Health, Histogram, Pair, Settings, Trials};
+use crate::trials::real;
+use crate::{Counts, Detector, Health, Histogram, Pair, Settings, Trials};
 
-/// Tests of one route: old version against new version, failures and slowness.
+/// Tests of one route, or of all routes together: old version against new version, failures and
+/// slowness.
 #[derive(Debug, Clone)]
 pub struct Trial {
+    /// The route; none for all routes together.
     route: CompactString,
     /// Sorted by data centre.
     strata: Vec<Stratum>,
@@ -31,20 +34,42 @@
     new: Trials,
 }
 
-/// Latencies of the old version in one data centre, which differ with the distance.
+/// Requests in one data centre, whose latencies differ with the distance.
 #[derive(Debug, Clone)]
 struct Stratum {
     data_centre: CompactString,
+    /// Latencies of the old version.
     latencies: Histogram,
+    failures: Block,
+    slowness: Block,
 }
 
-/// What requests of one period mean for the tests of a route.
+/// Bounds of what is not badness yet.
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct Bounds {
-    /// Ratio of the odds that is not badness yet.
-    pub(crate) failure_odds: f64,
-    pub(crate) slow_odds: f64,
-    pub(crate) slowdown: f64,
-    pub(crate) slack: time::Duration,
+    failure_odds: f64,
+    slow_odds: f64,
+    slowdown: f64,
+    slack: time::Duration,
+}
+
+/// When requests arrived and which of them count.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Season {
+    pub(crate) now: time::Instant,
+    /// Nothing counts yet.
+    pub(crate) is_cold: bool,
+    /// Latencies count.
+    pub(crate) is_warm: bool,
+}
+
+/// What was slow among some requests.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Slow {
+    old: Trials,
+    new: Trials,
+    /// Rate of slow requests to the old version.
+    usual: f64,
 }
 
 impl From<&Settings> for Bounds {
@@ -63,6 +88,9 @@
     const EXPOSURE: f64 = 0.02;
     /// Excess that is to be ruled out at most.
     const EXCESS: f64 = 0.25;
+    /// Standard deviations by which the old version's rate is taken higher than measured, so that
+    /// a good version is not held to a rate that was low by chance.
+    const DEVIATIONS: f64 = 2.0;
 
     /// Tests of `route` without evidence; the first step is to `next_share`.
     #[must_use]
@@ -95,34 +123,47 @@
         &mut self,
         data_centre: &str,
         pair: &Pair,
-        bounds: &Bounds,
-        is_cold: bool,
-        is_warm: bool,
+        bounds: Bounds,
+        season: Season,
     ) -> Slow {
-        self.step.merge(pair);
-        if !is_cold {
-            let (old, new) = (failures(&pair.old), failures(&pair.new));
-            self.failures.absorb(old, new, bounds.failure_odds);
-        }
         let stratum = self.stratum(data_centre);
-        let limit = stratum.limit(bounds).filter(|_| is_warm);
-        let slow = limit.map_or_else(Slow::default, |limit| Slow::of(pair, limit));
+        let slow = if season.is_warm {
+            stratum.slow(pair, bounds)
+        } else {
+            Slow::default()
+        };
         stratum.absorb(&pair.old.histogram);
-        self.slowness.absorb(slow.old, slow.new, bounds.slow_odds);
+        self.absorb_slow(data_centre, pair, slow, bounds, season);
         slow
     }
 
-    /// Takes what requests on one of several routes showed, for the evidence of health only.
-    pub(crate) fn absorb_pooled(&mut self, pair: &Pair, slow: Slow, is_cold: bool) {
+    /// Takes what requests in one data centre showed, of which `slow` were slow.
+    pub(crate) fn absorb_slow(
+        &mut self,
+        data_centre: &str,
+        pair: &Pair,
+        slow: Slow,
+        bounds: Bounds,
+        season: Season,
+    ) {
         self.step.merge(pair);
-        if !is_cold {
+        if !season.is_cold {
             let (old, new) = (failures(&pair.old), failures(&pair.new));
-            self.failures.absorb_health(old, new);
+            let usual = self.failures.old.upper_rate(Self::DEVIATIONS);
+            self.failures.absorb(old, new, usual);
+            let block = self
+                .stratum(data_centre)
+                .failures
+                .push(old, new, season.now);
+            self.failures.compare(block, bounds.failure_odds);
         }
-        self.slowness.absorb_health(slow.old, slow.new);
+        self.slowness.absorb(slow.old, slow.new, slow.usual);
+        let stratum = self.stratum(data_centre);
+        let block = stratum.slowness.push(slow.old, slow.new, season.now);
+        self.slowness.compare(block, bounds.slow_odds);
     }
 
-    /// The route.
+    /// The route; empty for all routes together.
     #[must_use]
     pub fn route(&self) -> &str {
         &self.route
@@ -137,12 +178,7 @@
     /// Requests to the new version that counted since the last step.
     #[must_use]
     pub fn requests(&self) -> u64 {
-        self.failures.health.requests()
-    }
-
-    /// Requests to both versions since the last step.
-    pub(crate) fn all_requests(&self) -> f64 {
-        crate::trials::real(self.step.old.requests + self.step.new.requests)
+        self.failures.new.total
     }
 
     /// Failures of the new version since the last step.
@@ -169,7 +205,7 @@
     /// Whether the route has enough requests for evidence of its own, where `ahead` times as many
     /// as since the last step are expected.
     pub(crate) fn is_busy(&self, ahead: f64) -> bool {
-        crate::trials::real(self.step.new.requests) * ahead.max(1.0) >= self.needed()
+        real(self.step.new.requests) * ahead.max(1.0) >= self.needed()
     }
 
     /// What the tests say, for people.
@@ -184,14 +220,17 @@
 
     /// Why the route shows badness, where evidence exceeds `bound`.
     pub(crate) fn alarm(&self, bound: f64) -> Option<CompactString> {
-        let route = &self.route;
         let worse = [(&self.failures, "fails"), (&self.slowness, "is slow")];
         let (side, how) = worse
             .into_iter()
             .find(|(side, _)| side.detector.log_evidence() >= bound)?;
         let Trials { total, hits } = side.new;
+        let route = match self.route.as_str() {
+            "" => CompactString::const_new("all routes"),
+            route => format_compact!("route `{route}`"),
+        };
         Some(format_compact!(
-            "route `{route}`: the new version {how} more often than the old one, \
+            "{route}: the new version {how} more often than the old one, \
              {hits} of {total} requests since the last step"
         ))
     }
@@ -204,6 +243,8 @@
             let stratum = Stratum {
                 data_centre: data_centre.into(),
                 latencies: Histogram::default(),
+                failures: Block::default(),
+                slowness: Block::default(),
             };
             self.strata.insert(place, stratum);
             place
@@ -230,15 +271,18 @@
         self.new = Trials::default();
     }
 
-    fn absorb(&mut self, old: Trials, new: Trials, null: f64) {
-        self.detector.absorb(self.speaks(old, new, null));
-        self.absorb_health(old, new);
-    }
-
-    fn absorb_health(&mut self, old: Trials, new: Trials) {
+    /// Takes requests as evidence of health, where the old version has the rate `usual`.
+    fn absorb(&mut self, old: Trials, new: Trials, usual: f64) {
         self.old.merge(old);
-        self.health.absorb(self.old.rate(), new);
         self.new.merge(new);
+        self.health.absorb(usual, new);
+    }
+
+    /// Compares the requests of a block, if one is complete.
+    fn compare(&mut self, block: Option<(Trials, Trials)>, null: f64) {
+        if let Some((old, new)) = block {
+            self.detector.absorb(self.speaks(old, new, null));
+        }
     }
 
     /// Compares with the old version over the same time, or with its past where it has no requests.
@@ -267,23 +311,37 @@
 
 impl Stratum {
     /// Requests to the old version before its latencies are a reference.
-    const LEAST: u64 = 20;
+    const LEAST: u64 = 50;
     /// Requests to the old version at which earlier ones begin to weigh less.
     const MOST: u64 = 4_000;
     /// Part of the old version's requests that are faster than the reference.
     const QUANTILE: f64 = 0.9;
 
+    /// What is slow in `pair`, by what was known of the old version before.
+    fn slow(&self, pair: &Pair, bounds: Bounds) -> Slow {
+        let Some(limit) = self.limit(bounds) else {
+            return Slow::default();
+        };
+        let above = |histogram: &Histogram| Trials {
+            total: histogram.total(),
+            hits: histogram.above(limit),
+        };
+        Slow {
+            old: above(&pair.old.histogram),
+            new: above(&pair.new.histogram),
+            usual: above(&self.latencies).upper_rate(Trial::DEVIATIONS),
+        }
+    }
+
     /// Bucket above which a request is slow; `None` before enough is known.
-    fn limit(&self, bounds: &Bounds) -> Option<usize> {
+    fn limit(&self, bounds: Bounds) -> Option<usize> {
         if self.latencies.total() < Self::LEAST {
             return None;
         }
         let bucket = self.latencies.quantile(Self::QUANTILE)?;
         let reference = Histogram::lower(bucket + 1);
-        let slow = reference
-            .mul_f64(bounds.slowdown)
-            .max(reference + bounds.slack);
-        Some(Histogram::bucket(slow))
+        let slow = reference.mul_f64(bounds.slowdown);
+        Some(Histogram::bucket(slow.max(reference + bounds.slack)))
     }
 
     fn absorb(&mut self, old: &Histogram) {
@@ -293,3 +351,11 @@
         }
     }
 }
+
+/// Requests that failed.
+fn failures(counts: &Counts) -> Trials {
+    Trials {
+        total: counts.requests,
+        hits: counts.failures,
+    }
+}
