routing: traffic of a version withheld at the full share goes to the old one

At the last step of a move the old version is listed with 0% and the new one with 100%. Withholding the new one then left no version with a share, and every request would have been refused. The first open version that is listed without a share takes the traffic now, as the old one stays ready until the move is done.

--- a/components/routing/src/versions.rs
+++ b/components/routing/src/versions.rs
@@ -5,12 +5,17 @@
 /// Draws a version by the shares; `point` lies from 0 up to 1.
 ///
 /// Versions for which `open` is false get nothing, and what they would get goes to the others in
-/// proportion. `None` when no version is left.
+/// proportion. Where none of them has a share, the first open version that is listed without one
+/// takes the traffic: at the full share of a move that is the old version, which stays ready.
+/// `None` when no version is left.
 #[must_use]
 pub fn draw(service: &Service, point: f64, open: impl Fn(&str) -> bool) -> Option<&Weight> {
-    let open = |weight: &&Weight| weight.share.parts() > 0 && open(&weight.version);
-    let weights = || service.weights.iter().filter(open);
+    let shared = |weight: &&Weight| weight.share.parts() > 0 && open(&weight.version);
+    let weights = || service.weights.iter().filter(shared);
     let total: u32 = weights().map(|weight| weight.share.parts()).sum();
+    if total == 0 {
+        return service.weights.iter().find(|weight| open(&weight.version));
+    }
     let mut left = point * f64::from(total);
     let mut last = None;
     for weight in weights() {
