--- a/components/routing/tests/draw.rs
+++ b/components/routing/tests/draw.rs
@@ -2,6 +2,14 @@
 
 use config::{Service, Weight};
 
+/// Name, weights in percent, withheld versions, and the version that takes the traffic.
+type Case = (
+    &'static str,
+    &'static [(&'static str, u32)],
+    &'static [&'static str],
+    Option<&'static str>,
+);
+
 fn service(weights: &[(&str, u32)]) -> Service {
     let weight = |(version, percent): &(&str, u32)| Weight {
         version: (*version).into(),
@@ -16,7 +24,7 @@
 
 #[test]
 fn draw_withheld_cases() {
-    let cases: [(&str, &[(&str, u32)], &[&str], Option<&str>); 5] = [
+    let cases: [Case; 5] = [
         (
             "small share withheld",
             &[("v1", 95), ("v2", 5)],
