--- a/components/distribution/tests/mesh/bench.rs
+++ b/components/distribution/tests/mesh/bench.rs
@@ -136,7 +136,7 @@
     /// Takes a node off the network and stops it; the other nodes still believe that it runs.
     pub(crate) async fn kill(&mut self, place: usize) -> rc::Rc<Member> {
         let running = self.nodes.remove(place);
-        self.network.remove(running.member.peer_address);
+        self.network.crash(running.member.peer_address);
         let member = running.member.clone();
         running.close().await;
         member
