--- a/components/membership/src/gossip.rs
+++ b/components/membership/src/gossip.rs
@@ -82,13 +82,15 @@
         if now < self.grace.get() {
             return;
         }
-        let members = self.scope.borrow().members();
+        let scope = self.scope();
+        let members = scope.members();
         let factor = self.health.get().factor();
         let mut table = self.table.borrow_mut();
         let expired: Vec<_> = table
             .suspects()
             .iter()
             .filter_map(|node| table.record(node))
+            .filter(|record| scope.judges(&record.member))
             .filter(|record| {
                 let period = self
                     .suspicion
@@ -163,6 +165,11 @@
         if !due || self.reader.get().generation() == table.generation() {
             return;
         }
+        // A node that joins again after a long pause keeps its old view until it has a new one.
+        let known = self.reader.get().members().len();
+        if !self.joined.get() && table.records().len() < known {
+            return;
+        }
         self.published.set(now);
         let view = table.view();
         let scope = Scope::new(view.members(), &table.own(), self.settings.flat_limit);
--- a/components/membership/src/join.rs
+++ b/components/membership/src/join.rs
@@ -25,17 +25,19 @@
     /// First wait before another attempt to join; it doubles up to the longest.
     const RETRY_MIN: time::Duration = time::Duration::from_millis(250);
     const RETRY_MAX: time::Duration = time::Duration::from_secs(10);
+    /// Time between two looks at whether this node has to join again.
+    const JOIN_POLL: time::Duration = time::Duration::from_secs(1);
     /// The first check of the seed object comes this soon, on average.
-    const FIRST_CHECK: time::Duration = time::Duration::from_secs(2);
+    const FIRST_CHECK: time::Duration = time::Duration::from_secs(10);
 
     /// Joins, then checks the seeds from time to time; joins again after a very long pause.
     pub(crate) async fn run_joins(self: rc::Rc<Self>, stop: kernel::Stop) {
-        let mut check = jitter(Self::FIRST_CHECK);
+        let mut check = jitter(Self::FIRST_CHECK.min(self.settings.seed_period.0));
         loop {
-            if stop.guard(self.join()).await.is_none() {
+            if !self.joined.get() && stop.guard(self.join()).await.is_none() {
                 return;
             }
-            if !stop.sleep(check).await {
+            if !self.wait_for_check(check, &stop).await {
                 return;
             }
             check = jitter(self.settings.seed_period.0);
@@ -45,6 +47,18 @@
         }
     }
 
+    /// Waits for `period`, or until this node has to join again; `false` when the service stops.
+    async fn wait_for_check(&self, period: time::Duration, stop: &kernel::Stop) -> bool {
+        let until = time::Instant::now() + period;
+        while self.joined.get() && time::Instant::now() < until {
+            let left = until.saturating_duration_since(time::Instant::now());
+            if !stop.sleep(left.min(Self::JOIN_POLL)).await {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Forgets all members and joins again.
     pub(crate) fn rejoin(&self) {
         self.table.borrow_mut().forget();
@@ -54,25 +68,42 @@
     /// Tries seeds until one has given its whole view, or there is certainly no other node.
     async fn join(&self) {
         let mut wait = Self::RETRY_MIN;
-        while !self.joined.get() {
-            let (seeds, complete) = self.find_seeds().await;
-            let alone = seeds.is_empty() && complete;
-            if alone || self.pull_from_any(&seeds).await {
-                self.joined.set(true);
-                self.table.borrow_mut().announce();
-                log::info!(members = self.table.borrow().records().len(); "joined the mesh");
-                return;
+        loop {
+            match self.try_join().await {
+                Attempt::Joined => break,
+                Attempt::Busy(asked) => compio::time::sleep(jitter(asked)).await,
+                Attempt::Failed => {
+                    compio::time::sleep(jitter(wait)).await;
+                    wait = (wait * 2).min(Self::RETRY_MAX);
+                }
             }
-            compio::time::sleep(jitter(wait)).await;
-            wait = (wait * 2).min(Self::RETRY_MAX);
         }
+        self.joined.set(true);
+        self.table.borrow_mut().announce();
+        log::info!(members = self.table.borrow().records().len(); "joined the mesh");
+    }
+
+    /// Tries the seeds of the settings first, so that joining nodes spare the platform.
+    async fn try_join(&self) -> Attempt {
+        let mut seeds = self.seeds.clone();
+        seeds.shuffle(&mut rand::rng());
+        let attempt = self.pull_from_any(&seeds).await;
+        if !matches!(attempt, Attempt::Failed) {
+            return attempt;
+        }
+        let (seeds, complete) = self.find_seeds().await;
+        if seeds.is_empty() && self.seeds.is_empty() && complete {
+            return Attempt::Joined;
+        }
+        self.pull_from_any(&seeds).await
     }
 
-    /// Addresses of other nodes, those of the own data centre first, and whether the platform was read.
+    /// Addresses from the seed objects, those of the own data centre first, and whether the platform
+    /// was read.
     async fn find_seeds(&self) -> (Vec<units::Address>, bool) {
         let own = format!("{}{}", Self::SEED_PREFIX, self.identity.data_centre);
         let objects = self.list_seeds().await;
-        let mut near = self.seeds.clone();
+        let mut near = Vec::new();
         let mut far = Vec::new();
         for object in objects.iter().flatten() {
             let list = if object.key.as_str() == own {
@@ -96,24 +127,26 @@
         listing.ok()?.ok().map(|listing| listing.objects)
     }
 
-    async fn pull_from_any(&self, seeds: &[units::Address]) -> bool {
-        for seed in seeds {
+    async fn pull_from_any(&self, seeds: &[units::Address]) -> Attempt {
+        let mut attempt = Attempt::Failed;
+        let others = seeds
+            .iter()
+            .filter(|seed| **seed != self.identity.peer_address);
+        for seed in others {
             match self.pull_from(*seed).await {
-                Ok(()) => return true,
+                Ok(()) => return Attempt::Joined,
+                Err(peer::Error::Busy(wait)) => attempt = Attempt::Busy(wait),
                 Err(error) => log::debug!(seed:% = seed, error:% = error; "seed gave no view"),
             }
         }
-        false
+        attempt
     }
 
-    /// Takes the whole view of the node at `seed`, page by page.
+    /// Takes the whole view page by page, the first from `seed`.
     async fn pull_from(&self, seed: units::Address) -> Result<(), peer::Error> {
         let mut after = String::new();
         for _ in 0..Self::PAGES {
-            let kind = Kind::Pull(wire::Pull {
-                after: after.clone(),
-            });
-            let page: wire::Page = self.request(seed, kind, Self::PULL_TIMEOUT).await?;
+            let page = self.pull_page(seed, &after).await?;
             self.learn(&page.updates, Way::Bulk);
             let last = page
                 .updates
@@ -127,6 +160,37 @@
         Ok(())
     }
 
+    /// Pages after the first come from random members, so that joining nodes do not all load the
+    /// same few seeds; the seed itself is asked when that fails.
+    async fn pull_page(
+        &self,
+        seed: units::Address,
+        after: &str,
+    ) -> Result<wire::Page, peer::Error> {
+        let random = if after.is_empty() {
+            None
+        } else {
+            self.random_address()
+        };
+        for to in random.into_iter().chain([seed]) {
+            let after = after.to_owned();
+            let kind = Kind::Pull(wire::Pull { after });
+            let page = self.request(to, kind, Self::PULL_TIMEOUT).await;
+            if page.is_ok() || to == seed {
+                return page;
+            }
+        }
+        Err(peer::Error::Timeout)
+    }
+
+    fn random_address(&self) -> Option<units::Address> {
+        let table = self.table.borrow();
+        let others = table.records().iter().map(|record| &record.member);
+        let others = others.filter(|member| member.node != self.identity.node);
+        let chosen = rand::seq::IteratorRandom::choose(others, &mut rand::rng());
+        chosen.map(|member| member.peer_address)
+    }
+
     /// Looks for parts of the mesh that this node does not know, and keeps the seed object.
     async fn check_seeds(&self) {
         for seed in self.unknown(&self.seeds) {
@@ -230,6 +294,16 @@
     }
 }
 
+/// How an attempt to join ended.
+enum Attempt {
+    /// A view was taken, or there is certainly no other node.
+    Joined,
+    /// A seed asks to come back after this time.
+    Busy(time::Duration),
+    /// No seed answered.
+    Failed,
+}
+
 fn encode_seeds(addresses: &[units::Address]) -> Vec<u8> {
     let addresses = addresses.iter().map(ToString::to_string).collect();
     wire::Seeds { addresses }.encode_to_vec()
--- a/components/membership/src/scope.rs
+++ b/components/membership/src/scope.rs
@@ -16,6 +16,9 @@
     /// Members in other data centres that run; empty when the mesh is treated as one.
     far: Vec<rc::Rc<Member>>,
     ranks: Ranks,
+    /// The mesh is treated as one data centre.
+    flat: bool,
+    centre: Option<units::DataCentre>,
 }
 
 impl Scope {
@@ -30,6 +33,8 @@
             near,
             far,
             ranks: Ranks::new(members.iter()),
+            flat,
+            centre: Some(own.data_centre.clone()),
         }
     }
 
@@ -38,6 +43,11 @@
         &self.near
     }
 
+    /// Whether this node judges `member`, rather than the members of another data centre.
+    pub(crate) fn judges(&self, member: &Member) -> bool {
+        self.flat || self.centre.as_ref() == Some(&member.data_centre)
+    }
+
     /// Number of members in the scope, with this node.
     pub(crate) fn members(&self) -> usize {
         self.near.len() + 1
--- a/components/membership/tests/mesh.rs
+++ b/components/membership/tests/mesh.rs
@@ -341,6 +341,50 @@
     mesh.wait_all_alive().await;
 }
 
+#[compio::test]
+async fn pause_of_process_accuses_nobody() {
+    let mesh = Mesh::start(6, 1, patient()).await;
+    let before: Vec<_> = mesh
+        .nodes
+        .iter()
+        .map(|node| node.monitor.counts())
+        .collect();
+    // Blocks the tasks of all members, as a pause of the process does.
+    std::thread::sleep(time::Duration::from_secs(3));
+    mesh.wait("noticed", |node| node.monitor.counts().pauses > 0)
+        .await;
+    pass(time::Duration::from_secs(2)).await;
+    for (node, before) in mesh.nodes.iter().zip(before) {
+        let counts = node.monitor.counts();
+        assert_eq!(
+            (counts.accusations, counts.deaths),
+            (before.accusations, before.deaths)
+        );
+    }
+    mesh.wait_all_alive().await;
+}
+
+#[compio::test]
+async fn long_pause_joins_again() {
+    let settings = Settings {
+        retention: units::Period::from_secs(4),
+        ..patient()
+    };
+    let mesh = Mesh::start(3, 1, settings).await;
+    std::thread::sleep(time::Duration::from_secs(3));
+    mesh.wait("noticed", |node| node.monitor.counts().pauses > 0)
+        .await;
+    for node in &mesh.nodes {
+        assert_eq!(
+            node.reader.get().members().len(),
+            3,
+            "the old view stays meanwhile"
+        );
+    }
+    mesh.wait("joined", |node| node.monitor.is_joined()).await;
+    mesh.wait_all_alive().await;
+}
+
 #[compio::test]
 async fn herd_death_keeps_backends() {
     let mut mesh = Mesh::start(12, 1, patient()).await;
