--- /dev/null
+++ b/components/admission/tests/gate.rs
@@ -0,0 +1,202 @@
+//! What the gate lets through.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use admission::{Announced, Ask, Gate, Lanes, Permit, Quota, Reason, Settings};
+use futures_util::FutureExt;
+use membership::{Backend, Phase};
+
+fn announced(phase: Phase, version: &str, slots: u32) -> Announced {
+    Announced {
+        address: "127.0.0.1:1".parse().expect("an address"),
+        backend: Backend {
+            service: "menus".into(),
+            version: version.into(),
+            slots,
+            connections: 9,
+            phase,
+            instance: 1,
+        },
+    }
+}
+
+fn ask(alone: bool, left: Duration) -> Ask {
+    Ask {
+        caller: "c".into(),
+        service: "menus".into(),
+        version: "v1".into(),
+        deadline: Instant::now() + left,
+        alone,
+    }
+}
+
+const LONG: Duration = Duration::from_secs(60);
+
+fn gate(slots: u32) -> Gate {
+    let gate = Gate::new(Rc::new(Settings {
+        queue_wait: units::Period::from_secs(60),
+        ..Settings::default()
+    }));
+    gate.announce(Some(&announced(Phase::Ready, "v1", slots)));
+    gate
+}
+
+/// The refusal of a request, which must not wait for it.
+fn refused(gate: &Gate, ask: &Ask) -> Option<Reason> {
+    let admitted = gate.admit(ask).now_or_never().expect("no waiting");
+    admitted.err().map(|refusal| refusal.reason)
+}
+
+#[compio::test]
+async fn admit_by_phase() {
+    let cases = [
+        (None, Some(Reason::NoBackend)),
+        (
+            Some(announced(Phase::Starting, "v1", 4)),
+            Some(Reason::Starting),
+        ),
+        (Some(announced(Phase::Ready, "v1", 4)), None),
+        (
+            Some(announced(Phase::Ready, "v2", 4)),
+            Some(Reason::Mismatch),
+        ),
+        (
+            Some(announced(Phase::Draining, "v1", 4)),
+            Some(Reason::Draining),
+        ),
+    ];
+    let gate = Gate::new(Rc::default());
+    for (announced, wanted) in cases {
+        gate.announce(announced.as_ref());
+        assert_eq!(refused(&gate, &ask(false, LONG)), wanted);
+    }
+    gate.announce(Some(&announced(Phase::Ready, "v1", 4)));
+    gate.stop();
+    assert_eq!(refused(&gate, &ask(false, LONG)), Some(Reason::Stopping));
+}
+
+#[compio::test]
+async fn admit_past_deadline() {
+    assert_eq!(
+        refused(&gate(4), &ask(false, Duration::ZERO)),
+        Some(Reason::Late)
+    );
+}
+
+#[compio::test]
+async fn admit_what_can_finish_in_time() {
+    let gate = gate(4);
+    let started = Instant::now();
+    let (now, asked) = (started + Duration::from_secs(10), ask(false, LONG));
+    gate.admit(&asked).await.expect("a permit").finish(now);
+    assert_eq!(
+        refused(&gate, &ask(false, Duration::from_secs(1))),
+        Some(Reason::Late)
+    );
+    assert_eq!(refused(&gate, &ask(false, Duration::from_secs(20))), None);
+}
+
+#[compio::test]
+async fn admit_waits_for_place() {
+    let gate = gate(1);
+    let asked = ask(false, LONG);
+    let first = gate.admit(&asked).await.expect("a permit");
+    let mut second = Box::pin(gate.admit(&asked));
+    assert!(second.as_mut().now_or_never().is_none());
+    drop(first);
+    assert!(second.await.is_ok());
+    let dump = gate.dump();
+    assert_eq!(
+        (dump.running, dump.waiting, dump.counts.violations),
+        (0, 0, 0)
+    );
+}
+
+#[compio::test]
+async fn admit_after_waiter_left() {
+    let gate = gate(1);
+    let asked = ask(false, LONG);
+    let first = gate.admit(&asked).await.expect("a permit");
+    let mut left = Box::pin(gate.admit(&asked));
+    let mut stays = Box::pin(gate.admit(&asked));
+    assert!(left.as_mut().now_or_never().is_none());
+    assert!(stays.as_mut().now_or_never().is_none());
+    drop(left);
+    drop(first);
+    assert!(stays.await.is_ok());
+}
+
+#[compio::test]
+async fn admit_alone_beside_nothing() {
+    let gate = gate(16);
+    let (asked, alone) = (ask(false, LONG), ask(true, LONG));
+    let first = gate.admit(&asked).await.expect("a permit");
+    let mut suspect = Box::pin(gate.admit(&alone));
+    assert!(suspect.as_mut().now_or_never().is_none());
+    let mut later = Box::pin(gate.admit(&asked));
+    assert!(later.as_mut().now_or_never().is_none());
+    drop(first);
+    let permit = suspect.await.expect("a permit");
+    assert!(Permit::is_alone(&permit));
+    assert!(later.as_mut().now_or_never().is_none());
+    drop(permit);
+    assert!(later.await.is_ok());
+    assert_eq!(gate.counts().violations, 0);
+}
+
+#[compio::test]
+async fn drain_refuses_who_waits() {
+    let gate = gate(1);
+    let asked = ask(false, LONG);
+    let first = gate.admit(&asked).await.expect("a permit");
+    let mut waiting = Box::pin(gate.admit(&asked));
+    assert!(waiting.as_mut().now_or_never().is_none());
+    gate.announce(Some(&announced(Phase::Draining, "v1", 1)));
+    let refusal = waiting.await.err().map(|refusal| refusal.reason);
+    assert_eq!(refusal, Some(Reason::Draining));
+    drop(first);
+}
+
+#[test]
+fn lanes_take_turns() {
+    let mut lanes = Lanes::default();
+    for (caller, element) in [("a", 1), ("a", 2), ("a", 3), ("b", 4), ("c", 5)] {
+        assert_eq!(lanes.push(&caller.into(), element, 9), None);
+    }
+    let order: Vec<_> = std::iter::from_fn(|| lanes.pop()).collect();
+    assert_eq!(order, [1, 4, 5, 2, 3]);
+    assert!(lanes.is_empty());
+}
+
+#[test]
+fn lanes_full() {
+    let mut lanes = Lanes::default();
+    for element in 0..4 {
+        lanes.push(&"busy".into(), element, 4);
+    }
+    assert_eq!(lanes.push(&"busy".into(), 9, 4), Some(9));
+    assert_eq!(lanes.push(&"other".into(), 10, 4), Some(3));
+    assert_eq!(lanes.len(), 4);
+}
+
+#[test]
+fn quota_leaves_room() {
+    let quota = Quota::new(10);
+    let slow: Vec<_> = (0..20)
+        .filter_map(|_| quota.enter(&"slow".into()))
+        .collect();
+    assert_eq!(slow.len(), 10);
+    drop(slow);
+    let other = quota.enter(&"other".into());
+    let slow: Vec<_> = (0..20)
+        .filter_map(|_| quota.enter(&"slow".into()))
+        .collect();
+    assert_eq!((other.is_some(), slow.len()), (true, 5));
+    let more: Vec<_> = (0..20)
+        .filter_map(|_| quota.enter(&"other".into()))
+        .collect();
+    assert_eq!(more.len(), 4);
+    drop((other, slow, more));
+    assert_eq!(quota.total(), 0);
+}
--- /dev/null
+++ b/components/routing/tests/versions.rs
@@ -0,0 +1,57 @@
+//! Which version gets a request.
+
+use config::{Service, Weight};
+use routing::{draw, fall_back};
+
+fn service(weights: &[(&str, u32)]) -> Service {
+    let weights = weights.iter().map(|(version, parts)| Weight {
+        version: (*version).into(),
+        share: units::Share::from_parts(*parts).expect("a share"),
+    });
+    Service {
+        name: "menus".into(),
+        weights: weights.collect(),
+        revision: units::Version::default(),
+    }
+}
+
+#[test]
+fn draw_by_share() {
+    let two: &[(&str, u32)] = &[("v1", 9_900), ("v2", 100)];
+    let cases: [(&[(&str, u32)], f64, &str, Option<&str>); 9] = [
+        (two, 0.0, "", Some("v1")),
+        (two, 0.9899, "", Some("v1")),
+        (two, 0.9901, "", Some("v2")),
+        (two, 0.999_999, "", Some("v2")),
+        (two, 0.9999, "v2", Some("v1")),
+        (two, 0.5, "v1", Some("v2")),
+        (&[("v1", 10_000)], 0.5, "v1", None),
+        (&[("v1", 0), ("v2", 10_000)], 0.0, "", Some("v2")),
+        (&[("v1", 10_000), ("v2", 0)], 1.0, "", Some("v1")),
+    ];
+    for (weights, point, withheld, wanted) in cases {
+        let service = service(weights);
+        let drawn = draw(&service, point, |version| version != withheld);
+        let drawn = drawn.map(|weight| weight.version.as_str());
+        assert_eq!(drawn, wanted, "{weights:?} at {point} without {withheld}");
+    }
+}
+
+#[test]
+fn fall_back_never_to_smaller_share() {
+    let cases = [
+        ("v1", 9_900, "v2", 100, "v1", None),
+        ("v1", 9_900, "v2", 100, "v2", Some("v1")),
+        ("v1", 5_000, "v2", 5_000, "v1", Some("v2")),
+    ];
+    for (one, one_parts, other, other_parts, drawn, wanted) in cases {
+        let service = service(&[(one, one_parts), (other, other_parts)]);
+        let weight = service.weight(drawn).expect("a weight");
+        let fallen = fall_back(&service, weight, |_| true);
+        assert_eq!(
+            fallen.map(|weight| weight.version.as_str()),
+            wanted,
+            "{drawn}"
+        );
+    }
+}
