routing: the directory takes over only what has changed; upstream: connections wait for the server's settings

A frozen server's kernel accepts connections; waiting for its SETTINGS makes requests to it end as not run.

--- a/components/admission/src/settings.rs
+++ b/components/admission/src/settings.rs
@@ -43,7 +43,7 @@
             queue_slots: 4,
             latency_tolerance: 2.0,
             latency_slack: units::Period::from_millis(10),
-            ingress_requests: 4_096,
+            ingress_requests: 1_024,
             suspect_period: units::Period::from_secs(600),
             quarantine: units::Period::from_secs(600),
             suspects: 1_024,
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -1,5 +1,6 @@
 //! The backend servers of the mesh, by service and version.
 
+use std::cmp;
 use std::rc;
 use std::time;
 
@@ -13,7 +14,8 @@
 pub struct Directory {
     node: units::Node,
     data_centre: units::DataCentre,
-    generation: Option<u64>,
+    /// The view that was taken over last.
+    view: Option<rc::Rc<View>>,
     /// Sorted by node.
     endpoints: Vec<rc::Rc<Endpoint>>,
     /// Sorted by service and version.
@@ -37,6 +39,17 @@
 }
 
 impl Seen {
+    fn new(endpoint: &Endpoint, now: time::Instant, early: bool) -> Self {
+        Self {
+            service: endpoint.service.clone(),
+            version: endpoint.version.clone(),
+            node: endpoint.node.clone(),
+            joined: now,
+            left: None,
+            early,
+        }
+    }
+
     fn key(&self) -> (&str, &str, &units::Node) {
         (&self.service, &self.version, &self.node)
     }
@@ -45,6 +58,8 @@
 impl Directory {
     /// Most owners that are asked for the record of a key.
     const PAST_LIMIT: usize = 4;
+    /// Most changed members that are taken over one by one.
+    const CHANGES_LIMIT: usize = 512;
 
     /// An empty directory as seen from `node` in `data_centre`.
     #[must_use]
@@ -52,7 +67,7 @@
         Self {
             node,
             data_centre,
-            generation: None,
+            view: None,
             endpoints: Vec::new(),
             groups: Vec::new(),
             seen: Vec::new(),
@@ -61,37 +76,151 @@
     }
 
     /// Takes over `view`; does nothing when it is the one held.
-    pub fn update(&mut self, view: &View, policy: &Policy, now: time::Instant) {
-        if self.generation == Some(view.generation()) {
+    ///
+    /// The cost grows with the members that have changed, but for a comparison of pointers.
+    pub fn update(&mut self, view: &rc::Rc<View>, policy: &Policy, now: time::Instant) {
+        let held = self.view.replace(view.clone());
+        let Some(held) = held.filter(|_| self.started) else {
+            return self.rebuild(view, policy, now);
+        };
+        if held.generation() == view.generation() {
             return;
         }
-        self.generation = Some(view.generation());
+        let changed = changes(held.members(), view.members());
+        if changed.len() > Self::CHANGES_LIMIT {
+            return self.rebuild(view, policy, now);
+        }
+        for node in changed {
+            self.apply(&node, view.member(&node), now);
+        }
+        self.forget(policy, now);
+    }
+
+    /// Takes over the whole of `view`.
+    fn rebuild(&mut self, view: &View, policy: &Policy, now: time::Instant) {
         let old = std::mem::take(&mut self.endpoints);
-        for member in view.running() {
-            let Some(backend) = member.backend.as_ref() else {
-                continue;
-            };
-            if backend.phase != Phase::Ready {
-                continue;
-            }
+        for member in view.members() {
             let place = old.binary_search_by(|one| one.node.cmp(&member.node));
             let known = place.ok().map(|place| &old[place]);
-            let kept = known.filter(|one| one.is(member, backend)).cloned();
-            let made =
-                || Endpoint::new(member, &self.node, &self.data_centre, now).map(rc::Rc::new);
-            self.endpoints.extend(kept.or_else(made));
+            let endpoint = self.endpoint(member, known, now);
+            self.endpoints.extend(endpoint);
         }
         self.group();
         self.remember(view, policy, now);
     }
 
+    /// The endpoint of `member` if it takes requests: the `known` one where nothing has changed.
+    fn endpoint(
+        &self,
+        member: &Member,
+        known: Option<&rc::Rc<Endpoint>>,
+        now: time::Instant,
+    ) -> Option<rc::Rc<Endpoint>> {
+        let backend = member.backend.as_ref()?;
+        let running = matches!(member.state, State::Alive | State::Suspect);
+        if !running || backend.phase != Phase::Ready {
+            return None;
+        }
+        match known.filter(|known| known.is(member, backend)) {
+            Some(known) => Some(known.clone()),
+            None => Endpoint::new(member, &self.node, &self.data_centre, now).map(rc::Rc::new),
+        }
+    }
+
+    /// Takes over what has become of one node.
+    fn apply(&mut self, node: &units::Node, member: Option<&rc::Rc<Member>>, now: time::Instant) {
+        let place = self.endpoints.binary_search_by(|one| one.node.cmp(node));
+        let old = place.ok().map(|place| self.endpoints[place].clone());
+        let new = member.and_then(|member| self.endpoint(member, old.as_ref(), now));
+        match (&old, &new) {
+            (None, None) => return,
+            (Some(old), Some(new)) if rc::Rc::ptr_eq(old, new) => return,
+            _ => {}
+        }
+        match (place, &new) {
+            (Ok(place), Some(new)) => self.endpoints[place] = new.clone(),
+            (Ok(place), None) => drop(self.endpoints.remove(place)),
+            (Err(place), Some(new)) => self.endpoints.insert(place, new.clone()),
+            (Err(_), None) => {}
+        }
+        if let Some(old) = &old {
+            self.regroup(old, None);
+        }
+        if let Some(new) = &new {
+            self.regroup(new, Some(new));
+        }
+        let same = |old: &rc::Rc<Endpoint>, new: &rc::Rc<Endpoint>| {
+            old.service == new.service && old.version == new.version
+        };
+        if let Some(old) = old
+            .as_ref()
+            .filter(|old| !new.as_ref().is_some_and(|new| same(old, new)))
+        {
+            self.leave(old, now);
+        }
+        if let Some(new) = new
+            .as_ref()
+            .filter(|new| !old.as_ref().is_some_and(|old| same(old, new)))
+        {
+            self.join(new, now);
+        }
+    }
+
+    /// Replaces the group of `endpoint` by one without its node, and with `added`.
+    fn regroup(&mut self, endpoint: &Endpoint, added: Option<&rc::Rc<Endpoint>>) {
+        let place = self.place(&endpoint.service, &endpoint.version);
+        let held = place.ok().map(|place| self.groups[place].clone());
+        let held = held.iter().flat_map(|group| group.all());
+        let mut all: Vec<_> = held
+            .filter(|one| one.node != endpoint.node)
+            .cloned()
+            .collect();
+        all.extend(added.cloned());
+        all.sort_by(|one, other| one.node.cmp(&other.node));
+        match place {
+            Ok(place) if all.is_empty() => drop(self.groups.remove(place)),
+            Ok(place) => self.groups[place] = rc::Rc::new(Group::new(all)),
+            Err(_) if all.is_empty() => {}
+            Err(place) => self.groups.insert(place, rc::Rc::new(Group::new(all))),
+        }
+    }
+
+    fn place(&self, service: &str, version: &str) -> Result<usize, usize> {
+        let wanted = (service, version);
+        self.groups
+            .binary_search_by(|group| (group.service.as_str(), group.version.as_str()).cmp(&wanted))
+    }
+
+    /// The owner takes no more requests for its version.
+    fn leave(&mut self, endpoint: &Endpoint, now: time::Instant) {
+        let key = group_key(endpoint);
+        let start = self.seen.partition_point(|one| one.key() < key);
+        let same = self.seen[start..]
+            .iter_mut()
+            .take_while(|one| one.key() == key);
+        for one in same {
+            one.left.get_or_insert(now);
+        }
+    }
+
+    /// The owner takes requests for its version from now on.
+    fn join(&mut self, endpoint: &Endpoint, now: time::Instant) {
+        let key = group_key(endpoint);
+        let place = self.seen.partition_point(|one| one.key() < key);
+        self.seen.insert(place, Seen::new(endpoint, now, false));
+    }
+
+    /// Forgets the owners that left longer ago than the key window.
+    fn forget(&mut self, policy: &Policy, now: time::Instant) {
+        let window = policy.key_window.0;
+        let recent = |left: time::Instant| now.saturating_duration_since(left) < window;
+        self.seen.retain(|one| one.left.is_none_or(recent));
+    }
+
     /// The group of `version` of `service`, if it has a ready backend server.
     #[must_use]
     pub fn find(&self, service: &str, version: &str) -> Option<&rc::Rc<Group>> {
-        let wanted = (service, version);
-        let place = self.groups.binary_search_by(|group| {
-            (group.service.as_str(), group.version.as_str()).cmp(&wanted)
-        });
+        let place = self.place(service, version);
         place.ok().map(|place| &self.groups[place])
     }
 
@@ -163,13 +292,8 @@
             one.service == other.service && one.version == other.version
         };
         for chunk in sorted.chunk_by(same) {
-            let (local, remote) = chunk.iter().cloned().partition(|one| one.local);
-            self.groups.push(rc::Rc::new(Group {
-                service: chunk[0].service.clone(),
-                version: chunk[0].version.clone(),
-                local,
-                remote,
-            }));
+            let group = Group::new(chunk.to_vec());
+            self.groups.push(rc::Rc::new(group));
         }
     }
 
@@ -177,17 +301,13 @@
     fn remember(&mut self, view: &View, policy: &Policy, now: time::Instant) {
         let first = !self.started;
         self.started |= !self.endpoints.is_empty();
-        let window = policy.key_window.0;
+        self.forget(policy, now);
         let mut seen = std::mem::take(&mut self.seen);
         for one in &mut seen {
             if one.left.is_none() && !self.has(one) {
                 one.left = Some(now);
             }
         }
-        seen.retain(|one| {
-            one.left
-                .is_none_or(|left| now.saturating_duration_since(left) < window)
-        });
         let held = seen.len();
         for endpoint in &self.endpoints {
             let known = seen[..held].binary_search_by(|one| {
@@ -198,14 +318,7 @@
             if known.is_ok_and(|place| stands(&seen[..held], place)) {
                 continue;
             }
-            seen.push(Seen {
-                service: endpoint.service.clone(),
-                version: endpoint.version.clone(),
-                node: endpoint.node.clone(),
-                joined: now,
-                left: None,
-                early: first,
-            });
+            seen.push(Seen::new(endpoint, now, first));
         }
         if first {
             seen.extend(view.members().iter().filter_map(|member| gone(member, now)));
@@ -233,6 +346,30 @@
     }
 }
 
+/// The nodes whose members differ between two sorted lists; unchanged members are shared by both.
+fn changes(old: &[rc::Rc<Member>], new: &[rc::Rc<Member>]) -> Vec<units::Node> {
+    let mut changed = Vec::new();
+    let (mut one, mut other) = (0, 0);
+    while one < old.len() || other < new.len() {
+        let order = match (old.get(one), new.get(other)) {
+            (Some(held), Some(next)) if rc::Rc::ptr_eq(held, next) => {
+                one += 1;
+                other += 1;
+                continue;
+            }
+            (Some(held), Some(next)) => held.node.cmp(&next.node),
+            (Some(_), None) => cmp::Ordering::Less,
+            (None, _) => cmp::Ordering::Greater,
+        };
+        let from_old = order.is_le();
+        let member = if from_old { &old[one] } else { &new[other] };
+        changed.push(member.node.clone());
+        one += usize::from(from_old);
+        other += usize::from(order.is_ge());
+    }
+    changed
+}
+
 fn group_key(endpoint: &Endpoint) -> (&str, &str, &units::Node) {
     (&endpoint.service, &endpoint.version, &endpoint.node)
 }
--- a/components/routing/src/endpoint.rs
+++ b/components/routing/src/endpoint.rs
@@ -24,6 +24,8 @@
     pub slots: u32,
     /// Number of its start.
     pub instance: u64,
+    /// Its data centre.
+    pub data_centre: units::DataCentre,
     /// Whether it is in the data centre of this node.
     pub local: bool,
     /// Whether it is beside this node.
@@ -74,6 +76,7 @@
             version: backend.version.clone(),
             slots: backend.slots.max(1),
             instance: backend.instance,
+            data_centre: member.data_centre.clone(),
             local: member.data_centre == *data_centre,
             own: member.node == *node,
             joined: now,
@@ -92,6 +95,7 @@
     #[must_use]
     pub fn is(&self, member: &Member, backend: &Backend) -> bool {
         self.address == member.mesh_address
+            && self.data_centre == member.data_centre
             && self.instance == backend.instance
             && self.slots == backend.slots.max(1)
             && self.service == backend.service
--- a/components/routing/src/group.rs
+++ b/components/routing/src/group.rs
@@ -20,6 +20,21 @@
 }
 
 impl Group {
+    /// A group of `endpoints` of one version, sorted by node.
+    #[must_use]
+    pub fn new(endpoints: Vec<rc::Rc<Endpoint>>) -> Self {
+        let first = endpoints.first();
+        let service = first.map(|first| first.service.clone()).unwrap_or_default();
+        let version = first.map(|first| first.version.clone()).unwrap_or_default();
+        let (local, remote) = endpoints.into_iter().partition(|one| one.local);
+        Self {
+            service,
+            version,
+            local,
+            remote,
+        }
+    }
+
     /// All backend servers.
     pub fn all(&self) -> impl Iterator<Item = &rc::Rc<Endpoint>> {
         self.local.iter().chain(&self.remote)
@@ -31,13 +46,7 @@
         let mut all: Vec<_> = self.all().cloned().collect();
         all.sort_by(|one, other| one.node.cmp(&other.node));
         all.truncate(count.max(1));
-        let (local, remote) = all.into_iter().partition(|one| one.local);
-        Self {
-            service: self.service.clone(),
-            version: self.version.clone(),
-            local,
-            remote,
-        }
+        Self::new(all)
     }
 
     /// Whether one more backend server may be ejected.
--- a/components/routing/tests/choice.rs
+++ b/components/routing/tests/choice.rs
@@ -31,8 +31,11 @@
     member(node, data_centre, "v1", Phase::Ready)
 }
 
-fn view(members: Vec<Member>, generation: u64) -> View {
-    View::new(members.into_iter().map(rc::Rc::new).collect(), generation)
+fn view(members: Vec<Member>, generation: u64) -> rc::Rc<View> {
+    rc::Rc::new(View::new(
+        members.into_iter().map(rc::Rc::new).collect(),
+        generation,
+    ))
 }
 
 struct Bench {
@@ -247,3 +250,48 @@
     assert!(rc::Rc::ptr_eq(&before, &bench.endpoint("a")));
     assert!(!rc::Rc::ptr_eq(&old, &bench.endpoint("b")));
 }
+
+/// One change at a time leads to the same groups as a fresh look.
+#[test]
+fn update_step_by_step() {
+    let names = ["a", "b", "c", "d", "e"];
+    let phases = [Phase::Ready, Phase::Draining, Phase::Starting];
+    let mut rng = StdRng::seed_from_u64(11);
+    let mut members: Vec<_> = names
+        .iter()
+        .map(|name| rc::Rc::new(ready(name, "ba")))
+        .collect();
+    let mut bench = Bench::new(vec![ready("a", "ba")]);
+    for generation in 2..300 {
+        let place = rand::Rng::random_range(&mut rng, 0..names.len());
+        let version = if rand::Rng::random(&mut rng) {
+            "v1"
+        } else {
+            "v2"
+        };
+        let phase = phases[rand::Rng::random_range(&mut rng, 0..phases.len())];
+        let data_centre = if generation % 3 == 0 { "ba" } else { "nadi" };
+        members[place] = rc::Rc::new(member(names[place], data_centre, version, phase));
+        let shown = members
+            .iter()
+            .filter(|_| rand::Rng::random_ratio(&mut rng, 9, 10));
+        let view = rc::Rc::new(View::new(shown.cloned().collect(), generation));
+        bench.directory.update(&view, &bench.policy, bench.now);
+        let node = "n0".parse().expect("a node id");
+        let mut fresh = Directory::new(node, "ba".parse().expect("a data centre"));
+        fresh.update(&view, &bench.policy, bench.now);
+        for version in ["v1", "v2"] {
+            let nodes = |directory: &Directory| {
+                let group = directory.find("menus", version);
+                let all = group.iter().flat_map(|group| group.all());
+                all.map(|one| (one.node.to_string(), one.local))
+                    .collect::<Vec<_>>()
+            };
+            assert_eq!(
+                nodes(&bench.directory),
+                nodes(&fresh),
+                "{generation} {version}"
+            );
+        }
+    }
+}
--- a/components/routing/tests/home.rs
+++ b/components/routing/tests/home.rs
@@ -31,7 +31,7 @@
     directory: Directory,
     generation: u64,
     now: Instant,
-    view: View,
+    view: rc::Rc<View>,
 }
 
 impl Bench {
@@ -41,7 +41,7 @@
             directory: Directory::new(node, "ba".parse().expect("a data centre")),
             generation: 0,
             now: Instant::now(),
-            view: View::default(),
+            view: rc::Rc::default(),
         }
     }
 
@@ -49,7 +49,7 @@
         self.now += Duration::from_secs(after);
         self.generation += 1;
         let members = members.iter().map(|(node, state)| member(node, *state));
-        self.view = View::new(members.collect(), self.generation);
+        self.view = rc::Rc::new(View::new(members.collect(), self.generation));
         self.directory
             .update(&self.view, &Policy::default(), self.now);
     }
--- a/components/routing/tests/versions.rs
+++ b/components/routing/tests/versions.rs
@@ -3,7 +3,7 @@
 use config::{Service, Weight};
 use routing::{draw, fall_back};
 
-fn service(weights: &[(&str, u32)]) -> Service {
+fn service(weights: Weights) -> Service {
     let weights = weights.iter().map(|(version, parts)| Weight {
         version: (*version).into(),
         share: units::Share::from_parts(*parts).expect("a share"),
@@ -15,10 +15,12 @@
     }
 }
 
+type Weights<'w> = &'w [(&'w str, u32)];
+
 #[test]
 fn draw_by_share() {
-    let two: &[(&str, u32)] = &[("v1", 9_900), ("v2", 100)];
-    let cases: [(&[(&str, u32)], f64, &str, Option<&str>); 9] = [
+    let two: Weights = &[("v1", 9_900), ("v2", 100)];
+    let cases: [(Weights, f64, &str, Option<&str>); 9] = [
         (two, 0.0, "", Some("v1")),
         (two, 0.9899, "", Some("v1")),
         (two, 0.9901, "", Some("v2")),
--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -39,13 +39,16 @@
     /// HTTP/2 stream and connection windows, in bytes.
     const WINDOW_BYTES: u32 = 1024 * 1024;
 
-    /// Connects to `address`.
+    /// Connects to `address`, and waits until the server has sent its settings.
+    ///
+    /// The kernel accepts connections for a server that is frozen; a request sent on one of them
+    /// would be lost without a trace.
     pub(crate) async fn open(address: units::Address, settings: &Settings) -> io::Result<Self> {
         let stream = net::TcpStream::connect(address.0).await?;
         stream.set_nodelay(true)?;
         let now = time::Instant::now();
         let last_read = rc::Rc::new(cell::Cell::new(now));
-        let watched = Watched::new(stream, last_read.clone());
+        let (watched, heard) = Watched::new(stream, last_read.clone());
         let handshake = http2::Builder::new(web::Executor)
             .timer(CompioTimer)
             .keep_alive_interval(settings.ping_interval.0)
@@ -69,6 +72,10 @@
             ending.closed.set(true);
         })
         .detach();
+        let _ = heard.await;
+        if state.closed.get() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         Ok(Self { sender, state })
     }
 
--- a/components/upstream/src/settings.rs
+++ b/components/upstream/src/settings.rs
@@ -11,7 +11,7 @@
         pub connections: usize,
         /// Requests on one connection after which another one is opened.
         pub streams: usize,
-        /// Time for opening a connection.
+        /// Time for opening a connection, the server's settings included.
         pub connect_timeout: units::Period,
         /// Interval of pings on a connection that has requests.
         pub ping_interval: units::Period,
@@ -33,7 +33,7 @@
         Self {
             connections: 4,
             streams: 100,
-            connect_timeout: units::Period::from_millis(1_000),
+            connect_timeout: units::Period::from_millis(500),
             ping_interval: units::Period::from_millis(400),
             ping_timeout: units::Period::from_millis(1_000),
             silent_after: units::Period::from_millis(700),
--- a/components/upstream/src/watched.rs
+++ b/components/upstream/src/watched.rs
@@ -9,22 +9,31 @@
 
 use compio::net;
 use cyper_core::HyperStream;
+use futures_channel::oneshot;
 use hyper::rt;
 
 /// TCP stream that remembers when it last received bytes.
 pub(crate) struct Watched {
     inner: HyperStream<net::TcpStream>,
     last_read: rc::Rc<cell::Cell<time::Instant>>,
+    /// Told of the first bytes.
+    first: Option<oneshot::Sender<()>>,
 }
 
 impl Watched {
-    /// Watches `stream`; `last_read` is set at each read.
+    /// Watches `stream`; `last_read` is set at each read, and the receiver ends with the first one.
     pub(crate) fn new(
         stream: net::TcpStream,
         last_read: rc::Rc<cell::Cell<time::Instant>>,
-    ) -> Self {
+    ) -> (Self, oneshot::Receiver<()>) {
         let inner = HyperStream::new_plain(stream);
-        Self { inner, last_read }
+        let (sender, receiver) = oneshot::channel();
+        let watched = Self {
+            inner,
+            last_read,
+            first: Some(sender),
+        };
+        (watched, receiver)
     }
 }
 
@@ -37,6 +46,9 @@
         let polled = pin::Pin::new(&mut self.inner).poll_read(context, buffer);
         if polled.is_ready() {
             self.last_read.set(time::Instant::now());
+            if let Some(first) = self.first.take() {
+                let _ = first.send(());
+            }
         }
         polled
     }
--- a/node/examples/path.rs
+++ b/node/examples/path.rs
@@ -1,4 +1,5 @@
-//! Measures the request path: `path backend I`, `path node I OWNERS`, `path load ADDRESS RATE SECONDS`.
+//! Measures the request path: `path backend I`, `path node I OWNERS`, `path load ADDRESS RATE SECONDS`,
+//! `path sizes MEMBERS`.
 //!
 //! Node `I` has the backend server `I` beside it when `I` is below `OWNERS`; all nodes know all
 //! owners without gossip.
@@ -155,71 +156,159 @@
     futures_util::future::join(mesh, callers).await;
 }
 
+/// What callers have seen.
+struct Seen {
+    histogram: RefCell<Histogram<u64>>,
+    reasons: RefCell<Vec<(String, u64)>>,
+    failed: Cell<u64>,
+    left: Cell<u64>,
+}
+
+impl Seen {
+    fn refuse(&self, reason: String) {
+        let mut reasons = self.reasons.borrow_mut();
+        match reasons.iter_mut().find(|known| known.0 == reason) {
+            Some(known) => known.1 += 1,
+            None => reasons.push((reason, 1)),
+        }
+    }
+
+    /// Runs one call that was due at `due`, and counts its time when it is `measured`.
+    async fn call(
+        &self,
+        mut connection: web::Connection<Full<Bytes>>,
+        due: Instant,
+        measured: bool,
+    ) {
+        let request = http::Request::get("http://menus.example/menu/7");
+        let request = request.body(Full::default()).expect("a request");
+        let whole = match connection.send(request).await {
+            Ok(answer) if answer.status().is_success() => answer.collect().await.is_ok(),
+            Ok(answer) => {
+                self.refuse(format!("{:?}", answer.headers().get("radishgap-reason")));
+                false
+            }
+            Err(_) => false,
+        };
+        if !whole {
+            self.failed.set(self.failed.get() + 1);
+        } else if measured {
+            let micros = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
+            let _ = self.histogram.borrow_mut().record(micros);
+        }
+        self.left.set(self.left.get() - 1);
+    }
+
+    fn print(&self, rate: u64, sent: u64, took: Duration) {
+        let histogram = self.histogram.borrow();
+        let quantile = |part| histogram.value_at_quantile(part);
+        println!(
+            "rate {rate}/s, {:.0} answers/s, {} failed, p50 {} us, p99 {} us, p99.9 {} us, max {} us {:?}",
+            (sent - self.failed.get()) as f64 / took.as_secs_f64(),
+            self.failed.get(),
+            quantile(0.5),
+            quantile(0.99),
+            quantile(0.999),
+            histogram.max(),
+            self.reasons.borrow(),
+        );
+    }
+}
+
 /// Open-loop load: each call starts when it is due, however late the others are.
 async fn run_load(target: units::Address, rate: u64, seconds: u64) {
-    let connections = 8;
+    const CONNECTIONS: usize = 8;
     let mut open = Vec::new();
-    for _ in 0..connections {
+    for _ in 0..CONNECTIONS {
         let connection = web::Connection::<Full<Bytes>>::open(target, Duration::from_secs(5)).await;
         open.push(connection.expect("a connection"));
     }
-    let histogram = Rc::new(RefCell::new(Histogram::<u64>::new(3).expect("a histogram")));
-    let reasons = Rc::new(RefCell::new(std::collections::BTreeMap::new()));
-    let failed = Rc::new(Cell::new(0_u64));
-    let left = Rc::new(Cell::new(0_u64));
+    let seen = Rc::new(Seen {
+        histogram: RefCell::new(Histogram::new(3).expect("a histogram")),
+        reasons: RefCell::default(),
+        failed: Cell::new(0),
+        left: Cell::new(rate * seconds),
+    });
     let started = Instant::now();
     let warm = Duration::from_secs(seconds.min(5) / 2);
-    for number in 0..rate * seconds {
+    for (number, connection) in (0..rate * seconds).zip(open.iter().cycle()) {
         let due = started + Duration::from_nanos(number * 1_000_000_000 / rate);
         let now = Instant::now();
         if due > now {
             compio::time::sleep(due - now).await;
         }
-        let mut connection = open[usize::try_from(number % connections).unwrap_or(0)].clone();
-        let (histogram, failed, left) = (histogram.clone(), failed.clone(), left.clone());
-        let reasons = reasons.clone();
-        left.set(left.get() + 1);
-        compio::runtime::spawn(async move {
-            let request = http::Request::get("http://menus.example/menu/7");
-            let request = request.body(Full::default()).expect("a request");
-            let whole = match connection.send(request).await {
-                Ok(answer) if answer.status().is_success() => answer.collect().await.is_ok(),
-                Ok(answer) => {
-                    let reason = answer.headers().get("radishgap-reason").cloned();
-                    *reasons
-                        .borrow_mut()
-                        .entry(format!("{reason:?}"))
-                        .or_insert(0_u64) += 1;
-                    false
-                }
-                Err(_) => false,
-            };
-            if !whole {
-                failed.set(failed.get() + 1);
-            } else if due.duration_since(started) >= warm {
-                let micros = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
-                let _ = histogram.borrow_mut().record(micros);
-            }
-            left.set(left.get() - 1);
-        })
-        .detach();
+        let (seen, connection) = (seen.clone(), connection.clone());
+        let measured = due.duration_since(started) >= warm;
+        compio::runtime::spawn(async move { seen.call(connection, due, measured).await }).detach();
     }
-    while left.get() > 0 && started.elapsed() < Duration::from_secs(seconds + 10) {
+    while seen.left.get() > 0 && started.elapsed() < Duration::from_secs(seconds + 10) {
         compio::time::sleep(Duration::from_millis(10)).await;
     }
-    let histogram = histogram.borrow();
-    if !reasons.borrow().is_empty() {
-        println!("refused: {:?}", reasons.borrow());
+    seen.print(rate, rate * seconds, started.elapsed());
+}
+
+/// Time for taking over a view of `members` members and a configuration of as many routes.
+fn run_sizes(members: u16) {
+    let all = |changed: u64| {
+        (0..members).map(move |index| {
+            let mut member = member(index, members);
+            if let Some(backend) = &mut member.backend {
+                backend.service = format!("s{}", index % (members / 7).max(1)).into();
+                backend.instance = changed;
+            }
+            Rc::new(member)
+        })
+    };
+    let own = "n0".parse().expect("a node id");
+    let mut directory = routing::Directory::new(own, "ba".parse().expect("a data centre"));
+    let policy = routing::Policy::default();
+    let mut current: Vec<_> = all(1).collect();
+    for generation in 1..=4 {
+        // One more member has restarted its backend server in each view.
+        let place = usize::try_from(generation).unwrap_or(0);
+        let mut restarted = (*current[place]).clone();
+        restarted
+            .backend
+            .as_mut()
+            .expect("a backend server")
+            .instance = 2;
+        current[place] = Rc::new(restarted);
+        let view = Rc::new(View::new(current.clone(), generation));
+        let started = Instant::now();
+        directory.update(&view, &policy, started);
+        println!(
+            "{members} members, view {generation}: {} us",
+            started.elapsed().as_micros()
+        );
+    }
+    let mut snapshot = configuration();
+    for chunk in 0..(members / 500).max(1) {
+        let puts = (0..500.min(members)).map(|index| {
+            let mut route = snapshot.routes()[0].clone();
+            route.name = format!("r{chunk}-{index}").into();
+            route.path_prefix = format!("/r{chunk}/{index}").into();
+            Put::Route(route, None)
+        });
+        let change = Change {
+            operation: units::Operation::random(),
+            puts: puts.collect(),
+            removes: Vec::new(),
+            author: "example".into(),
+        };
+        if let Ok(Applied::Accepted(next)) = snapshot.apply(&change) {
+            snapshot = next;
+        }
     }
+    let started = Instant::now();
+    let table = routing::Table::new(&snapshot);
+    let built = started.elapsed().as_micros();
+    println!("{} routes: {built} us to build", snapshot.routes().len());
+    let started = Instant::now();
+    let found = (0..10_000).filter(|_| table.find("menus.example", "/r0/7/a/b/c").is_some());
     println!(
-        "rate {rate}/s, {} answers, {} failed, p50 {} us, p99 {} us, p99.9 {} us, max {} us, {:.0}/s",
-        histogram.len(),
-        failed.get(),
-        histogram.value_at_quantile(0.5),
-        histogram.value_at_quantile(0.99),
-        histogram.value_at_quantile(0.999),
-        histogram.max(),
-        (rate * seconds - failed.get()) as f64 / started.elapsed().as_secs_f64(),
+        "{} lookups: {} us",
+        found.count(),
+        started.elapsed().as_micros()
     );
 }
 
@@ -238,8 +327,11 @@
             let target = arguments[1].parse().expect("an address");
             runtime.block_on(run_load(target, number(2), number(3)));
         }
+        Some("sizes") => run_sizes(small(1)),
         _ => {
-            eprintln!("usage: path backend I | path node I OWNERS | path load ADDRESS RATE SECONDS")
+            eprintln!(
+                "usage: path backend I | path node I OWNERS | path load ADDRESS RATE SECONDS | path sizes MEMBERS"
+            )
         }
     }
 }
--- a/node/tests/call/faults.rs
+++ b/node/tests/call/faults.rs
@@ -138,3 +138,20 @@
         }
     }
 }
+
+/// A server that accepts connections but says nothing gets no request.
+#[compio::test]
+async fn server_frozen_from_the_start() {
+    let frozen = compio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let address = units::Address(frozen.local_addr().expect("an address"));
+    let working = Script::start(&[Act::Answer]).await;
+    let mut fleet = Fleet::start(&[address, working.address]).await;
+    let ingress = fleet.add_ingress().await;
+    let caller = Caller::open(fleet.nodes[ingress].callers).await;
+    for number in 1..=6 {
+        let got = caller.send("POST", "/book").await;
+        assert_eq!((got.status, working.ran.get()), (200, number), "{got:?}");
+    }
+}
