--- a/node/src/announce/desk.rs
+++ b/node/src/announce/desk.rs
@@ -2,10 +2,12 @@
 
 use std::time;
 
+use admission::Announced;
 use futures_channel::oneshot;
 use schema::announce as wire;
 
 use super::Notice;
+use crate::call::Owner;
 
 /// An announcement of the backend server beside the node.
 #[derive(Debug)]
@@ -17,3 +19,73 @@
     /// Takes the time until the next announcement is due.
     pub answer: oneshot::Sender<time::Duration>,
 }
+
+/// Hands announcements to the request path and to the membership.
+pub struct Desk<L> {
+    inbox: kernel::Inbox<Message>,
+    owner: Owner<L>,
+    members: kernel::Mailbox<membership::Command>,
+    lease: time::Duration,
+}
+
+impl<L: peer::Link> Desk<L> {
+    /// Hands what arrives in `inbox` to `owner` and `members`.
+    ///
+    /// A backend server that is silent for `lease` is taken for gone.
+    #[must_use]
+    pub fn new(
+        inbox: kernel::Inbox<Message>,
+        owner: Owner<L>,
+        members: kernel::Mailbox<membership::Command>,
+        lease: time::Duration,
+    ) -> Self {
+        Self {
+            inbox,
+            owner,
+            members,
+            lease,
+        }
+    }
+
+    async fn take(&self, message: Message) {
+        let announced = Announced {
+            address: message.notice.address,
+            backend: message.notice.backend,
+        };
+        self.owner.announce(Some(&announced));
+        let (answer, acknowledged) = oneshot::channel();
+        let announcement = message.announcement;
+        let command = membership::Command::Announce {
+            announcement,
+            answer,
+        };
+        if let Err(error) = self.members.send(command) {
+            // The sender sees a dropped answer and announces again.
+            log::warn!(error:% = error; "announcement not handed on");
+            return;
+        }
+        match acknowledged.await {
+            Ok(Ok(acknowledgement)) => {
+                let due = time::Duration::from_millis(acknowledgement.lease_ms.into());
+                let _ = message.answer.send(due);
+            }
+            Ok(Err(error)) => log::warn!(error:% = error; "announcement refused"),
+            Err(_) => log::debug!("the membership has stopped"),
+        }
+    }
+}
+
+impl<L: peer::Link> kernel::Service for Desk<L> {
+    const NAME: &'static str = "announce";
+
+    async fn run(mut self, stop: kernel::Stop) {
+        loop {
+            let received = compio::time::timeout(self.lease, self.inbox.receive());
+            match stop.guard(received).await {
+                Some(Ok(Some(message))) => self.take(message).await,
+                Some(Err(_)) => self.owner.announce(None),
+                Some(Ok(None)) | None => return,
+            }
+        }
+    }
+}
