platform: a contender counts a lease's period from the answer it got

Cause: attempt() was given the time before its calls, and took that as the time at which another's lease was seen. After a pause of the process, or with a slow platform, the observation looked older than it was, and the next attempt took a lease over that its holder had just renewed. Found by move_paused_runner_writes_nothing: the paused runner took the lease back within 20 ms of its successor's last renewal (period 400 ms).

--- a/components/platform/src/lease.rs
+++ b/components/platform/src/lease.rs
@@ -104,6 +104,7 @@
     /// # Errors
     /// As of the store. A lease that was ours stays so until its period ends.
     pub async fn attempt(&mut self, now: time::Instant) -> Result<Observed, Error> {
+        let entered = time::Instant::now();
         if self.unsettled.is_some() {
             self.settle().await?;
         }
@@ -112,8 +113,8 @@
             self.held = None;
         }
         match self.held {
-            Some(held) => self.renew(held, now).await,
-            None => self.acquire(now).await,
+            Some(held) => self.renew(held, now, entered).await,
+            None => self.acquire(now, entered).await,
         }
     }
 
@@ -132,39 +133,51 @@
         }
     }
 
-    async fn renew(&mut self, held: Held, now: time::Instant) -> Result<Observed, Error> {
+    async fn renew(
+        &mut self,
+        held: Held,
+        now: time::Instant,
+        entered: time::Instant,
+    ) -> Result<Observed, Error> {
         let value = self.encode()?;
         let written = self.store.update(&self.key, held.token, value).await;
         match self.settle_write(written, now) {
             Err(Error::Conflict) => {
                 self.held = None;
-                self.acquire(now).await
+                self.acquire(now, entered).await
             }
             other => other,
         }
     }
 
-    async fn acquire(&mut self, now: time::Instant) -> Result<Observed, Error> {
+    async fn acquire(
+        &mut self,
+        now: time::Instant,
+        entered: time::Instant,
+    ) -> Result<Observed, Error> {
         let object = self.store.read(&self.key).await?;
+        // Seen only now, which is long after `now` where a call was slow or this process paused.
+        let seen = now + entered.elapsed();
         let value = self.encode()?;
         let Some(object) = object else {
             let written = self.store.create(&self.key, value).await;
             return self.settle_write(written, now).or_else(lost_race);
         };
-        if !self.is_expired(&object, now) {
+        if !self.is_expired(&object, now, seen) {
             return Ok(Observed::Other(object.revision));
         }
         let written = self.store.update(&self.key, object.revision, value).await;
         self.settle_write(written, now).or_else(lost_race)
     }
 
-    /// Whether `object` was seen unchanged for a whole period.
-    fn is_expired(&mut self, object: &Object, now: time::Instant) -> bool {
+    /// Whether `object`, for which the attempt at `now` has asked and which it has got at `seen`,
+    /// was seen unchanged for a whole period.
+    fn is_expired(&mut self, object: &Object, now: time::Instant, seen: time::Instant) -> bool {
         let since = match self.seen {
             Some((revision, since)) if revision == object.revision => since,
             _ => {
-                self.seen = Some((object.revision, now));
-                now
+                self.seen = Some((object.revision, seen));
+                seen
             }
         };
         let record: Option<Record> = serde_json::from_slice(&object.value).ok();
