--- a/components/moves/src/serve.rs
+++ b/components/moves/src/serve.rs
@@ -144,7 +144,7 @@
             return Ok(shown);
         }
     }
-    view::of(shared, id).ok_or_else(|| Refusal::NoMove(format_compact!("{id}")))
+    known(shared, id)
 }
 
 /// Sends the move whenever it looks different, until it has ended.
@@ -369,7 +369,7 @@
         shared.learn(object.revision, record.clone());
         match record.state {
             State::Done | State::TakenBack => return Err(Refusal::Ended(id.clone())),
-            State::TakingBack => return show(shared, id).await,
+            State::TakingBack => return known(shared, id),
             State::Running => {}
         }
         record.state = State::TakingBack;
@@ -383,6 +383,7 @@
         match written {
             Ok(revision) => {
                 shared.learn(revision, record);
+                return known(shared, id);
             }
             // What was written meanwhile, or was lost, the next reading shows.
             Err(Error::Conflict | Error::Unknown(_)) => {}
@@ -413,5 +414,14 @@
         node: shared.parts.node.as_str().into(),
         raised: units::Wall::now(),
     });
-    show(shared, id).await
+    known(shared, id)
+}
+
+/// The move as this node knows it.
+fn known<S, L>(shared: &Shared<S, L>, id: &Id) -> Result<Move, Refusal>
+where
+    S: platform::Store,
+    L: peer::Link,
+{
+    view::of(shared, id).ok_or_else(|| Refusal::NoMove(format_compact!("{id}")))
 }
