--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -4,8 +4,10 @@
 mod finding;
 mod idempotency;
 mod limits;
+mod list;
 mod route;
 mod service;
+mod settled;
 mod snapshot;
 mod weight;
 
--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -1,21 +1,19 @@
 //! The whole configuration at one version.
 
-use prost::Message;
 use schema::config as wire;
 use xxhash_rust::xxh3;
 
+use crate::list::List;
+use crate::settled::Settled;
 use crate::{Change, Findings, Limits, Put, Remove, Route, Service};
 
 /// The whole configuration at one version; immutable once built.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Snapshot {
     version: units::Version,
-    /// Sorted by name.
-    services: Vec<Service>,
-    /// Sorted by name.
-    routes: Vec<Route>,
-    /// Oldest first, bounded by [`Limits::SETTLED`].
-    settled: Vec<(units::Operation, units::Version)>,
+    services: List<Service>,
+    routes: List<Route>,
+    settled: Settled,
 }
 
 /// What became of a change.
@@ -48,39 +46,31 @@
     /// Services, sorted by name.
     #[must_use]
     pub fn services(&self) -> &[Service] {
-        &self.services
+        self.services.as_slice()
     }
 
     /// Routes, sorted by name.
     #[must_use]
     pub fn routes(&self) -> &[Route] {
-        &self.routes
+        self.routes.as_slice()
     }
 
     /// The service called `name`.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
-        let place = self
-            .services
-            .binary_search_by(|one| one.name.as_str().cmp(name));
-        place.ok().map(|place| &self.services[place])
+        self.services.get(name)
     }
 
     /// The route called `name`.
     #[must_use]
     pub fn route(&self, name: &str) -> Option<&Route> {
-        let place = self
-            .routes
-            .binary_search_by(|one| one.name.as_str().cmp(name));
-        place.ok().map(|place| &self.routes[place])
+        self.routes.get(name)
     }
 
     /// The version at which `operation` was accepted, if it is among the remembered ones.
     #[must_use]
     pub fn settled(&self, operation: &units::Operation) -> Option<units::Version> {
-        let mut latest_first = self.settled.iter().rev();
-        let found = latest_first.find(|(settled, _)| settled == operation);
-        found.map(|(_, version)| *version)
+        self.settled.get(operation)
     }
 
     /// Applies one change as the next version.
@@ -112,7 +102,8 @@
         next.merge(change);
         let mut findings = Findings::default();
         next.check_resources(change, &mut findings);
-        next.check_whole(&mut findings);
+        next.check_touched(change, &mut findings);
+        next.check_counts(&mut findings);
         findings
             .into_result(Applied::Accepted(next))
             .map_err(Refusal::Invalid)
@@ -139,9 +130,13 @@
     /// Digest of the content, equal on every node that holds the same version.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        let mut wire = self.encode_content();
-        wire.digest = 0;
-        xxh3::xxh3_64(&wire.encode_to_vec())
+        let parts = [
+            self.version.0,
+            self.services.digest(),
+            self.routes.digest(),
+            self.settled.digest(),
+        ];
+        xxh3::xxh3_64(&parts.map(u64::to_le_bytes).concat())
     }
 
     /// The wire form, with its digest.
@@ -158,33 +153,27 @@
     /// Everything that is wrong, the digest included.
     pub fn decode(wire: &wire::Checkpoint) -> Result<Self, Findings> {
         let mut findings = Findings::default();
-        let mut snapshot = Self {
-            version: units::Version(wire.version),
-            ..Self::default()
-        };
-        for (index, service) in wire.services.iter().enumerate() {
+        let services = wire.services.iter().enumerate().map(|(index, service)| {
             let place = format!("/services/{index}");
             let service = Service::decode(service, &place, &mut findings);
             service.check(&place, &mut findings);
-            snapshot.services.push(service);
-        }
-        for (index, route) in wire.routes.iter().enumerate() {
+            service
+        });
+        let services = List::new(services.collect());
+        let routes = wire.routes.iter().enumerate().map(|(index, route)| {
             let place = format!("/routes/{index}");
             let route = Route::decode(route, &place, &mut findings);
             route.check(&place, &mut findings);
-            snapshot.routes.push(route);
-        }
-        for (index, settled) in wire.settled.iter().enumerate() {
-            match settled.operation.parse() {
-                Ok(operation) => {
-                    let version = units::Version(settled.version);
-                    snapshot.settled.push((operation, version));
-                }
-                Err(units::Error { text, expected }) => {
-                    findings.add(format!("/settled/{index}"), text, expected);
-                }
-            }
-        }
+            route
+        });
+        let routes = List::new(routes.collect());
+        let settled = decode_settled(&wire.settled, &mut findings);
+        let snapshot = Self {
+            version: units::Version(wire.version),
+            services,
+            routes,
+            settled,
+        };
         snapshot.check_order(&mut findings);
         snapshot.check_whole(&mut findings);
         if findings.is_empty() && snapshot.digest() != wire.digest {
@@ -207,8 +196,8 @@
             });
         wire::Checkpoint {
             version: self.version.0,
-            services: self.services.iter().map(Service::encode).collect(),
-            routes: self.routes.iter().map(Route::encode).collect(),
+            services: self.services().iter().map(Service::encode).collect(),
+            routes: self.routes().iter().map(Route::encode).collect(),
             settled: settled.collect(),
             digest: 0,
         }
@@ -256,43 +245,25 @@
     fn merge(&mut self, change: &Change) {
         for remove in &change.removes {
             match remove {
-                Remove::Service(name, _) => self.services.retain(|one| one.name != *name),
-                Remove::Route(name, _) => self.routes.retain(|one| one.name != *name),
+                Remove::Service(name, _) => self.services.remove(name),
+                Remove::Route(name, _) => self.routes.remove(name),
             }
         }
         for put in &change.puts {
             match put {
-                Put::Service(service, _) => self.put_service(service),
-                Put::Route(route, _) => self.put_route(route),
+                Put::Service(service, _) => {
+                    let mut service = service.clone();
+                    service.revision = self.version;
+                    self.services.put(service);
+                }
+                Put::Route(route, _) => {
+                    let mut route = route.clone();
+                    route.revision = self.version;
+                    self.routes.put(route);
+                }
             }
         }
-        self.settled.push((change.operation.clone(), self.version));
-        let excess = self.settled.len().saturating_sub(Limits::SETTLED);
-        self.settled.drain(..excess);
-    }
-
-    fn put_service(&mut self, service: &Service) {
-        let mut service = service.clone();
-        service.revision = self.version;
-        match self
-            .services
-            .binary_search_by(|one| one.name.cmp(&service.name))
-        {
-            Ok(place) => self.services[place] = service,
-            Err(place) => self.services.insert(place, service),
-        }
-    }
-
-    fn put_route(&mut self, route: &Route) {
-        let mut route = route.clone();
-        route.revision = self.version;
-        match self
-            .routes
-            .binary_search_by(|one| one.name.cmp(&route.name))
-        {
-            Ok(place) => self.routes[place] = route,
-            Err(place) => self.routes.insert(place, route),
-        }
+        self.settled.push(change.operation.clone(), self.version);
     }
 
     /// Checks the resources that the change brings, and that it names each once.
@@ -315,32 +286,71 @@
 
     /// Checks what spans resources: references, counts and ambiguous routes.
     fn check_whole(&self, findings: &mut Findings) {
-        for route in &self.routes {
-            if self.service(&route.service).is_none() {
-                let problem = format!("there is no service `{}`", route.service);
-                let place = format!("/routes/{}/service", route.name);
-                findings.add(place, problem, "the name of a service in the configuration");
-            }
+        for route in self.routes() {
+            self.check_reference(route, findings);
         }
         self.check_ambiguous(findings);
-        if self.services.len() > Limits::SERVICES {
-            let problem = format!("{} services", self.services.len());
-            findings.add(
-                "/services",
-                problem,
-                format!("at most {}", Limits::SERVICES),
-            );
+        self.check_counts(findings);
+    }
+
+    /// Checks what spans resources where `change` touches it; the rest was right before.
+    fn check_touched(&self, change: &Change, findings: &mut Findings) {
+        for put in &change.puts {
+            if let Put::Route(route, _) = put {
+                self.check_reference(route, findings);
+                self.check_ambiguity(route, findings);
+            }
         }
-        if self.routes.len() > Limits::ROUTES {
-            let problem = format!("{} routes", self.routes.len());
-            findings.add("/routes", problem, format!("at most {}", Limits::ROUTES));
+        let gone = |name: &str| {
+            let removed = change.removes.iter().any(|one| match one {
+                Remove::Service(removed, _) => removed == name,
+                Remove::Route(..) => false,
+            });
+            removed && self.service(name).is_none()
+        };
+        let removes_service = |one: &Remove| matches!(one, Remove::Service(..));
+        if change.removes.iter().any(removes_service) {
+            for route in self.routes().iter().filter(|one| gone(&one.service)) {
+                self.check_reference(route, findings);
+            }
+        }
+    }
+
+    /// Reports `route` where its service is missing.
+    fn check_reference(&self, route: &Route, findings: &mut Findings) {
+        if self.service(&route.service).is_none() {
+            let problem = format!("there is no service `{}`", route.service);
+            let place = format!("/routes/{}/service", route.name);
+            findings.add(place, problem, "the name of a service in the configuration");
+        }
+    }
+
+    /// Reports `route` where another one matches exactly the same requests.
+    fn check_ambiguity(&self, route: &Route, findings: &mut Findings) {
+        let same = |one: &&Route| {
+            one.path_prefix == route.path_prefix && one.host == route.host && one.name != route.name
+        };
+        if let Some(other) = self.routes().iter().find(same) {
+            add_ambiguous(&route.name, &other.name, findings);
+        }
+    }
+
+    fn check_counts(&self, findings: &mut Findings) {
+        let (services, routes) = (self.services().len(), self.routes().len());
+        if services > Limits::SERVICES {
+            let expected = format!("at most {}", Limits::SERVICES);
+            findings.add("/services", format!("{services} services"), expected);
+        }
+        if routes > Limits::ROUTES {
+            let expected = format!("at most {}", Limits::ROUTES);
+            findings.add("/routes", format!("{routes} routes"), expected);
         }
     }
 
     /// Reports routes that match exactly the same requests.
     fn check_ambiguous(&self, findings: &mut Findings) {
         let mut rules: Vec<_> = self
-            .routes
+            .routes()
             .iter()
             .map(|route| (&route.host, &route.path_prefix, &route.name))
             .collect();
@@ -348,33 +358,43 @@
         for pair in rules.windows(2) {
             let (first, second) = (pair[0], pair[1]);
             if (first.0, first.1) == (second.0, second.1) {
-                let problem = format!("it matches the same requests as `{}`", first.2);
-                let place = format!("/routes/{}", second.2);
-                findings.add(place, problem, "a host and path prefix of its own");
+                add_ambiguous(second.2, first.2, findings);
             }
         }
     }
 
     /// A checkpoint from elsewhere has to be sorted by name, each name once.
     fn check_order(&self, findings: &mut Findings) {
-        if !self
-            .services
-            .is_sorted_by(|one, other| one.name < other.name)
-        {
-            findings.add(
-                "/services",
-                "they are out of order",
-                "sorted by name, each once",
-            );
+        let orders = [
+            ("/services", self.services.is_sorted()),
+            ("/routes", self.routes.is_sorted()),
+        ];
+        for (place, sorted) in orders {
+            if !sorted {
+                findings.add(place, "they are out of order", "sorted by name, each once");
+            }
         }
-        if !self.routes.is_sorted_by(|one, other| one.name < other.name) {
-            findings.add(
-                "/routes",
-                "they are out of order",
-                "sorted by name, each once",
-            );
+    }
+}
+
+/// Reads the settled operations; what cannot be read is a finding.
+fn decode_settled(wire: &[wire::Settled], findings: &mut Findings) -> Settled {
+    let mut settled = Settled::default();
+    for (index, one) in wire.iter().enumerate() {
+        match one.operation.parse() {
+            Ok(operation) => settled.push(operation, units::Version(one.version)),
+            Err(units::Error { text, expected }) => {
+                findings.add(format!("/settled/{index}"), text, expected);
+            }
         }
     }
+    settled
+}
+
+fn add_ambiguous(route: &str, other: &str, findings: &mut Findings) {
+    let problem = format!("it matches the same requests as `{other}`");
+    let place = format!("/routes/{route}");
+    findings.add(place, problem, "a host and path prefix of its own");
 }
 
 fn compare(
