--- /dev/null
+++ b/components/distribution/examples/sizes.rs
@@ -0,0 +1,180 @@
+//! Measures bytes and processor time of the configuration at its full size: entries, checkpoints
+//! whole and incremental, and applying one entry.
+
+use std::time;
+
+use config::{Applied, Change, Put, Route, Service, Snapshot, Weight};
+use prost::Message;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use schema::config as wire;
+
+const SERVICES: usize = 2_400;
+const ROUTES: usize = 16_000;
+const CHANGES_A_DAY: usize = 78_000;
+/// Entries between two checkpoints.
+const EVERY: usize = 512;
+/// Incremental checkpoints on one whole checkpoint.
+const CHAIN: usize = 16;
+/// Part of the changes that replace a route; the others replace the weights of a service.
+const ROUTE_FRACTION: f64 = 0.1;
+const SEED: u64 = 1;
+
+fn service(number: usize, share: u32) -> Service {
+    let new = units::Share::from_parts(share).unwrap_or_default();
+    let weight = |version: &str, share| Weight {
+        version: version.into(),
+        share,
+    };
+    Service {
+        name: format!("service-{number:04}").into(),
+        weights: vec![
+            weight("v2026-11-30", new.rest()),
+            weight("v2026-12-03", new),
+        ],
+        revision: units::Version::default(),
+    }
+}
+
+fn route(number: usize, timeout: u64) -> Route {
+    Route {
+        name: format!("route-{number:05}").into(),
+        host: format!("host-{:03}.vuniwai.example", number % 400).into(),
+        path_prefix: format!("/v1/resource-{number:05}/items").into(),
+        service: format!("service-{:04}", number % SERVICES).into(),
+        timeout: units::Period::from_millis(timeout),
+        idempotency: config::Idempotency::ByMethod,
+        max_body: units::Size(1024 * 1024),
+        revision: units::Version::default(),
+    }
+}
+
+fn change(puts: Vec<Put>) -> Change {
+    Change {
+        operation: units::Operation::random(),
+        puts,
+        removes: Vec::new(),
+        author: "operator@vuniwai.example".into(),
+    }
+}
+
+fn applied(snapshot: &Snapshot, change: &Change) -> Snapshot {
+    match snapshot.apply(change) {
+        Ok(Applied::Accepted(next)) => next,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+fn whole() -> Snapshot {
+    let mut snapshot = Snapshot::default();
+    let numbers: Vec<_> = (0..SERVICES).collect();
+    for part in numbers.chunks(800) {
+        let puts = part.iter().map(|n| Put::Service(service(*n, 0), None));
+        snapshot = applied(&snapshot, &change(puts.collect()));
+    }
+    let numbers: Vec<_> = (0..ROUTES).collect();
+    for part in numbers.chunks(1_000) {
+        let puts = part.iter().map(|n| Put::Route(route(*n, 2_000), None));
+        snapshot = applied(&snapshot, &change(puts.collect()));
+    }
+    snapshot
+}
+
+fn random_change(draws: &mut StdRng) -> Change {
+    let put = if draws.random_bool(ROUTE_FRACTION) {
+        Put::Route(
+            route(draws.random_range(0..ROUTES), draws.random_range(1..9_000)),
+            None,
+        )
+    } else {
+        let number = draws.random_range(0..SERVICES);
+        Put::Service(service(number, draws.random_range(0..10_000)), None)
+    };
+    change(vec![put])
+}
+
+/// What changed since `base`, as a checkpoint that holds only that.
+fn increment(snapshot: &Snapshot, base: units::Version) -> wire::Checkpoint {
+    let mut wire = snapshot.encode();
+    wire.services.retain(|one| one.revision > base.0);
+    wire.routes.retain(|one| one.revision > base.0);
+    wire.settled.retain(|one| one.version > base.0);
+    wire
+}
+
+fn compressed(checkpoint: &wire::Checkpoint) -> usize {
+    lz4_flex::compress_prepend_size(&checkpoint.encode_to_vec()).len()
+}
+
+fn mean(times: &[time::Duration]) -> f64 {
+    let sum: time::Duration = times.iter().sum();
+    sum.as_secs_f64() * 1e3 / times.len() as f64
+}
+
+fn main() {
+    let mut draws = StdRng::seed_from_u64(SEED);
+    let mut snapshot = whole();
+
+    let mut apply_times = Vec::new();
+    let mut digest_times = Vec::new();
+    let mut entry_total = 0;
+    let mut whole_bytes = Vec::new();
+    let mut increments = Vec::new();
+    for _ in 0..CHAIN {
+        let base = snapshot.version();
+        for _ in 0..EVERY {
+            let change = random_change(&mut draws);
+            let started = time::Instant::now();
+            let next = snapshot.apply_all(std::slice::from_ref(&change));
+            apply_times.push(started.elapsed());
+            snapshot = next.expect("the change is valid");
+            let started = time::Instant::now();
+            let digest = snapshot.digest();
+            digest_times.push(started.elapsed());
+            let entry = wire::Entry {
+                version: snapshot.version().0,
+                changes: vec![change.encode()],
+                accepted_ms: units::Wall::now().0,
+                digest,
+            };
+            entry_total += entry.encoded_len();
+        }
+        increments.push(compressed(&increment(&snapshot, base)));
+        whole_bytes.push(compressed(&snapshot.encode()));
+    }
+    let started = time::Instant::now();
+    let encoded = snapshot.encode();
+    let plain = encoded.encoded_len();
+    let blob = lz4_flex::compress_prepend_size(&encoded.encode_to_vec());
+    let encode = started.elapsed();
+    let started = time::Instant::now();
+    let decoded = Snapshot::decode(&encoded).expect("it is right");
+    let decode = started.elapsed();
+    assert_eq!(decoded.version(), snapshot.version());
+    let checkpoints = CHANGES_A_DAY / EVERY;
+    let full: usize = whole_bytes.iter().sum::<usize>() / CHAIN;
+    let step: usize = increments.iter().sum::<usize>() / CHAIN;
+    let chain_day = checkpoints * step + checkpoints / CHAIN * full;
+    println!("entry: {} bytes on average", entry_total / (EVERY * CHAIN));
+    println!(
+        "apply_all: {:.2} ms, digest: {:.2} ms on average",
+        mean(&apply_times),
+        mean(&digest_times)
+    );
+    println!("checkpoint: {plain} bytes plain, {} compressed", blob.len());
+    println!(
+        "encode: {:.1} ms, decode and check: {:.1} ms",
+        encode.as_secs_f64() * 1e3,
+        decode.as_secs_f64() * 1e3
+    );
+    println!(
+        "whole checkpoints: {full} bytes each, {} a day: {} bytes a day",
+        checkpoints,
+        checkpoints * full
+    );
+    println!("incremental: {step} bytes each; with one whole in {CHAIN}: {chain_day} bytes a day");
+    println!(
+        "a joiner reads {full} bytes, or {} from a chain of half the length",
+        full + step * CHAIN / 2
+    );
+}
