moves: indexes in place of scans over all members and all moves

Sixteen shards looked through all known moves and hashed their ids ten times a second, and several places walked all members for each running move; at 16,000 nodes and thousands of moves that alone would exceed a node's budget.

--- a/components/moves/src/catalogue.rs
+++ b/components/moves/src/catalogue.rs
@@ -35,6 +35,8 @@
 pub struct Catalogue {
     /// Sorted by id.
     entries: Vec<Entry>,
+    /// Ids of the moves that have not ended, sorted.
+    running: Vec<Id>,
     /// Of moves that have not ended; sorted by id.
     alarms: Vec<Alarm>,
 }
@@ -56,18 +58,34 @@
             }
             Ok(place) => replace(&mut self.entries[place], entry.clone()),
         };
-        if entry.record.is_ended() && merged != Merged::Violation {
-            self.alarms.retain(|alarm| alarm.id != entry.record.id);
+        if matches!(merged, Merged::News | Merged::Detail) {
+            self.note(&entry.record);
         }
         merged
     }
 
+    /// Keeps the lists of running moves and of alarms in line with a record that was taken in.
+    fn note(&mut self, record: &Record) {
+        let found = self.running.binary_search(&record.id);
+        match (found, record.is_ended()) {
+            (Err(place), false) => self.running.insert(place, record.id.clone()),
+            (Ok(place), true) => {
+                self.running.remove(place);
+            }
+            _ => {}
+        }
+        if record.is_ended() {
+            self.alarms.retain(|alarm| alarm.id != record.id);
+        }
+    }
+
     /// Drops a move whose object was removed at `revision`.
     pub fn remove(&mut self, id: &Id, revision: Revision) {
         if let Ok(place) = self.place(id)
             && self.entries[place].revision < revision
         {
             self.entries.remove(place);
+            self.running.retain(|one| one != id);
         }
     }
 
@@ -133,7 +151,7 @@
 
     /// Moves that have not ended.
     pub fn running(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.iter().filter(|one| !one.record.is_ended())
+        self.running.iter().filter_map(|id| self.get(id))
     }
 
     /// Moves of `service`, the oldest first.
--- a/components/moves/src/fleets.rs
+++ b/components/moves/src/fleets.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 use membership::{Backend, Phase, View};
 
+use crate::index::Index;
 use crate::shared::is_running;
 use crate::{Fleet, Record};
 
@@ -34,13 +35,19 @@
 }
 
 impl Fleets {
-    /// Compares `view` with the last one.
-    pub(crate) fn look(&mut self, record: &Record, view: &View, now: time::Instant) -> Change {
+    /// Compares `view`, with its `index`, with what was seen before.
+    pub(crate) fn look(
+        &mut self,
+        record: &Record,
+        view: &View,
+        index: &Index,
+        now: time::Instant,
+    ) -> Change {
         let mut change = Change {
             elapsed: now.saturating_duration_since(self.last.unwrap_or(now)),
             ..Change::default()
         };
-        let current = ready(record, view);
+        let current = ready(record, index);
         for seen in &self.seen {
             if is_crash(seen, view) {
                 fleet(&mut change, record, &seen.version).crashed += 1;
@@ -66,12 +73,12 @@
 }
 
 /// The ready backend servers of both versions.
-fn ready(record: &Record, view: &View) -> Vec<Seen> {
+fn ready(record: &Record, index: &Index) -> Vec<Seen> {
     let meant = |backend: &&Backend| {
         let is_version = backend.version == record.from || backend.version == record.to;
         backend.service == record.service() && is_version && backend.phase == Phase::Ready
     };
-    let members = view.running();
+    let members = index.of_service(record.service()).iter();
     let seen = members.filter_map(|member| {
         let backend = member.backend.as_ref().filter(meant)?;
         Some(Seen {
--- a/components/moves/src/gather.rs
+++ b/components/moves/src/gather.rs
@@ -10,7 +10,7 @@
 use schema::moves as wire;
 
 use crate::shared::Shared;
-use crate::{Evidence, Id, Judge, Record, Shard, policy, rank};
+use crate::{Evidence, Id, Judge, Record, Shard, policy};
 
 /// What a node collects for its data centre.
 #[derive(Debug, Default)]
@@ -90,27 +90,14 @@
         if evidence.is_empty() {
             continue;
         }
-        match collector(shared, shard) {
+        let collector = shared.index().collector(shard);
+        match collector {
             Some(address) => send(shared, address, false, evidence),
             None => collect(shared, &evidence),
         }
     }
 }
 
-/// Address of the member that collects for this data centre; `None` where that is this node.
-fn collector<S, L>(shared: &Shared<S, L>, shard: Shard) -> Option<units::Address>
-where
-    S: platform::Store,
-    L: peer::Link,
-{
-    let view = shared.parts.members.get();
-    let near = view
-        .running()
-        .filter(|member| member.data_centre == shared.parts.data_centre);
-    let first = rank::first(near, &shard.lease_name())?;
-    (first.node != shared.parts.node).then_some(first.peer_address)
-}
-
 fn collect<S, L>(shared: &Shared<S, L>, evidence: &[wire::Evidence])
 where
     S: platform::Store,
@@ -246,7 +233,7 @@
     L: peer::Link,
 {
     let share = shared.share(record);
-    let centres = centres(shared);
+    let centres = f64::from(shared.index().data_centres());
     let alarm = {
         let mut gatherer = shared.gatherer.borrow_mut();
         let found = gatherer
@@ -278,16 +265,3 @@
         shared.raise_own(&record.id, &reason);
     }
 }
-
-/// Number of data centres, at least 1.
-fn centres<S, L>(shared: &Shared<S, L>) -> f64
-where
-    S: platform::Store,
-    L: peer::Link,
-{
-    let view = shared.parts.members.get();
-    let mut centres: Vec<_> = view.running().map(|member| &member.data_centre).collect();
-    centres.sort_unstable();
-    centres.dedup();
-    f64::from(u32::try_from(centres.len().max(1)).unwrap_or(u32::MAX))
-}
--- a/components/moves/src/id.rs
+++ b/components/moves/src/id.rs
@@ -15,6 +15,8 @@
 pub struct Id {
     service: CompactString,
     number: u32,
+    /// Kept, since it is asked for often.
+    shard: Shard,
 }
 
 impl Id {
@@ -24,6 +26,7 @@
         Self {
             service: service.into(),
             number,
+            shard: Shard::of(&format_compact!("{service}-{number}")),
         }
     }
 
@@ -59,7 +62,7 @@
     /// The shard that the move belongs to.
     #[must_use]
     pub fn shard(&self) -> Shard {
-        Shard::of(&format_compact!("{self}"))
+        self.shard
     }
 
     /// Operation id of the change to the configuration that the move makes for `purpose`.
--- a/components/moves/src/keeper.rs
+++ b/components/moves/src/keeper.rs
@@ -8,7 +8,7 @@
 
 use crate::shared::Shared;
 use crate::tenure::Tenure;
-use crate::{Id, Shard, rank, runner};
+use crate::{Id, Shard, runner};
 
 /// Time between two looks at a shard.
 const TICK: time::Duration = time::Duration::from_millis(100);
@@ -77,16 +77,11 @@
 
     /// Whether this node ranks first for the shard, or second and nobody has run it for a while.
     fn is_candidate(&self, waited: time::Duration) -> bool {
-        let view = self.shared.parts.members.get();
-        let ranked = rank::first_two(view.running(), &self.shard.lease_name());
-        let node = &self.shared.parts.node;
         let patience = self.shared.parts.settings.lease.0 * PATIENCE;
-        let place = ranked.iter().position(|member| member.node == *node);
-        match place {
+        match self.shared.index().place(self.shard) {
             Some(0) => true,
             Some(_) => waited >= patience,
-            // A node that knows no members yet is alone.
-            None => ranked.is_empty(),
+            None => false,
         }
     }
 
--- a/components/moves/src/lib.rs
+++ b/components/moves/src/lib.rs
@@ -24,6 +24,7 @@
 mod health;
 mod histogram;
 mod id;
+mod index;
 mod judge;
 mod keeper;
 mod meter;
--- a/components/moves/src/rank.rs
+++ b/components/moves/src/rank.rs
@@ -14,7 +14,8 @@
     members: impl Iterator<Item = &'a rc::Rc<Member>>,
     key: &str,
 ) -> Option<&'a rc::Rc<Member>> {
-    members.max_by_key(|member| weight(member, key))
+    let seed = xxh3::xxh3_64(key.as_bytes());
+    members.max_by_key(|member| weight(member, seed))
 }
 
 /// The members that rank first and second for `key`.
@@ -22,15 +23,16 @@
     members: impl Iterator<Item = &'a rc::Rc<Member>>,
     key: &str,
 ) -> Vec<&'a rc::Rc<Member>> {
-    let mut ranked: Vec<_> = members.collect();
-    ranked.sort_by_key(|member| std::cmp::Reverse(weight(member, key)));
-    ranked.truncate(2);
-    ranked
+    let seed = xxh3::xxh3_64(key.as_bytes());
+    let mut best: Vec<(u64, &rc::Rc<Member>)> = Vec::with_capacity(3);
+    for member in members {
+        best.push((weight(member, seed), member));
+        best.sort_by_key(|one| std::cmp::Reverse(one.0));
+        best.truncate(2);
+    }
+    best.into_iter().map(|one| one.1).collect()
 }
 
-fn weight(member: &Member, key: &str) -> u64 {
-    xxh3::xxh3_64_with_seed(
-        member.node.as_str().as_bytes(),
-        xxh3::xxh3_64(key.as_bytes()),
-    )
+fn weight(member: &Member, seed: u64) -> u64 {
+    xxh3::xxh3_64_with_seed(member.node.as_str().as_bytes(), seed)
 }
--- a/components/moves/src/runner.rs
+++ b/components/moves/src/runner.rs
@@ -182,10 +182,13 @@
         let now = time::Instant::now();
         let record = self.writer.record.clone();
         let view = self.shared().parts.members.get();
-        let change = self.fleets.look(&record, &view, now);
-        let ready = self.shared().ready(record.service(), &record.to);
-        let facts = Facts { slots: ready.slots };
         let shared = self.shared().clone();
+        let (change, ready) = {
+            let index = shared.index();
+            let change = self.fleets.look(&record, &view, &index, now);
+            (change, index.ready(record.service(), &record.to))
+        };
+        let facts = Facts { slots: ready.slots };
         let mut runs = shared.runs.borrow_mut();
         let Ok(place) = runs.binary_search_by(|run| run.id.cmp(&record.id)) else {
             return Action::Hold(CompactString::default());
--- a/components/moves/src/serve.rs
+++ b/components/moves/src/serve.rs
@@ -280,7 +280,7 @@
     if weight.is_none_or(|weight| weight.share == units::Share::NONE) {
         return Err(Refusal::NoShare(start.from.clone()));
     }
-    if shared.ready(&start.service, &start.to).backends == 0 {
+    if shared.index().ready(&start.service, &start.to).backends == 0 {
         return Err(Refusal::NotReady(start.to.clone()));
     }
     let earliest = units::Wall::now().after(Plan::shortest(&shared.parts.settings));
--- a/components/moves/src/shared.rs
+++ b/components/moves/src/shared.rs
@@ -5,15 +5,16 @@
 use std::time;
 
 use compact_str::CompactString;
-use membership::{Member, Phase};
+use membership::Member;
 use platform::Revision;
 use prost::Message;
 use schema::moves as wire;
 
 use crate::gather::Gatherer;
+use crate::index::Index;
 use crate::run::Run;
 use crate::tally::Tally;
-use crate::{Alarm, Catalogue, Fleet, Id, Merged, Parts, Record, Recorder, gossip, shares};
+use crate::{Alarm, Catalogue, Id, Merged, Parts, Record, Recorder, gossip, shares};
 
 /// Name of the service, in the kernel and for requests between nodes.
 pub const NAME: &str = "moves";
@@ -27,6 +28,7 @@
     /// Moves that this node runs, sorted by id.
     pub(crate) runs: cell::RefCell<Vec<Run>>,
     pub(crate) tally: Tally,
+    index: cell::RefCell<Index>,
 }
 
 impl<S: platform::Store, L: peer::Link> Shared<S, L> {
@@ -38,6 +40,7 @@
             gatherer: cell::RefCell::default(),
             runs: cell::RefCell::default(),
             tally: Tally::default(),
+            index: cell::RefCell::default(),
         })
     }
 
@@ -152,18 +155,14 @@
         units::Share::from_parts(parts * whole / both.max(1)).unwrap_or_default()
     }
 
-    /// Number of backend servers of a version that are ready, and the sum of their slots.
-    pub(crate) fn ready(&self, service: &str, version: &str) -> Ready {
+    /// What follows from the members.
+    pub(crate) fn index(&self) -> cell::Ref<'_, Index> {
         let view = self.parts.members.get();
-        let mut ready = Ready::default();
-        for backend in view.running().filter_map(|member| member.backend.as_ref()) {
-            let is_meant = backend.service == service && backend.version == version;
-            if is_meant && backend.phase == Phase::Ready {
-                ready.backends += 1;
-                ready.slots += backend.slots;
-            }
-        }
-        ready
+        let now = time::Instant::now();
+        self.index
+            .borrow_mut()
+            .refresh(&view, &self.parts.node, now);
+        self.index.borrow()
     }
 
     /// Address for control messages of the running member called `node`.
@@ -196,19 +195,3 @@
         membership::State::Alive | membership::State::Suspect
     )
 }
-
-/// Ready backend servers of one version.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(crate) struct Ready {
-    pub(crate) backends: usize,
-    pub(crate) slots: u32,
-}
-
-impl From<Ready> for Fleet {
-    fn from(ready: Ready) -> Self {
-        Self {
-            ready: u32::try_from(ready.backends).unwrap_or(u32::MAX),
-            crashed: 0,
-        }
-    }
-}
--- a/components/moves/src/sync.rs
+++ b/components/moves/src/sync.rs
@@ -56,8 +56,11 @@
     concentrate(shared, &running);
     let node = &shared.parts.node;
     let is_ours = |id: &Id| {
-        let record = running.iter().find(|record| record.id == *id);
-        record.is_some_and(|record| record.runner.as_ref().is_none_or(|runner| runner == node))
+        let place = running.binary_search_by(|record| record.id.cmp(id));
+        place.is_ok_and(|place| {
+            let runner = running[place].runner.as_ref();
+            runner.is_none_or(|runner| runner == node)
+        })
     };
     shared.runs.borrow_mut().retain(|run| is_ours(&run.id));
 }
@@ -69,12 +72,15 @@
     L: peer::Link,
 {
     let focus = &shared.parts.focus;
+    if running.is_empty() && focus.list().is_empty() {
+        return;
+    }
     let mut wanted: Vec<(CompactString, CompactString, usize)> = Vec::new();
     for record in running {
         let share = shared.share(record);
         let is_small = share > units::Share::NONE && share < units::Share::WHOLE;
         if record.state == State::Running && is_small {
-            let backends = shared.ready(record.service(), &record.to).backends;
+            let backends = shared.index().ready(record.service(), &record.to).backends;
             let count = shares::focus(share, backends);
             wanted.push((record.service().into(), record.to.clone(), count));
         }
