--- a/testing/load/src/convergence/stage.rs
+++ b/testing/load/src/convergence/stage.rs
@@ -69,6 +69,8 @@
         let sites: Result<Vec<_>, _> = (0..nodes).map(site).collect();
         let mut shape = Shape::new("fiji-west", sites?)?;
         shape.seed = seed;
+        // At this level nodes log each version that comes into force.
+        shape.log_level = telemetry::Level::Debug;
         variant.set(&mut shape);
         let mesh = Mesh::start_platform(shape).await?;
         let starts = vec![Vec::new(); nodes];
--- a/testing/load/src/convergence/variant.rs
+++ b/testing/load/src/convergence/variant.rs
@@ -18,14 +18,14 @@
 }
 
 impl Variant {
-    /// Settings of the nodes that make them the baseline.
-    const BASELINE: (&str, &str) = ("distribution", "baseline");
+    /// Section of the nodes' settings, the key in it, and its value that makes them the baseline.
+    const BASELINE: (&str, &str, &str) = ("distribution", "mode", "direct");
 
     /// Changes `shape` so that it is this variant.
     pub fn set(self, shape: &mut Shape) {
         if self == Self::Baseline {
-            let (key, value) = Self::BASELINE;
-            shape.further.insert(key.to_owned(), value.into());
+            let (section, key, value) = Self::BASELINE;
+            shape.set(section, key, value);
         }
     }
 }
--- a/testing/load/src/faults.rs
+++ b/testing/load/src/faults.rs
@@ -182,7 +182,12 @@
             let relay = mesh.relays[site].as_ref();
             struck.silenced += relay.map_or(0, crate::relay::Relay::silence);
         }
-        Action::Drain => send(&mesh.backends[site], Signal::Terminate),
+        Action::Drain => {
+            // A process that has just started does not handle signals yet; one that does not get
+            // ready is found when its drain is awaited.
+            let _ = mesh.await_backend(site).await;
+            send(&mesh.backends[site], Signal::Terminate);
+        }
         Action::PlatformOutage => {
             let faults = PlatformFaults {
                 outage: true,
--- a/testing/load/src/fleet/shape.rs
+++ b/testing/load/src/fleet/shape.rs
@@ -96,4 +96,13 @@
             seed: 1,
         })
     }
+
+    /// Sets `key` in one section of the nodes' settings.
+    pub fn set(&mut self, section: &str, key: &str, value: impl Into<serde_json::Value>) {
+        let empty = || serde_json::Map::new().into();
+        let section = self.further.entry(section).or_insert_with(empty);
+        if let Some(section) = section.as_object_mut() {
+            section.insert(key.to_owned(), value.into());
+        }
+    }
 }
--- a/testing/load/src/moves/variant.rs
+++ b/testing/load/src/moves/variant.rs
@@ -29,9 +29,7 @@
             return;
         }
         let (section, key) = Self::SETTING;
-        let mut settings = serde_json::Map::new();
-        settings.insert(key.to_owned(), self.to_string().into());
-        shape.further.insert(section.to_owned(), settings.into());
+        shape.set(section, key, self.to_string());
     }
 }
 
--- a/testing/load/src/requests/figures.rs
+++ b/testing/load/src/requests/figures.rs
@@ -25,6 +25,8 @@
     pub latencies: Vec<Latency>,
     /// Calls by what became of them.
     pub outcomes: Vec<(Outcome, u64)>,
+    /// Share of the calls that were answered, by the second in which they were due.
+    pub timeline: Vec<f64>,
     /// The judge's verdict, where the phase has one.
     pub verdict: Option<Verdict>,
     /// The schedule of faults.
@@ -64,6 +66,7 @@
             figures: Vec::new(),
             latencies: Vec::new(),
             outcomes: Vec::new(),
+            timeline: Vec::new(),
             verdict: None,
             schedule: Vec::new(),
             struck: None,
@@ -88,8 +91,10 @@
         quantiles
     }
 
-    /// Counts the calls by what became of them.
+    /// Counts the calls by what became of them, and by the second in which they were due.
     pub fn count(&mut self, calls: &[Done]) {
+        let seconds = calls.chunk_by(|one, other| second(one) == second(other));
+        self.timeline = seconds.map(answered_share).collect();
         for done in calls {
             let outcome = done.outcome();
             match self
@@ -111,6 +116,11 @@
     }
 }
 
+/// Second of the plan in which the call was due.
+fn second(done: &Done) -> u64 {
+    done.planned.at.as_secs()
+}
+
 /// Latencies of the answered calls, from the scheduled time.
 pub(super) fn latencies(calls: &[Done]) -> Histogram {
     let answered = calls.iter().filter(|done| is_answered(done));
--- a/testing/load/src/requests/variant.rs
+++ b/testing/load/src/requests/variant.rs
@@ -18,14 +18,14 @@
 }
 
 impl Variant {
-    /// Settings of the nodes that make them the baseline.
+    /// Section of the nodes' settings, and the key in it that makes them the baseline.
     const BASELINE: (&str, &str) = ("requests", "baseline");
 
     /// Changes `shape` so that it is this variant.
     pub fn set(self, shape: &mut Shape) {
         if self == Self::Baseline {
-            let (key, value) = Self::BASELINE;
-            shape.further.insert(key.to_owned(), value.into());
+            let (section, key) = Self::BASELINE;
+            shape.set(section, key, true);
         }
     }
 }
--- a/testing/load/src/soak/region.rs
+++ b/testing/load/src/soak/region.rs
@@ -91,6 +91,8 @@
         shape.drain = units::Period::from_secs(3);
         shape.relayed = Some(units::Period::default());
         shape.seed = seed;
+        // At this level nodes log each version that comes into force.
+        shape.log_level = telemetry::Level::Debug;
         Ok(shape)
     }
 }
