--- a/testing/load/src/caller/call.rs
+++ b/testing/load/src/caller/call.rs
@@ -26,6 +26,8 @@
         pub body_bytes: usize,
         /// Bytes that the answer shall have.
         pub answer_bytes: usize,
+        /// Number of this attempt among those that may have run, from 1.
+        pub attempt: u32,
         /// Whether it crashes the backend server that runs it.
         pub crash: bool,
         /// Longest wait for the answer.
@@ -33,6 +35,9 @@
     }
 }
 
+/// Number of the attempt of a request with an idempotency key.
+const KEY_ATTEMPT: &str = "idempotency-attempt";
+
 /// Method of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verb {
@@ -72,6 +77,7 @@
             key: None,
             body_bytes: 0,
             answer_bytes: 256,
+            attempt: 1,
             crash: false,
             patience: units::Period::from_secs(5),
         }
@@ -102,7 +108,9 @@
             .header(Headers::CALL, self.id.as_str())
             .header(Headers::ANSWER_BYTES, self.answer_bytes);
         if let Some(key) = &self.key {
-            builder = builder.header(Headers::KEY, key.as_str());
+            builder = builder
+                .header(Headers::KEY, key.as_str())
+                .header(KEY_ATTEMPT, self.attempt);
         }
         if self.crash {
             builder = builder.header(Headers::CRASH, "1");
--- a/testing/load/src/driver.rs
+++ b/testing/load/src/driver.rs
@@ -145,7 +145,7 @@
         Self { driver, open }
     }
 
-    async fn send(&self, number: usize, planned: Planned, started: time::Instant) -> Done {
+    async fn send(&self, number: usize, mut planned: Planned, started: time::Instant) -> Done {
         let due = started + planned.at;
         let mut seen = Vec::new();
         for attempt in 0..self.driver.attempts {
@@ -153,6 +153,9 @@
                 break;
             };
             let wait = self.wait(&planned, &last);
+            if last.outcome != Outcome::NotRun {
+                planned.call.attempt += 1;
+            }
             seen.push(last);
             match wait {
                 Some(wait) if attempt + 1 < self.driver.attempts => {
--- a/testing/load/src/faults.rs
+++ b/testing/load/src/faults.rs
@@ -1,5 +1,6 @@
 //! Schedules of faults, drawn from a seed.
 
+use std::os::unix::process::ExitStatusExt;
 use std::time;
 
 use rand::seq::IndexedRandom;
@@ -110,6 +111,9 @@
     of_site.clone().any(|fault| fault.end.0 >= at)
 }
 
+/// Signal by which the stand-in ends at a crash request: SIGABRT.
+const CRASH_SIGNAL: i32 = 6;
+
 /// How many faults struck, and what went wrong with the processes.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Struck {
@@ -243,6 +247,8 @@
     };
     let problem = match process.ended().await {
         Ok(status) if status.success() => return,
+        // A crash request ran while it was leaving.
+        Ok(status) if status.signal() == Some(CRASH_SIGNAL) => return,
         Ok(status) => format!("{} stopped with {status}", process.name()),
         Err(error) => error.to_string(),
     };
