--- a/testing/load/src/faults.rs
+++ b/testing/load/src/faults.rs
@@ -33,6 +33,13 @@
     PlatformLosses,
 }
 
+impl Action {
+    /// Whether the backend server does not run until the end of the fault.
+    fn ends_backend(self) -> bool {
+        matches!(self, Self::KillBackend | Self::KillVm | Self::Drain)
+    }
+}
+
 units::record! { eq:
     /// One fault.
     #[derive(Serialize)]
@@ -141,17 +148,27 @@
     fault: Fault,
 }
 
-/// Carries out `faults` from now on.
+/// Time between two looks for crashed backend servers.
+const REVIVE_EVERY: time::Duration = time::Duration::from_millis(500);
+
+/// Carries out `faults` from now on for `length`, and starts backend servers again that a crash
+/// request has ended.
 ///
 /// # Errors
 /// A process that cannot be started again.
-pub async fn strike(mesh: &mut Mesh, faults: &[Fault]) -> Result<Struck, Error> {
+pub async fn strike(
+    mesh: &mut Mesh,
+    faults: &[Fault],
+    length: units::Period,
+) -> Result<Struck, Error> {
     let started = time::Instant::now();
     let mut steps: Vec<_> = faults.iter().flat_map(steps_of).collect();
     steps.sort_by_key(|step| step.at);
     let mut struck = Struck::default();
+    let mut down = vec![false; mesh.backends.len()];
     for step in steps {
-        compio::time::sleep_until(started + step.at).await;
+        revive_until(mesh, &down, started + step.at).await?;
+        down[step.fault.site] = step.begins && step.fault.action.ends_backend();
         if step.begins {
             struck.count(step.fault.action);
             begin(mesh, &step.fault, &mut struck).await;
@@ -159,9 +176,29 @@
             end(mesh, &step.fault, &mut struck).await?;
         }
     }
+    revive_until(mesh, &down, started + length.0).await?;
     Ok(struck)
 }
 
+/// Until `until`, starts backend servers again that ended though nothing struck them.
+async fn revive_until(mesh: &mut Mesh, down: &[bool], until: time::Instant) -> Result<(), Error> {
+    loop {
+        for (site, down) in down.iter().enumerate() {
+            let ended = mesh.backends[site]
+                .as_mut()
+                .is_some_and(|process| !process.is_running());
+            if ended && !down {
+                mesh.start_backend(site)?;
+            }
+        }
+        let now = time::Instant::now();
+        if now >= until {
+            return Ok(());
+        }
+        compio::time::sleep((until - now).min(REVIVE_EVERY)).await;
+    }
+}
+
 fn steps_of(fault: &Fault) -> [Step; 2] {
     let step = |at: units::Period, begins| Step {
         at: at.0,
--- a/testing/load/src/moves/round.rs
+++ b/testing/load/src/moves/round.rs
@@ -143,7 +143,7 @@
             Vec::new()
         };
         let calls = callers.run(mix.plan(seed + number as u64));
-        let striking = strike(&mut self.mesh, &schedule);
+        let striking = strike(&mut self.mesh, &schedule, units::Period(length));
         let (calls, observed, struck) = futures_util::join!(calls, watching, striking);
         struck?;
         let events = self.mesh.events()?;
--- a/testing/load/src/requests/mixed.rs
+++ b/testing/load/src/requests/mixed.rs
@@ -37,7 +37,7 @@
         ..bench.callers()
     };
     let calls = callers.run(mix().plan(seed));
-    let (calls, struck) = futures_util::join!(calls, strike(&mut bench.mesh, &schedule));
+    let (calls, struck) = futures_util::join!(calls, strike(&mut bench.mesh, &schedule, LENGTH));
     let mut phase = Phase::new("mixed", variant);
     phase.struck = Some(struck?);
     phase.schedule = schedule;
--- a/testing/load/src/soak/run.rs
+++ b/testing/load/src/soak/run.rs
@@ -89,7 +89,7 @@
     let calls = callers.run(bench.mix(length).plan(seed));
     let moving = bench.moves(length.0);
     let racing = race(addresses, nodes, selection.region, length.0, seed);
-    let striking = strike(&mut bench.mesh, &schedule);
+    let striking = strike(&mut bench.mesh, &schedule, units::Period(length.0 + CALM));
     let (calls, moves, race, struck) = futures_util::join!(calls, moving, racing, striking);
     let struck = struck?;
     bench.mesh.await_ready().await?;
