membership: nodes that start together without seeds find each other within seconds

A lone node's scope stayed empty until its table changed, so that it never ranked itself first and never wrote its seed object; and the next check for other parts came only after 10 s and then each minute. The scope is built with the node now, and a node that found no seed looks again after 0.5 s, then twice as late each time up to `seed_period`. Ruled out: the comparison itself (0 compares, 0 views in the dump of the failed test).

--- a/components/membership/src/join.rs
+++ b/components/membership/src/join.rs
@@ -27,20 +27,27 @@
     const RETRY_MAX: time::Duration = time::Duration::from_secs(10);
     /// Time between two looks at whether this node has to join again.
     const JOIN_POLL: time::Duration = time::Duration::from_secs(1);
-    /// The first check of the seed object comes this soon, on average.
+    /// The first check of the seed object comes this soon after a join, on average.
     const FIRST_CHECK: time::Duration = time::Duration::from_secs(10);
+    /// The first check comes this soon where no seed was found: others may start at the same time.
+    const FOUNDER_CHECK: time::Duration = time::Duration::from_millis(500);
 
     /// Joins, then checks the seeds from time to time; joins again after a very long pause.
     pub(crate) async fn run_joins(self: rc::Rc<Self>, stop: kernel::Stop) {
-        let mut check = jitter(Self::FIRST_CHECK.min(self.settings.seed_period.0));
+        let longest = self.settings.seed_period.0;
+        let mut check = longest;
         loop {
-            if !self.joined.get() && stop.guard(self.join()).await.is_none() {
-                return;
+            if !self.joined.get() {
+                check = match stop.guard(self.join()).await {
+                    Some(Joined::Members) => Self::FIRST_CHECK.min(longest),
+                    Some(Joined::Nobody) => Self::FOUNDER_CHECK.min(longest),
+                    None => return,
+                };
             }
-            if !self.wait_for_check(check, &stop).await {
+            if !self.wait_for_check(jitter(check), &stop).await {
                 return;
             }
-            check = jitter(self.settings.seed_period.0);
+            check = (check * 2).min(longest);
             if self.joined.get() {
                 stop.guard(self.check_seeds()).await;
             }
@@ -66,21 +73,22 @@
     }
 
     /// Tries seeds until one has given its whole view, or there is certainly no other node.
-    async fn join(&self) {
+    async fn join(&self) -> Joined {
         let mut wait = Self::RETRY_MIN;
-        loop {
+        let joined = loop {
             match self.try_join().await {
-                Attempt::Joined => break,
+                Attempt::Joined(joined) => break joined,
                 Attempt::Busy(asked) => compio::time::sleep(jitter(asked)).await,
                 Attempt::Failed => {
                     compio::time::sleep(jitter(wait)).await;
                     wait = (wait * 2).min(Self::RETRY_MAX);
                 }
             }
-        }
+        };
         self.joined.set(true);
         self.table.borrow_mut().announce();
         log::info!(members = self.table.borrow().records().len(); "joined the mesh");
+        joined
     }
 
     /// Tries the seeds of the settings first, so that joining nodes spare the platform.
@@ -93,7 +101,7 @@
         }
         let (seeds, complete) = self.find_seeds().await;
         if seeds.is_empty() && self.seeds.is_empty() && complete {
-            return Attempt::Joined;
+            return Attempt::Joined(Joined::Nobody);
         }
         self.pull_from_any(&seeds).await
     }
@@ -134,7 +142,7 @@
             .filter(|seed| **seed != self.identity.peer_address);
         for seed in others {
             match self.pull_from(*seed).await {
-                Ok(()) => return Attempt::Joined,
+                Ok(()) => return Attempt::Joined(Joined::Members),
                 Err(peer::Error::Busy(wait)) => attempt = Attempt::Busy(wait),
                 Err(error) => log::debug!(seed:% = seed, error:% = error; "seed gave no view"),
             }
@@ -294,10 +302,19 @@
     }
 }
 
+/// What a node found when it joined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Joined {
+    /// Another node gave its view.
+    Members,
+    /// There is no seed, neither in the settings nor on the platform.
+    Nobody,
+}
+
 /// How an attempt to join ended.
 enum Attempt {
-    /// A view was taken, or there is certainly no other node.
-    Joined,
+    /// It ended well.
+    Joined(Joined),
     /// A seed asks to come back after this time.
     Busy(time::Duration),
     /// No seed answered.
--- a/components/membership/src/members.rs
+++ b/components/membership/src/members.rs
@@ -41,7 +41,9 @@
         let now = time::Instant::now();
         let own = own_member(&identity);
         let table = Table::new(own, settings.members_limit, now);
-        reader.set(table.view());
+        let view = table.view();
+        let scope = Scope::new(view.members(), &table.own(), settings.flat_limit);
+        reader.set(view);
         let shared = Shared {
             suspicion: Suspicion::new(settings.probe_period.0, settings.suspicion_periods),
             herd: Herd::new(settings.herd_share),
@@ -52,7 +54,7 @@
             link,
             reader,
             table: rc::Rc::new(cell::RefCell::new(table)),
-            scope: cell::RefCell::new(rc::Rc::new(Scope::default())),
+            scope: cell::RefCell::new(rc::Rc::new(scope)),
             counter: Counter::default(),
             health: rc::Rc::default(),
             joined: rc::Rc::default(),
--- a/components/membership/tests/mesh.rs
+++ b/components/membership/tests/mesh.rs
@@ -259,6 +259,24 @@
     mesh.wait_all_alive().await;
 }
 
+#[compio::test]
+async fn start_together_without_seeds() {
+    let mut mesh = Mesh {
+        network: fakes::Network::new(7),
+        store: fakes::Store::default(),
+        settings: Settings {
+            seed_period: units::Period::from_secs(3600),
+            ..patient()
+        },
+        centres: 6,
+        nodes: Vec::new(),
+    };
+    for number in 0..6 {
+        mesh.add_with(number, Vec::new());
+    }
+    mesh.wait_all_alive().await;
+}
+
 #[compio::test]
 async fn news_missed_is_repaired() {
     let mesh = Mesh::start(6, 1, patient()).await;
