--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -201,7 +201,8 @@
     let service = hyper::service::service_fn(move |mut request: http::Request<Incoming>| {
         taking.set(true);
         request.extensions_mut().insert(peer);
-        let answer = handler.clone().handle(request);
+        // Boxed, since hyper moves the future several times before its first poll.
+        let answer = Box::pin(handler.clone().handle(request));
         async move { Ok::<_, convert::Infallible>(answer.await) }
     });
     let builder = configure(limits);
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -387,6 +387,7 @@
                 .await
             {
                 Err(problem) if is_key_not_found(&problem) => {}
+                Err(problem) if problem.reason.is_final() => return Err(problem),
                 Err(problem) if problem.outcome == Outcome::NotRun => gone = true,
                 ended => return ended,
             }
