call: an owner tells the next-ranked one before it runs a keyed request

The next-ranked owner becomes the key's home when the first one is gone, so that a key without a note there has not begun to run. A note of another start of the owner, or a run of its own, conflicts and is unknown. Ruled out: writing keys to the platform (hundreds of writes a second for all).

--- a/components/admission/src/reason.rs
+++ b/components/admission/src/reason.rs
@@ -39,6 +39,12 @@
     /// The idempotency key belongs to another request.
     #[error("key-reused")]
     KeyReused,
+    /// Another owner has told that it runs the request with this idempotency key.
+    #[error("key-noted")]
+    KeyNoted,
+    /// The owner that has to be told of the idempotency key cannot be reached.
+    #[error("key-not-noted")]
+    KeyNotNoted,
     /// No request with this idempotency key is on record here.
     #[error("key-not-found")]
     KeyNotFound,
--- a/components/admission/src/records.rs
+++ b/components/admission/src/records.rs
@@ -43,6 +43,8 @@
 enum Progress {
     Running(Vec<oneshot::Sender<End>>),
     Ended(End),
+    /// Another owner, at one of its starts, is about to run it or has done so.
+    Noted(u64),
 }
 
 /// How a request with a key ended.
@@ -129,7 +131,7 @@
     /// With `recall` it is not run when there is no record of it.
     ///
     /// # Errors
-    /// [`Reason::KeyReused`], [`Reason::KeyNotFound`], or [`Reason::KeysFull`]: a key that could not
+    /// [`Reason::KeyReused`], [`Reason::KeyNotFound`], [`Reason::KeyNoted`], or [`Reason::KeysFull`]: a key that could not
     /// be remembered is not run.
     pub fn begin(
         &self,
@@ -141,6 +143,9 @@
         let mut state = self.shared.state.borrow_mut();
         state.expire(now, self.shared.settings.key_window.0);
         match state.place(key) {
+            Ok(place) if recall && state.records[place].is_told() => {
+                Err(Refusal::new(Reason::KeyNoted, time::Duration::ZERO))
+            }
             Ok(place) => state.records[place].repeat(request),
             Err(_) if recall => Err(Refusal::new(Reason::KeyNotFound, time::Duration::ZERO)),
             Err(_) if state.records.len() >= self.shared.settings.keys => {
@@ -165,6 +170,41 @@
         }
     }
 
+    /// Notes that the owner with the id `by`, drawn at its start, is about to run the key's request.
+    ///
+    /// # Errors
+    /// [`Reason::KeyReused`] when it is on record already, whoever ran or runs it, or
+    /// [`Reason::KeysFull`].
+    pub fn note(
+        &self,
+        key: u128,
+        request: u64,
+        by: u64,
+        now: time::Instant,
+    ) -> Result<(), Refusal> {
+        let mut state = self.shared.state.borrow_mut();
+        state.expire(now, self.shared.settings.key_window.0);
+        let place = match state.place(key) {
+            Ok(place) if state.records[place].is_noted(by) => return Ok(()),
+            Ok(_) => return Err(Refusal::new(Reason::KeyReused, time::Duration::ZERO)),
+            Err(place) => place,
+        };
+        if state.records.len() >= self.shared.settings.keys {
+            return Err(Refusal::new(Reason::KeysFull, time::Duration::from_secs(1)));
+        }
+        let progress = Progress::Noted(by);
+        state.records.insert(
+            place,
+            Record {
+                key,
+                request,
+                progress,
+            },
+        );
+        state.ended.push_back((key, now));
+        Ok(())
+    }
+
     fn end(&self, key: u128, end: &End, now: time::Instant) {
         let mut state = self.shared.state.borrow_mut();
         let Ok(place) = state.place(key) else {
@@ -206,8 +246,17 @@
                 Ok(Start::Join(receiver))
             }
             Progress::Ended(end) => Ok(Start::Ended(end.clone())),
+            Progress::Noted(_) => Ok(Start::Ended(End::Unknown)),
         }
     }
+
+    fn is_told(&self) -> bool {
+        matches!(self.progress, Progress::Noted(_))
+    }
+
+    fn is_noted(&self, by: u64) -> bool {
+        matches!(self.progress, Progress::Noted(noted) if noted == by)
+    }
 }
 
 impl State {
--- a/components/admission/tests/records.rs
+++ b/components/admission/tests/records.rs
@@ -103,6 +103,24 @@
     assert_eq!((records.len(), records.bytes()), (0, 0));
 }
 
+#[test]
+fn note_conflicts() {
+    let now = Instant::now();
+    let records = records(Settings::default(), now);
+    assert!(records.note(KEY, REQUEST, 1, now).is_ok());
+    assert!(records.note(KEY, REQUEST, 1, now).is_ok());
+    assert!(records.note(KEY, REQUEST, 2, now).is_err());
+    assert_eq!(describe(records.begin(KEY, REQUEST, false, now)), "unknown");
+    assert_eq!(
+        describe(records.begin(KEY, REQUEST, true, now)),
+        "key-noted"
+    );
+    let _running = first(&records, KEY + 1, now);
+    assert!(records.note(KEY + 1, REQUEST, 1, now).is_err());
+    let later = now + Duration::from_secs(60);
+    assert!(records.note(KEY, REQUEST, 2, later).is_ok());
+}
+
 #[test]
 fn finish_beyond_bytes() {
     let now = Instant::now();
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use membership::{Member, Phase, State, View};
 
-use crate::{Endpoint, Group, Home, Past, Policy, rank};
+use crate::{Endpoint, Group, Heir, Home, Past, Policy, rank};
 
 /// The backend servers of the mesh, by service and version, as this node sees them.
 #[derive(Debug)]
@@ -266,17 +266,22 @@
         let endpoint = group.all().find(|one| one.node == present.node)?.clone();
         let mut joined = present.joined;
         let mut past = Vec::new();
-        let mut add = |one: &Seen| {
+        let lower = earlier(present, &ranked[place + 1..], window, now);
+        let lower = lower.into_iter().map(|one| one + place + 1);
+        for index in (0..place).chain(lower) {
+            let one = ranked[index];
             if one.node == endpoint.node {
                 // It left and came back; its records cover both times unless it was restarted.
                 joined = joined.min(one.joined);
             } else if past.len() < Self::PAST_LIMIT {
-                add_past(&mut past, one, view);
+                add_past(&mut past, one, view, heir(&ranked, index));
             }
-        };
-        ranked[..place].iter().for_each(|one| add(one));
-        earlier(present, &ranked[place + 1..], window, now).for_each(add);
+        }
+        let mut next = ranked[place + 1..].iter();
+        let next = next.find(|one| one.left.is_none() && one.node != endpoint.node);
+        let backup = next.and_then(|next| group.all().find(|one| one.node == next.node));
         Some(Home {
+            backup: backup.cloned(),
             endpoint,
             joined,
             past,
@@ -374,44 +379,71 @@
     (&endpoint.service, &endpoint.version, &endpoint.node)
 }
 
-/// Those of `lower`, ranked below `present`, that were the highest-ranked ones at some time before.
-fn earlier<'s>(
-    present: &'s Seen,
-    lower: &'s [&'s Seen],
+/// Places of those of `lower`, ranked below `present`, that were the highest-ranked ones before.
+fn earlier(
+    present: &Seen,
+    lower: &[&Seen],
     window: time::Duration,
     now: time::Instant,
-) -> impl Iterator<Item = &'s Seen> {
+) -> Vec<usize> {
+    let recent = |at: time::Instant| now.saturating_duration_since(at) < window;
     // Before this time none of those seen so far was there.
     let mut bound = present.joined;
-    lower.iter().copied().filter(move |one| {
-        let recent = |at: time::Instant| now.saturating_duration_since(at) < window;
+    let mut found = Vec::new();
+    for (place, one) in lower.iter().enumerate() {
         if !recent(bound) {
-            return false;
+            break;
         }
         if present.early && one.early {
             // Which of them came first is not known here.
-            return one.left.is_none();
-        }
-        if one.joined >= bound {
-            return false;
+            if one.left.is_none() {
+                found.push(place);
+            }
+        } else if one.joined < bound {
+            if one.left.is_none_or(|left| left >= bound) {
+                bound = one.joined;
+            }
+            found.push(place);
         }
-        if one.left.is_none_or(|left| left >= bound) {
-            bound = one.joined;
+    }
+    found
+}
+
+/// The owner that the one at `place` told of its keys: the next-ranked one, where that was the same
+/// all the time.
+fn heir(ranked: &[&Seen], place: usize) -> Option<Heir> {
+    let gone = ranked[place];
+    let left = gone.left.unwrap_or(gone.joined);
+    for other in &ranked[place + 1..] {
+        let there_before = other.joined <= gone.joined || (other.early && gone.early);
+        let came_later = other.joined >= left && !there_before;
+        let left_before = other.left.is_some_and(|one| one <= gone.joined);
+        if other.node == gone.node || came_later || left_before {
+            continue;
         }
-        true
-    })
+        let stays = other.left.is_none() && there_before;
+        return stays.then(|| Heir {
+            node: other.node.clone(),
+            joined: other.joined,
+        });
+    }
+    None
 }
 
 /// Adds an owner that may have run a request; one that stands there twice counts from its first time.
-fn add_past(past: &mut Vec<Past>, seen: &Seen, view: &View) {
+fn add_past(past: &mut Vec<Past>, seen: &Seen, view: &View, heir: Option<Heir>) {
     if let Some(known) = past.iter_mut().find(|known| known.node == seen.node) {
         known.joined = known.joined.min(seen.joined);
+        if known.heir != heir {
+            known.heir = None;
+        }
         return;
     }
     past.push(Past {
         node: seen.node.clone(),
         address: reachable(view, seen),
         joined: seen.joined,
+        heir,
     });
 }
 
--- a/components/routing/src/home.rs
+++ b/components/routing/src/home.rs
@@ -12,6 +12,8 @@
     pub endpoint: rc::Rc<Endpoint>,
     /// When this node first saw it as an owner of the service.
     pub joined: time::Instant,
+    /// The owner that is told before it runs, the next-ranked one.
+    pub backup: Option<rc::Rc<Endpoint>>,
     /// Owners that may have run it within the window, the likeliest first.
     pub past: Vec<Past>,
 }
@@ -25,4 +27,15 @@
     pub address: Option<units::Address>,
     /// When this node first saw it as an owner of the service.
     pub joined: time::Instant,
+    /// The owner that it told of the keys that it ran, if that was one and the same all the time.
+    pub heir: Option<Heir>,
+}
+
+/// An owner that was told of the keys that another one ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heir {
+    /// The owner.
+    pub node: units::Node,
+    /// When this node first saw it as an owner of the service.
+    pub joined: time::Instant,
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -23,7 +23,7 @@
 pub use focus::Focus;
 pub use group::Group;
 pub use health::{Health, Verdict};
-pub use home::{Home, Past};
+pub use home::{Heir, Home, Past};
 pub use observer::{Observer, Sample};
 pub use policy::Policy;
 pub use rank::rank;
--- a/node/src/call/attempt.rs
+++ b/node/src/call/attempt.rs
@@ -130,7 +130,7 @@
 
 /// Whether the owner is well and only refuses the request for now.
 fn is_refusal(reason: Reason) -> bool {
-    const REFUSALS: [&str; 16] = [
+    const REFUSALS: [&str; 18] = [
         "no-backend-server",
         "other-backend-server",
         "starting",
@@ -143,6 +143,8 @@
         "keys-full",
         "key-reused",
         "key-not-found",
+        "key-not-noted",
+        "key-noted",
         "key-unknown",
         "key-answered",
         "backend-server-refused",
--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -39,6 +39,10 @@
         pub recall: bool,
         /// Time that the owner's records have to cover; zero for a first sending.
         pub cover: time::Duration,
+        /// The owner that is told before the request runs.
+        pub backup: Option<units::Address>,
+        /// Set when another owner tells that it is about to run the request: its id.
+        pub note: Option<u64>,
     }
 }
 
@@ -51,6 +55,8 @@
             text,
             recall: false,
             cover,
+            backup: None,
+            note: None,
         }
     }
 
@@ -84,6 +90,12 @@
             Headers::set(headers, Headers::KEY_RECALL, "1");
         }
         Headers::set_number(headers, Headers::KEY_COVER_MS, millis(key.cover));
+        if let Some(backup) = key.backup {
+            Headers::set(headers, Headers::KEY_BACKUP, &backup.to_string());
+        }
+        if let Some(note) = key.note {
+            Headers::set_number(headers, Headers::KEY_NOTE, note);
+        }
     }
 
     /// Writes what the backend server learns.
@@ -113,6 +125,9 @@
                 text: Headers::text(headers, &Headers::KEY)?,
                 recall: headers.contains_key(Headers::KEY_RECALL),
                 cover: time::Duration::from_millis(cover),
+                backup: Headers::text(headers, &Headers::KEY_BACKUP)
+                    .and_then(|backup| backup.parse().ok()),
+                note: Headers::number(headers, &Headers::KEY_NOTE),
             })
         });
         Ok(Self {
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -36,18 +36,24 @@
     pub const KEY_RECALL: HeaderName = HeaderName::from_static("radishgap-key-recall");
     /// Between nodes: time that the records have to cover, in milliseconds.
     pub const KEY_COVER_MS: HeaderName = HeaderName::from_static("radishgap-key-cover-ms");
+    /// Between nodes: mesh address of the owner that is told before the key's request runs.
+    pub const KEY_BACKUP: HeaderName = HeaderName::from_static("radishgap-key-backup");
+    /// Between nodes: the sending owner, with this id, is about to run the key's request.
+    pub const KEY_NOTE: HeaderName = HeaderName::from_static("radishgap-key-note");
     /// Between nodes: the request was on a backend server that crashed.
     pub const SUSPECT: HeaderName = HeaderName::from_static("radishgap-suspect");
     /// Between nodes: load of the owner in parts per 10,000 of its limit.
     pub const LOAD: HeaderName = HeaderName::from_static("radishgap-load");
 
     /// Headers of ours that only nodes exchange.
-    const INTERNAL: [HeaderName; 6] = [
+    const INTERNAL: [HeaderName; 8] = [
         Self::SERVICE,
         Self::VERSION,
         Self::CALLER,
         Self::KEY_RECALL,
         Self::KEY_COVER_MS,
+        Self::KEY_BACKUP,
+        Self::KEY_NOTE,
         Self::SUSPECT,
     ];
     /// Headers of ours on answers, which a backend server may not set.
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -1,5 +1,6 @@
 //! The node that takes a request from its caller.
 
+mod keyed;
 mod selection;
 
 use std::cell;
@@ -10,7 +11,7 @@
 use compact_str::{CompactString, format_compact};
 use hyper::body::Incoming;
 use routing::{Directory, Endpoint, Group, Observer, Rotation, Sample, Table};
-use upstream::{Budget, Dialer, Outcome, Payload, Pool};
+use upstream::{Budget, Outcome, Payload};
 use xxhash_rust::xxh3;
 
 use super::arrival::Arrival;
@@ -31,8 +32,6 @@
     observer: O,
     owner: Owner<L>,
     quota: Quota,
-    dialer: Dialer,
-    upstream: rc::Rc<upstream::Settings>,
     state: cell::RefCell<State>,
     counts: cell::Cell<Counts>,
     /// Number of the last id that was given.
@@ -47,8 +46,6 @@
     rotation: Rotation,
     /// Sorted by service.
     budgets: Vec<(CompactString, Budget)>,
-    /// Sorted by address.
-    pools: Vec<(units::Address, Pool)>,
 }
 
 /// Where an attempt goes.
@@ -123,8 +120,6 @@
 }
 
 impl<L: peer::Link, O: Observer> Ingress<L, O> {
-    /// Time for which a connection to another node may be idle.
-    const IDLE_LIMIT: time::Duration = time::Duration::from_secs(60);
     /// Part of the time left that is kept back from the owner, so that its answer arrives in time.
     const DEADLINE_PART: u32 = 20;
     /// Longest time that is kept back.
@@ -140,14 +135,11 @@
             directory,
             rotation: Rotation::default(),
             budgets: Vec::new(),
-            pools: Vec::new(),
         };
         let shared = Shared {
             observer,
             owner,
             quota: Quota::new(settings.admission.ingress_requests),
-            dialer: Dialer::new(settings.upstream.dials_per_second),
-            upstream: rc::Rc::new(settings.upstream.clone()),
             state: cell::RefCell::new(state),
             counts: cell::Cell::default(),
             sequence: cell::Cell::new(0),
@@ -180,10 +172,7 @@
     /// Takes over configuration and members, and closes idle connections; to be called each second.
     pub fn maintain(&self, now: time::Instant) {
         self.refresh(now);
-        let mut state = self.shared.state.borrow_mut();
-        state
-            .pools
-            .retain(|(_, pool)| !pool.close_idle(now, Self::IDLE_LIMIT));
+        self.shared.owner.pools().maintain(now);
     }
 
     fn count(&self, change: impl FnOnce(&mut Counts)) {
@@ -223,7 +212,7 @@
         let route = table.find(&host, head.uri.path());
         let route = route.ok_or(Problem::refused(Reason::NoRoute))?.clone();
         let caller = self.caller(&head);
-        let keep = self.shared.upstream.replay.as_len();
+        let keep = self.shared.context.settings.upstream.replay.as_len();
         Arrival::new(head, body, id.clone(), route, caller, keep)
     }
 
@@ -357,79 +346,6 @@
         }
     }
 
-    /// Runs a request with an idempotency key at the owner that keeps the key's record.
-    ///
-    /// Owners that may have run it before are asked first, unless the caller says that it sends it
-    /// for the first time. Where one of them is gone, it is not run.
-    async fn run_keyed(
-        &self,
-        arrival: &Arrival,
-        key: &CompactString,
-        journey: &Journey,
-    ) -> Result<Answer<L, O>, Problem> {
-        self.earn(arrival);
-        let home = self.home(arrival, key)?;
-        let first = arrival.key_attempt == Some(1);
-        let resend = arrival.key_attempt.is_some_and(|attempt| attempt > 1);
-        let now = time::Instant::now();
-        let mut attempts = 0;
-        let mut gone = false;
-        let past = if first { &[][..] } else { &home.past };
-        for (target, joined) in past {
-            let Some(target) = target else {
-                gone = true;
-                continue;
-            };
-            attempts += 1;
-            let wanted = Key::recall(key, now.saturating_duration_since(*joined));
-            match self
-                .attempt_key(arrival, target, wanted, attempts, journey)
-                .await
-            {
-                Err(problem) if is_key_not_found(&problem) => {}
-                Err(problem) if problem.reason.is_final() => return Err(problem),
-                Err(problem) if problem.outcome == Outcome::NotRun => gone = true,
-                ended => return ended,
-            }
-        }
-        if gone {
-            return Err(Problem::unknown(Reason::KeyUnknown));
-        }
-        let cover = now.saturating_duration_since(home.joined);
-        let wanted = if resend {
-            Key::recall(key, cover)
-        } else if first {
-            Key::run(key, time::Duration::ZERO)
-        } else {
-            Key::run(key, cover)
-        };
-        let ended = self
-            .attempt_key(arrival, &home.target, wanted, attempts + 1, journey)
-            .await;
-        match ended {
-            Err(problem) if resend && is_key_not_found(&problem) => {
-                Err(Problem::unknown(Reason::KeyUnknown))
-            }
-            ended => ended,
-        }
-    }
-
-    async fn attempt_key(
-        &self,
-        arrival: &Arrival,
-        target: &Target,
-        key: Key,
-        attempts: u32,
-        journey: &Journey,
-    ) -> Result<Answer<L, O>, Problem> {
-        let window = self.shared.context.settings.choice.key_window.0;
-        let cover = key.cover.min(window);
-        let key = Some(Key { cover, ..key });
-        let target = target.again();
-        let envelope = self.envelope(arrival, &target.endpoint, attempts, false, key);
-        self.attempt(arrival, target, envelope, journey).await
-    }
-
     fn envelope(
         &self,
         arrival: &Arrival,
@@ -535,7 +451,7 @@
         envelope.write(&mut head.headers, time::Instant::now());
         let headers = std::mem::take(&mut head.headers);
         let request = build(&head, headers, endpoint.address, feed)?;
-        let pool = self.pool(endpoint.address);
+        let pool = self.shared.owner.pools().get(endpoint.address);
         let sent = pool.send(request).await;
         let reply = match sent {
             Ok(reply) => reply,
@@ -570,20 +486,6 @@
         Err(Problem::unknown(Reason::Mismatched))
     }
 
-    fn pool(&self, address: units::Address) -> Pool {
-        let mut state = self.shared.state.borrow_mut();
-        let place = state.pools.binary_search_by(|one| one.0.cmp(&address));
-        match place {
-            Ok(place) => state.pools[place].1.clone(),
-            Err(place) => {
-                let (settings, dialer) = (&self.shared.upstream, &self.shared.dialer);
-                let pool = Pool::new(address, settings.clone(), dialer.clone());
-                state.pools.insert(place, (address, pool.clone()));
-                pool
-            }
-        }
-    }
-
     /// Tells the observer of an attempt that its version failed.
     fn observe_problem(&self, arrival: &Arrival, attempt: &Attempt, problem: &Problem) {
         let crashed = problem.reason.is(Reason::Crashed);
@@ -605,12 +507,6 @@
     }
 }
 
-/// Whether the owner has no record of the key and has not run the request.
-fn is_key_not_found(problem: &Problem) -> bool {
-    let wanted = Reason::Refused(admission::Reason::KeyNotFound);
-    problem.reason.is(wanted)
-}
-
 impl State {
     fn budget(&mut self, service: &CompactString, retry: &Retry) -> &mut Budget {
         let place = self.budgets.binary_search_by(|one| one.0.cmp(service));
--- a/node/src/call/ingress/selection.rs
+++ b/node/src/call/ingress/selection.rs
@@ -14,8 +14,17 @@
     pub(super) target: Target,
     /// When the owner was first seen.
     pub(super) joined: time::Instant,
-    /// Where they can be asked, `None` for those that are gone, and when they were first seen.
-    pub(super) past: Vec<(Option<Target>, time::Instant)>,
+    /// Mesh address of the owner that is told before the request runs.
+    pub(super) backup: Option<units::Address>,
+    pub(super) past: Vec<Past>,
+}
+
+/// An owner that may have run a request before.
+pub(super) struct Past {
+    /// Who can be asked, the owner itself first, and when they were first seen.
+    pub(super) targets: Vec<(Target, time::Instant)>,
+    /// Whether the owner that would run the request now was told of the keys that this one ran.
+    pub(super) told_home: bool,
 }
 
 impl Target {
@@ -89,7 +98,8 @@
         let home = self
             .home_of(&group.service, &group.version, key, now)
             .ok_or_else(none_left)?;
-        let mut past = self.past_targets(&home, now);
+        let node = &home.endpoint.node;
+        let mut past = self.past(&home, node, now);
         let versions = self
             .shared
             .state
@@ -99,22 +109,20 @@
         for version in versions.iter().filter(|version| **version != group.version) {
             // The key may have been drawn for another version when it was first sent.
             if let Some(other) = self.home_of(&group.service, version, key, now) {
-                past.extend(self.past_targets(&other, now));
-                past.push((Some(target(&other.endpoint)), other.joined));
+                past.extend(self.past(&other, node, now));
+                past.push(Past {
+                    targets: vec![(target(&other.endpoint), other.joined)],
+                    told_home: false,
+                });
             }
         }
-        let node = home.endpoint.node.clone();
-        past.retain(|(target, _)| {
-            target
-                .as_ref()
-                .is_none_or(|target| target.endpoint.node != node)
-        });
         Ok(Home {
+            joined: home.joined,
+            backup: home.backup.as_ref().map(|backup| backup.address),
             target: Target {
-                endpoint: home.endpoint,
+                endpoint: home.endpoint.clone(),
                 group: Some(group),
             },
-            joined: home.joined,
             past,
         })
     }
@@ -133,23 +141,36 @@
         directory.home(service, version, hash_key(key), &view, window, now)
     }
 
-    fn past_targets(
+    /// The owners before `home` other than `node`, which is asked in any case.
+    fn past(&self, home: &routing::Home, node: &units::Node, now: time::Instant) -> Vec<Past> {
+        let others = home.past.iter().filter(|past| past.node != *node);
+        let described = others.map(|past| {
+            let own = past.address.map(|_| (&past.node, past.joined));
+            let heir = past.heir.as_ref().filter(|heir| heir.node != *node);
+            let heir = heir.map(|heir| (&heir.node, heir.joined));
+            let asked = own.into_iter().chain(heir);
+            Past {
+                targets: asked
+                    .filter_map(|(node, joined)| self.ask(node, joined, now))
+                    .collect(),
+                told_home: past.heir.as_ref().is_some_and(|heir| heir.node == *node),
+            }
+        });
+        described.collect()
+    }
+
+    /// Where `node` can be asked for its records.
+    fn ask(
         &self,
-        home: &routing::Home,
+        node: &units::Node,
+        joined: time::Instant,
         now: time::Instant,
-    ) -> Vec<(Option<Target>, time::Instant)> {
-        let view = self.shared.context.members.get();
+    ) -> Option<(Target, time::Instant)> {
         let context = &self.shared.context;
-        let targets = home.past.iter().map(|past| {
-            let member = past.address.and_then(|_| view.member(&past.node));
-            let endpoint = member
-                .and_then(|member| Endpoint::new(member, &context.node, &context.data_centre, now));
-            (
-                endpoint.map(|endpoint| target(&rc::Rc::new(endpoint))),
-                past.joined,
-            )
-        });
-        targets.collect()
+        let view = context.members.get();
+        let member = view.member(node)?;
+        let endpoint = Endpoint::new(member, &context.node, &context.data_centre, now)?;
+        Some((target(&rc::Rc::new(endpoint)), joined))
     }
 }
 
--- a/node/src/call/keyed.rs
+++ b/node/src/call/keyed.rs
@@ -10,13 +10,15 @@
 use upstream::Outcome;
 use xxhash_rust::xxh3;
 
-use super::owner::{Cancel, Job, Served, Serving};
-use super::{Download, Key, Owner, Problem, Reason, Source};
+use super::owner::{Cancel, Job, Served, Serving, build};
+use super::{Download, Headers, Key, Owner, Problem, Reason, Source};
 
 /// What the first request with a key hands to its caller.
 type Given<L> = Result<Served<L>, Problem>;
 
 impl<L: peer::Link> Owner<L> {
+    /// Longest time that telling the next-ranked owner may take.
+    const NOTE_LIMIT: time::Duration = time::Duration::from_millis(500);
     /// Slack in the comparison of the records' age with what they have to cover.
     const COVER_SLACK: time::Duration = time::Duration::from_millis(1_500);
 
@@ -28,29 +30,93 @@
         let now = time::Instant::now();
         let hash = key_hash(&job, &key);
         let request = request_hash(&job);
+        // Records were lost in a restart, within the time in which the key may have run.
         let lost = self.records().age(now) + Self::COVER_SLACK < key.cover;
-        let start = self.records().begin(hash, request, key.recall || lost, now);
-        let start = match start {
-            // The records were lost in a restart, within the time in which the key may have run.
+        if let Some(by) = key.note {
+            return self.take_note(hash, request, by, lost);
+        }
+        let recall = key.recall || (lost && key.backup.is_none());
+        let start = match self.records().begin(hash, request, recall, now) {
             Err(refusal) if lost && refusal.reason == admission::Reason::KeyNotFound => {
                 return Err(Problem::unknown(Reason::KeyUnknown));
             }
+            Err(refusal) if refusal.reason == admission::Reason::KeyNoted => {
+                return Err(Problem::unknown(Reason::Refused(refusal.reason)));
+            }
             other => other?,
         };
         match start {
-            Start::Run(first) => self.run_first(job, first).await,
+            Start::Run(first) => self.run_first(job, first, lost).await,
             Start::Join(receiver) => self.join(&job, receiver).await,
             Start::Ended(end) => self.give(end),
         }
     }
 
+    /// Another owner is about to run the request.
+    fn take_note(&self, hash: u128, request: u64, by: u64, lost: bool) -> Given<L> {
+        if lost {
+            return Err(Problem::unknown(Reason::KeyUnknown));
+        }
+        let noted = self.records().note(hash, request, by, time::Instant::now());
+        match noted {
+            Ok(()) => {
+                let mut parts = http::Response::new(()).into_parts().0;
+                Headers::set(&mut parts.headers, Headers::OUTCOME, Outcome::Ran.as_str());
+                Ok(Served {
+                    parts,
+                    source: Source::memory(Bytes::new()),
+                    watch: None,
+                })
+            }
+            Err(refusal) if refusal.reason == admission::Reason::KeysFull => Err(refusal.into()),
+            Err(_) => Err(Problem::unknown(Reason::KeyUnknown)),
+        }
+    }
+
+    /// Tells the next-ranked owner that the request is about to run here.
+    ///
+    /// That owner runs the key when this one is gone, and then has to know what may have run. After
+    /// a restart of this owner it knows what ran here before.
+    async fn tell_backup(&self, job: &Job, lost: bool) -> Result<(), Problem> {
+        let Some((key, backup)) = backup_of(job) else {
+            return Ok(());
+        };
+        let mut envelope = job.envelope.clone();
+        envelope.request.push_str(".n");
+        envelope.key = Some(Key {
+            recall: false,
+            cover: if lost {
+                key.cover
+            } else {
+                time::Duration::ZERO
+            },
+            backup: None,
+            note: Some(self.life()),
+            text: key.text.clone(),
+        });
+        let mut headers = http::HeaderMap::new();
+        Headers::set(&mut headers, Headers::KEY, &key.text);
+        envelope.write(&mut headers, time::Instant::now());
+        let request = build(&job.head, headers, backup, upstream::Feed::empty())?;
+        let pool = self.pools().get(backup);
+        let sent = pool.send(request);
+        let unreached = Problem::later(Reason::Refused(admission::Reason::KeyNotNoted));
+        let told = compio::time::timeout(Self::NOTE_LIMIT, sent).await;
+        let reply = told.map_err(|_| unreached)?.map_err(|_| unreached)?;
+        match Problem::read(reply.response.headers()) {
+            None => Ok(()),
+            Some(problem) if problem.outcome == Outcome::Unknown => Err(problem),
+            Some(_) => Err(unreached),
+        }
+    }
+
     /// Runs the first request with its key to its end, even when its caller goes away.
-    async fn run_first(&self, job: Job, first: First) -> Given<L> {
+    async fn run_first(&self, job: Job, first: First, lost: bool) -> Given<L> {
         let (sender, receiver) = oneshot::channel();
         let owner = self.clone();
         let payload = job.payload.clone();
         compio::runtime::spawn(async move {
-            let given = owner.run_recorded(job, first).await;
+            let given = owner.run_recorded(job, first, lost).await;
             let _ = sender.send(given);
         })
         .detach();
@@ -61,10 +127,15 @@
         given.unwrap_or(Err(Problem::unknown(Reason::KeyUnknown)))
     }
 
-    async fn run_recorded(&self, job: Job, first: First) -> Given<L> {
+    async fn run_recorded(&self, job: Job, first: First, lost: bool) -> Given<L> {
         let deadline = job.envelope.deadline;
         let limit = self.key_answer_limit();
-        let served = match self.run(job).await {
+        let told = self.tell_backup(&job, lost).await;
+        let ran = match told {
+            Ok(()) => self.run(job).await,
+            Err(problem) => Err(problem),
+        };
+        let served = match ran {
             Ok(served) => served,
             Err(problem) => {
                 let end = match problem.outcome {
@@ -195,6 +266,12 @@
     whole.into()
 }
 
+/// The key of a request, and the owner that is told before it runs.
+fn backup_of(job: &Job) -> Option<(&Key, units::Address)> {
+    let key = job.envelope.key.as_ref()?;
+    Some((key, key.backup?))
+}
+
 /// Hash of the service and the key.
 fn key_hash(job: &Job, key: &Key) -> u128 {
     let mut text = job.envelope.service.clone();
--- a/node/src/call/mod.rs
+++ b/node/src/call/mod.rs
@@ -10,6 +10,7 @@
 mod ingress;
 mod keyed;
 mod owner;
+mod pools;
 mod problem;
 mod reason;
 mod retry;
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3;
 
 use super::counts::Owner as Counts;
+use super::pools::Pools;
 use super::{Context, Download, Ended, Envelope, Headers, Problem, Reason, Source, Watch};
 
 /// The owner of the backend server beside this node; clones share it.
@@ -27,6 +28,10 @@
     /// A crash that is not certain: the backend server may only have lost a connection.
     crashed: cell::RefCell<Option<(Crash, time::Instant)>>,
     counts: cell::Cell<Counts>,
+    /// Connections to other nodes.
+    pools: Pools,
+    /// Id of this start of the process, under which other owners note its keys.
+    life: u64,
 }
 
 /// State of an owner.
@@ -124,6 +129,8 @@
             pool: cell::RefCell::default(),
             crashed: cell::RefCell::default(),
             counts: cell::Cell::default(),
+            pools: Pools::new(&context.settings.upstream),
+            life: rand::random(),
             context,
         };
         Self {
@@ -179,6 +186,16 @@
         }
     }
 
+    /// Connections to other nodes.
+    pub(crate) fn pools(&self) -> &Pools {
+        &self.shared.pools
+    }
+
+    /// Id of this start of the process.
+    pub(crate) fn life(&self) -> u64 {
+        self.shared.life
+    }
+
     pub(crate) fn key_answer_limit(&self) -> usize {
         self.shared.context.settings.admission.key_answer.as_len()
     }
--- a/node/src/call/reason.rs
+++ b/node/src/call/reason.rs
@@ -39,7 +39,7 @@
 
 impl Reason {
     /// Reasons of owners, as ingresses read them.
-    const REMOTE: [&'static str; 24] = [
+    const REMOTE: [&'static str; 26] = [
         "no-backend-server",
         "other-backend-server",
         "starting",
@@ -52,6 +52,8 @@
         "keys-full",
         "key-reused",
         "key-not-found",
+        "key-not-noted",
+        "key-noted",
         "key-unknown",
         "key-answered",
         "backend-server-crashed",
@@ -132,6 +134,8 @@
         Reason::KeysFull => "keys-full",
         Reason::KeyReused => "key-reused",
         Reason::KeyNotFound => "key-not-found",
+        Reason::KeyNoted => "key-noted",
+        Reason::KeyNotNoted => "key-not-noted",
     }
 }
 
--- a/node/tests/call/fleet.rs
+++ b/node/tests/call/fleet.rs
@@ -105,6 +105,17 @@
         index
     }
 
+    /// Node `index` starts anew: it has forgotten everything and listens elsewhere.
+    pub(crate) async fn restart(&mut self, index: usize, backend: units::Address) {
+        self.nodes[index].member.backend = None;
+        self.publish();
+        for node in &self.nodes {
+            node.ingress.maintain(std::time::Instant::now());
+        }
+        self.nodes[index] = self.node(index).await;
+        self.announce(index, backend, 1, Phase::Ready);
+    }
+
     pub(crate) fn configure(&self, routes: &[Route]) {
         let mut puts = vec![Put::Service(service("menus"), None)];
         puts.extend(routes.iter().map(|route| Put::Route(route.clone(), None)));
--- a/node/tests/call/keys.rs
+++ b/node/tests/call/keys.rs
@@ -148,7 +148,13 @@
 
 #[compio::test]
 async fn first_sending_after_owner_died() {
-    let (backends, addresses, _stops) = servers(2).await;
+    for attempt in [None, Some("1")] {
+        send_first_after_death(attempt).await;
+    }
+}
+
+async fn send_first_after_death(attempt: Option<&str>) {
+    let (backends, addresses, _stops) = servers(3).await;
     let mut fleet = Fleet::start(&addresses).await;
     let ingress = fleet.add_ingress().await;
     let caller = Caller::open(fleet.nodes[ingress].callers).await;
@@ -157,12 +163,42 @@
     for booking in 0..6 {
         let path = format!("/book/{booking}");
         let key = format!("key-{booking}");
-        let headers = [
-            ("idempotency-key", key.as_str()),
-            ("idempotency-attempt", "1"),
-        ];
+        let mut headers = vec![("idempotency-key", key.as_str())];
+        headers.extend(attempt.map(|attempt| ("idempotency-attempt", attempt)));
         let got = caller.send_with("POST", &path, &headers, b"").await;
         assert_eq!(got.status, 200, "{got:?}");
         assert_eq!(runs(&backends, &path), 1);
     }
 }
+
+/// The next-ranked owner knows what the restarted one has forgotten.
+#[compio::test]
+async fn resend_after_owner_restarted() {
+    let (backends, addresses, _stops) = servers(2).await;
+    let mut fleet = Fleet::start(&addresses).await;
+    let ingress = fleet.add_ingress().await;
+    let caller = Caller::open(fleet.nodes[ingress].callers).await;
+    let send = async |booking: usize| {
+        let path = format!("/book/{booking}");
+        let key = format!("key-{booking}");
+        let headers = [("idempotency-key", key.as_str())];
+        let got = caller.send_with("POST", &path, &headers, b"").await;
+        assert_eq!(runs(&backends, &path), 1, "{got:?}");
+        got.outcome
+    };
+    for booking in 0..8 {
+        assert_eq!(send(booking).await, "ran");
+    }
+    let ran = backends[0].total();
+    // Longer than the slack with which an owner compares the age of its records.
+    compio::time::sleep(std::time::Duration::from_millis(1_700)).await;
+    fleet.restart(0, addresses[0]).await;
+    let mut unknown = 0;
+    for booking in 0..8 {
+        unknown += usize::from(send(booking).await == "unknown");
+    }
+    assert_eq!(unknown, ran);
+    for booking in 8..16 {
+        assert_eq!(send(booking).await, "ran");
+    }
+}
