--- a/components/distribution/src/state.rs
+++ b/components/distribution/src/state.rs
@@ -256,7 +256,7 @@
         }
         self.check_reported(&held);
         self.record(version, accepted);
-        log::debug!(version = version.0; "configuration in force");
+        log::info!(version = version.0; "configuration in force");
         true
     }
 
