distribution: small entries go to all neighbours, trees only for large ones

Changes enter at several nodes at once (acceptor and watchers), so that two pushes meet and prune a link that the tree needs.

--- a/components/distribution/examples/sizes.rs
+++ b/components/distribution/examples/sizes.rs
@@ -111,70 +111,82 @@
     sum.as_secs_f64() * 1e3 / times.len() as f64
 }
 
-fn main() {
-    let mut draws = StdRng::seed_from_u64(SEED);
-    let mut snapshot = whole();
+/// What a run of changes has cost.
+#[derive(Default)]
+struct Costs {
+    entries: usize,
+    entry_bytes: usize,
+    apply_times: Vec<time::Duration>,
+    /// Compressed bytes of whole checkpoints.
+    whole_bytes: Vec<usize>,
+    /// Compressed bytes of incremental checkpoints.
+    increments: Vec<usize>,
+}
 
-    let mut apply_times = Vec::new();
-    let mut digest_times = Vec::new();
-    let mut entry_total = 0;
-    let mut whole_bytes = Vec::new();
-    let mut increments = Vec::new();
-    for _ in 0..CHAIN {
+impl Costs {
+    /// Applies random changes up to the next checkpoint.
+    fn run(&mut self, mut snapshot: Snapshot, draws: &mut StdRng) -> Snapshot {
         let base = snapshot.version();
         for _ in 0..EVERY {
-            let change = random_change(&mut draws);
+            let change = random_change(draws);
             let started = time::Instant::now();
             let next = snapshot.apply_all(std::slice::from_ref(&change));
-            apply_times.push(started.elapsed());
             snapshot = next.expect("the change is valid");
-            let started = time::Instant::now();
             let digest = snapshot.digest();
-            digest_times.push(started.elapsed());
+            self.apply_times.push(started.elapsed());
             let entry = wire::Entry {
                 version: snapshot.version().0,
                 changes: vec![change.encode()],
                 accepted_ms: units::Wall::now().0,
                 digest,
             };
-            entry_total += entry.encoded_len();
+            self.entries += 1;
+            self.entry_bytes += entry.encoded_len();
         }
-        increments.push(compressed(&increment(&snapshot, base)));
-        whole_bytes.push(compressed(&snapshot.encode()));
+        self.increments
+            .push(compressed(&increment(&snapshot, base)));
+        self.whole_bytes.push(compressed(&snapshot.encode()));
+        snapshot
+    }
+
+    fn print(&self) {
+        let checkpoints = CHANGES_A_DAY / EVERY;
+        let full: usize = self.whole_bytes.iter().sum::<usize>() / CHAIN;
+        let step: usize = self.increments.iter().sum::<usize>() / CHAIN;
+        let whole_day = checkpoints * full;
+        let chain_day = checkpoints * step + checkpoints / CHAIN * full;
+        let chain_read = full + step * CHAIN / 2;
+        println!(
+            "entry: {} bytes on average",
+            self.entry_bytes / self.entries
+        );
+        println!(
+            "apply and digest: {:.2} ms on average",
+            mean(&self.apply_times)
+        );
+        println!("whole: {full} bytes each, {checkpoints} a day: {whole_day} bytes a day");
+        println!("incremental: {step} bytes each, one whole in {CHAIN}: {chain_day} bytes a day");
+        println!("a joiner reads {full} bytes, {chain_read} from a chain of half the length");
     }
+}
+
+fn main() {
+    let mut draws = StdRng::seed_from_u64(SEED);
+    let mut snapshot = whole();
+    let mut costs = Costs::default();
+    for _ in 0..CHAIN {
+        snapshot = costs.run(snapshot, &mut draws);
+    }
+    costs.print();
     let started = time::Instant::now();
     let encoded = snapshot.encode();
-    let plain = encoded.encoded_len();
     let blob = lz4_flex::compress_prepend_size(&encoded.encode_to_vec());
-    let encode = started.elapsed();
+    let encode = started.elapsed().as_secs_f64() * 1e3;
     let started = time::Instant::now();
     let decoded = Snapshot::decode(&encoded).expect("it is right");
-    let decode = started.elapsed();
+    let decode = started.elapsed().as_secs_f64() * 1e3;
     assert_eq!(decoded.version(), snapshot.version());
-    let checkpoints = CHANGES_A_DAY / EVERY;
-    let full: usize = whole_bytes.iter().sum::<usize>() / CHAIN;
-    let step: usize = increments.iter().sum::<usize>() / CHAIN;
-    let chain_day = checkpoints * step + checkpoints / CHAIN * full;
-    println!("entry: {} bytes on average", entry_total / (EVERY * CHAIN));
-    println!(
-        "apply_all: {:.2} ms, digest: {:.2} ms on average",
-        mean(&apply_times),
-        mean(&digest_times)
-    );
+    let plain = encoded.encoded_len();
     println!("checkpoint: {plain} bytes plain, {} compressed", blob.len());
-    println!(
-        "encode: {:.1} ms, decode and check: {:.1} ms",
-        encode.as_secs_f64() * 1e3,
-        decode.as_secs_f64() * 1e3
-    );
-    println!(
-        "whole checkpoints: {full} bytes each, {} a day: {} bytes a day",
-        checkpoints,
-        checkpoints * full
-    );
-    println!("incremental: {step} bytes each; with one whole in {CHAIN}: {chain_day} bytes a day");
-    println!(
-        "a joiner reads {full} bytes, or {} from a chain of half the length",
-        full + step * CHAIN / 2
-    );
+    println!("encode: {encode:.1} ms, decode and check: {decode:.1} ms");
 }
--- a/components/distribution/src/spread.rs
+++ b/components/distribution/src/spread.rs
@@ -1,9 +1,12 @@
 //! Push of new versions to the neighbours.
 //!
-//! Epidemic broadcast trees (Leitão, Pereira and Rodrigues, SRDS 2007), simplified by the total
-//! order of versions: a neighbour gets entries at once until it reports a duplicate; from then on
-//! it is told of new versions after a delay, and only when it is not known to hold them. A node
-//! that learns of a version in this way fetches it, and the link carries entries again.
+//! Small entries go to all neighbours that are not known to hold them. Large ones follow epidemic
+//! broadcast trees (Leitão, Pereira and Rodrigues, SRDS 2007), simplified by the total order of
+//! versions: a neighbour gets them at once until it reports a duplicate; from then on it is told
+//! of new versions after a delay, and only when it is not known to hold them. A node that learns
+//! of a version in this way fetches it, and the link carries entries again. Trees alone were
+//! slower: changes enter at several nodes at once, at the accepting one and the watchers, and
+//! where their paths meet a link of the tree is lost until the delay has restored it.
 
 use std::rc;
 
@@ -38,12 +41,7 @@
 /// Feeds one neighbour until it holds the current version or fails.
 async fn feed<S: platform::Store, L: peer::Link>(core: rc::Rc<Core<S, L>>, member: rc::Rc<Member>) {
     while is_behind(&core, &member) {
-        let going = if core.is_lazy(&member.node) {
-            tell(&core, &member).await
-        } else {
-            push(&core, &member).await
-        };
-        if !going {
+        if !step(&core, &member).await {
             break;
         }
     }
@@ -53,15 +51,32 @@
     }
 }
 
+/// Sends what the neighbour lacks, or tells it; `false` ends the feeding.
+async fn step<S: platform::Store, L: peer::Link>(core: &Core<S, L>, member: &Member) -> bool {
+    let held = core.state.version();
+    let before = core.state.announced(&member.node).map(|one| one.current);
+    let from = before.unwrap_or(units::Version(held.0.saturating_sub(1)));
+    let entries = core.state.tail.borrow().after(from);
+    let Some(entries) = entries.filter(|entries| !entries.is_empty()) else {
+        compare(core, member).await;
+        return false;
+    };
+    let size: usize = entries.iter().map(Vec::len).sum();
+    if core.is_lazy(&member.node) && size > core.state.settings.eager_size.as_len() {
+        tell(core, member).await;
+        return false;
+    }
+    push(core, member, entries, before).await
+}
+
 /// Tells a neighbour of the current version after a delay, unless it has learned of it meanwhile.
-async fn tell<S: platform::Store, L: peer::Link>(core: &Core<S, L>, member: &Member) -> bool {
+///
+/// What the neighbour lacks it fetches itself.
+async fn tell<S: platform::Store, L: peer::Link>(core: &Core<S, L>, member: &Member) {
     compio::time::sleep(core.state.settings.lazy_delay.0).await;
-    if !is_behind(core, member) {
-        return false;
+    if is_behind(core, member) {
+        compare(core, member).await;
     }
-    compare(core, member).await;
-    // What the neighbour lacks it fetches itself.
-    false
 }
 
 /// Announces the own version to `member`.
@@ -74,16 +89,13 @@
     core.call(member, kind, core.call_timeout()).await.ok()
 }
 
-/// Sends entries to a neighbour; `false` ends the feeding.
-async fn push<S: platform::Store, L: peer::Link>(core: &Core<S, L>, member: &Member) -> bool {
-    let held = core.state.version();
-    let before = core.state.announced(&member.node).map(|one| one.current);
-    let from = before.unwrap_or(units::Version(held.0.saturating_sub(1)));
-    let entries = core.state.tail.borrow().after(from);
-    let Some(entries) = entries.filter(|entries| !entries.is_empty()) else {
-        compare(core, member).await;
-        return false;
-    };
+/// Sends entries to a neighbour that announced the version `before`; `false` ends the feeding.
+async fn push<S: platform::Store, L: peer::Link>(
+    core: &Core<S, L>,
+    member: &Member,
+    entries: Vec<Vec<u8>>,
+    before: Option<units::Version>,
+) -> bool {
     let kind = wire::request::Kind::Publish(wire::Publish { entries });
     let Ok(reply) = core.call(member, kind, core.call_timeout()).await else {
         return false;
--- a/components/distribution/tests/mesh/main.rs
+++ b/components/distribution/tests/mesh/main.rs
@@ -2,5 +2,6 @@
 
 mod accept;
 mod bench;
+mod bytes;
 mod join;
 mod spread;
