--- a/components/moves/examples/calls.rs
+++ b/components/moves/examples/calls.rs
@@ -1,7 +1,7 @@
 //! Calls to the platform for many moves at once.
 //!
-//! `cargo run --release -p moves --example calls -- [MOVES]` runs that many moves on four nodes in
-//! one process, by the schedule alone, and prints the calls by kind. Entries of the configuration's
+//! `cargo run --release -p moves --example calls -- [MOVES] [SECONDS]` runs that many moves with that
+//! much time on four nodes in one process, by the schedule alone, and prints the calls by kind. Entries of the configuration's
 //! log are not among them: those of steps at the same time are written together.
 
 use std::cell;
@@ -17,8 +17,6 @@
 use moves::{Analysis, Command, Moves, Parts, Settings, Start};
 
 const NODES: usize = 4;
-/// Time that every move has.
-const DEADLINE: time::Duration = time::Duration::from_secs(40);
 const MAILBOX: usize = 8_192;
 
 type Reader = moves::Reader<fakes::Store, fakes::Link>;
@@ -43,13 +41,15 @@
 }
 
 fn main() {
-    let count = env::args().nth(1).and_then(|text| text.parse().ok());
-    let count = count.unwrap_or(1_000);
+    let number = |place: usize| env::args().nth(place).and_then(|text| text.parse().ok());
+    let count = number(1).unwrap_or(1_000);
+    let seconds = number(2).and_then(|seconds| u64::try_from(seconds).ok());
+    let deadline = time::Duration::from_secs(seconds.unwrap_or(40));
     let runtime = compio::runtime::Runtime::new().expect("a runtime starts");
     runtime.block_on(async {
         let mesh = start(count);
         let begin = time::Instant::now();
-        let answers = (0..count).map(|index| start_move(&mesh, index));
+        let answers = (0..count).map(|index| start_move(&mesh, index, deadline));
         let answers = futures_util::future::join_all(answers).await;
         for view in &mesh.views {
             view.set(View::new(mesh.members[..NODES].to_vec(), 2));
@@ -62,7 +62,7 @@
             })
         };
         while ended().sum::<u64>() + (refused as u64) < count as u64
-            && begin.elapsed() < DEADLINE * 2
+            && begin.elapsed() < deadline * 2
         {
             compio::time::sleep(time::Duration::from_millis(200)).await;
         }
@@ -201,14 +201,18 @@
     }
 }
 
-async fn start_move(mesh: &Mesh, index: usize) -> Result<(), moves::Refusal> {
+async fn start_move(
+    mesh: &Mesh,
+    index: usize,
+    deadline: time::Duration,
+) -> Result<(), moves::Refusal> {
     let (answer, answered) = oneshot::channel();
     let start = Start {
         operation: units::Operation::random(),
         service: name(index),
         from: "v1".into(),
         to: "v2".into(),
-        deadline: units::Wall::now().after(DEADLINE),
+        deadline: units::Wall::now().after(deadline),
     };
     let sent = mesh.mailboxes[index % NODES].send(Command::Start { start, answer });
     sent.expect("the service runs");
