--- a/testing/load/src/convergence/figures.rs
+++ b/testing/load/src/convergence/figures.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::costs::Costs;
-use super::{Change, History, Variant};
+use super::{Change, Fall, History, Variant};
 use crate::report::{Histogram, Quantiles};
 
 /// Figures of one stage.
@@ -36,6 +36,8 @@
     pub kills: usize,
     /// What it cost.
     pub costs: Costs,
+    /// Versions that fell.
+    pub falls: Vec<Fall>,
     /// Versions that fell, changes that are missing, and violations that nodes counted.
     pub violations: u64,
 }
@@ -88,7 +90,7 @@
             }
         }
         let accepted = changes.iter().filter(|one| one.version.is_some()).count();
-        let reversals: u64 = histories.iter().map(History::reversals).sum();
+        let falls: Vec<_> = histories.iter().flat_map(History::falls).collect();
         Self {
             variant,
             nodes: histories.len(),
@@ -105,7 +107,8 @@
             missing: times.missing,
             kills,
             costs,
-            violations: reversals + times.missing + costs.violations,
+            violations: falls.len() as u64 + times.missing + costs.violations,
+            falls,
         }
     }
 }
--- a/testing/load/src/convergence/mod.rs
+++ b/testing/load/src/convergence/mod.rs
@@ -15,7 +15,7 @@
 pub use changes::{Change, Due, schedule};
 pub use costs::{Calls, Costs, sum_all};
 pub use figures::Stage;
-pub use history::{Entry, History};
+pub use history::{Entry, Fall, History};
 pub use variant::Variant;
 
 use crate::failure::Failure;
@@ -115,7 +115,12 @@
         ("convergence-bytes", bytes_plot(&stages)),
         ("convergence-calls", calls_plot(&stages)),
     ];
-    Report::new(options.seed, stages).save(&options.out, "convergence", &plots)?;
+    let origin = options.origin.clone();
+    let report = Report {
+        origin,
+        figures: stages,
+    };
+    report.save(&options.out, "convergence", &plots)?;
     println!("report: {}", options.out.join("convergence.json").display());
     match violations {
         0 => Ok(()),
--- a/testing/load/src/convergence/stage.rs
+++ b/testing/load/src/convergence/stage.rs
@@ -54,10 +54,8 @@
     Ok(Stage::new(variant, &sent, &bench.histories(), kills, costs))
 }
 
-/// Nodes and the times of their starts.
 struct Bench {
     mesh: Mesh,
-    starts: Vec<Vec<units::Wall>>,
 }
 
 impl Bench {
@@ -73,12 +71,11 @@
         shape.log_level = telemetry::Level::Debug;
         variant.set(&mut shape);
         let mesh = Mesh::start_platform(shape).await?;
-        let starts = vec![Vec::new(); nodes];
-        let mut bench = Self { mesh, starts };
+        let mut bench = Self { mesh };
         let all: Vec<_> = (0..nodes).collect();
         for batch in all.chunks(START_BATCH) {
             for index in batch {
-                bench.start_node(*index)?;
+                bench.mesh.start_node(*index)?;
             }
             for index in batch {
                 bench.mesh.await_node(*index).await?;
@@ -87,14 +84,9 @@
         Ok(bench)
     }
 
-    fn start_node(&mut self, index: usize) -> Result<(), Error> {
-        self.starts[index].push(units::Wall::now());
-        self.mesh.start_node(index)
-    }
-
     /// Kills a share of the nodes again and again; gives the number of kills.
     async fn churn(&mut self, selection: &Selection, seed: u64) -> Result<usize, Failure> {
-        let nodes = self.starts.len();
+        let nodes = self.mesh.nodes.len();
         // A few hundred nodes.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let count = (selection.churn.as_fraction() * nodes as f64).ceil() as usize;
@@ -114,7 +106,7 @@
             kills += victims.len();
             compio::time::sleep(DEAD_FOR).await;
             for victim in victims {
-                self.start_node(victim)?;
+                self.mesh.start_node(victim)?;
             }
             round += 1;
         }
@@ -123,8 +115,11 @@
 
     /// Waits until every node has at least `version` in force.
     async fn await_in_force(&self, version: units::Version) -> Result<(), Error> {
-        let what = format!("version {version} in force on {} nodes", self.starts.len());
-        let mut waiting: Vec<_> = (0..self.starts.len()).collect();
+        let what = format!(
+            "version {version} in force on {} nodes",
+            self.mesh.nodes.len()
+        );
+        let mut waiting: Vec<_> = (0..self.mesh.nodes.len()).collect();
         Mesh::await_condition(&what, IN_FORCE_LIMIT, async || {
             waiting.retain(|index| !self.holds(*index, version));
             waiting.is_empty()
@@ -133,19 +128,18 @@
     }
 
     fn holds(&self, index: usize, version: units::Version) -> bool {
-        let since = self.starts[index].last().copied().unwrap_or_default();
-        self.history(index).in_force(version, since).is_some()
+        let history = self.history(index);
+        let since = history.starts.last().copied().unwrap_or_default();
+        history.in_force(version, since).is_some()
     }
 
     fn history(&self, index: usize) -> History {
-        let Some(process) = &self.mesh.nodes[index] else {
-            return History::default();
-        };
-        History::read(process.log(), self.starts[index].clone())
+        let process = self.mesh.nodes[index].as_ref();
+        process.map(History::read).unwrap_or_default()
     }
 
     fn histories(&self) -> Vec<History> {
-        (0..self.starts.len())
+        (0..self.mesh.nodes.len())
             .map(|index| self.history(index))
             .collect()
     }
--- a/testing/load/src/fleet/process.rs
+++ b/testing/load/src/fleet/process.rs
@@ -18,6 +18,7 @@
     settings: path::PathBuf,
     log: path::PathBuf,
     child: Option<process::Child>,
+    starts: Vec<units::Wall>,
 }
 
 /// Signal to a process.
@@ -68,6 +69,7 @@
             settings,
             log,
             child: None,
+            starts: Vec::new(),
         };
         process.restart()?;
         Ok(process)
@@ -79,6 +81,7 @@
     /// The error of the operating system.
     pub fn restart(&mut self) -> Result<(), Error> {
         let what = format!("cannot start {}", self.name);
+        self.starts.push(units::Wall::now());
         let started = self.spawn().map_err(Error::system(what))?;
         self.child = Some(started);
         Ok(())
@@ -110,6 +113,12 @@
         &self.log
     }
 
+    /// When it was started, in order.
+    #[must_use]
+    pub fn starts(&self) -> &[units::Wall] {
+        &self.starts
+    }
+
     /// Whether it runs, frozen or not.
     pub fn is_running(&mut self) -> bool {
         let child = self.child.as_mut();
--- a/testing/load/src/moves/mod.rs
+++ b/testing/load/src/moves/mod.rs
@@ -102,7 +102,12 @@
         .iter()
         .map(|(name, plot)| (name.as_str(), plot.clone()))
         .collect();
-    Report::new(options.seed, summaries).save(&options.out, "moves", &plots)?;
+    let origin = options.origin.clone();
+    let report = Report {
+        origin,
+        figures: summaries,
+    };
+    report.save(&options.out, "moves", &plots)?;
     println!("report: {}", options.out.join("moves.json").display());
     match violations {
         0 => Ok(()),
--- a/testing/load/src/options.rs
+++ b/testing/load/src/options.rs
@@ -4,6 +4,8 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
+use crate::report::Origin;
+
 /// Seed and folder of an experiment.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -11,6 +13,8 @@
     pub seed: u64,
     /// Folder for the report and the plots.
     pub out: path::PathBuf,
+    /// Where the figures come from, as of the start of the process.
+    pub origin: Origin,
 }
 
 impl Options {
@@ -40,6 +44,7 @@
         Self {
             seed,
             out: out.cloned().unwrap_or_default(),
+            origin: Origin::new(seed),
         }
     }
 }
--- a/testing/load/src/report/save.rs
+++ b/testing/load/src/report/save.rs
@@ -18,11 +18,11 @@
     pub seed: u64,
     /// Commit of the sources in the current folder; `-dirty` is added when they differ from it.
     pub commit: String,
-    /// Time of the report.
+    /// Time of the start.
     pub time: String,
     /// Cores of the machine.
     pub cores: usize,
-    /// Load of the machine over the last minute, at the time of the report.
+    /// Load of the machine over the last minute before the start.
     pub load: String,
 }
 
@@ -74,13 +74,6 @@
 }
 
 impl<T: Serialize> Report<T> {
-    /// Figures that this process made with `seed`.
-    #[must_use]
-    pub fn new(seed: u64, figures: T) -> Self {
-        let origin = Origin::new(seed);
-        Self { origin, figures }
-    }
-
     /// Writes `NAME.json` and the plots, each under its file name, into `folder`.
     ///
     /// # Errors
--- a/testing/load/src/requests/mod.rs
+++ b/testing/load/src/requests/mod.rs
@@ -56,7 +56,11 @@
         .map(|(name, plot)| (name.as_str(), plot.clone()))
         .collect();
     let violations = violations(&phases);
-    let report = Report::new(options.seed, phases);
+    let origin = options.origin.clone();
+    let report = Report {
+        origin,
+        figures: phases,
+    };
     report.save(&options.out, "requests", &plots)?;
     println!("report: {}", options.out.join("requests.json").display());
     match violations {
--- a/testing/load/src/soak/gather.rs
+++ b/testing/load/src/soak/gather.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::convergence::{History, sum_all};
+use crate::convergence::{Fall, History, sum_all};
 use crate::fleet::{Mesh, Ports};
 use crate::plain;
 
@@ -19,8 +19,8 @@
     pub logged: Vec<String>,
     /// Nodes that could not be asked.
     pub unread: usize,
-    /// Versions that fell on some node.
-    pub reversals: u64,
+    /// Versions that fell, by node.
+    pub falls: Vec<(String, Fall)>,
     /// Nodes that do not hold the newest version of all.
     pub behind: usize,
     /// Newest version that came into force anywhere.
@@ -70,14 +70,16 @@
 
     fn read_histories(&mut self, mesh: &Mesh) {
         let nodes = mesh.nodes.iter().flatten();
-        let histories: Vec<_> = nodes
-            .map(|process| History::read(process.log(), Vec::new()))
-            .collect();
+        let names: Vec<_> = nodes.clone().map(|process| process.name()).collect();
+        let histories: Vec<_> = nodes.map(History::read).collect();
         let last = |history: &History| {
             let entry = history.entries.last();
             entry.map(|entry| entry.version).unwrap_or_default()
         };
-        self.reversals = histories.iter().map(History::reversals).sum();
+        for (name, history) in names.into_iter().zip(&histories) {
+            let falls = history.falls().into_iter();
+            self.falls.extend(falls.map(|fall| (name.to_owned(), fall)));
+        }
         self.newest = histories.iter().map(last).max().unwrap_or_default();
         let behind = histories.iter().filter(|one| last(one) < self.newest);
         self.behind = behind.count();
--- a/testing/load/src/soak/mod.rs
+++ b/testing/load/src/soak/mod.rs
@@ -99,7 +99,12 @@
     let violated = violated.filter(|point| point.standing == Standing::Violated);
     let violated = violated.count() as u64;
     let name = format!("soak-{}-{}", selection.region, options.seed);
-    Report::new(options.seed, outcome).save(&options.out, &name, &[])?;
+    let origin = options.origin.clone();
+    let report = Report {
+        origin,
+        figures: outcome,
+    };
+    report.save(&options.out, &name, &[])?;
     println!("report: {}/{name}.json", options.out.display());
     match violated {
         0 => Ok(()),
--- a/testing/load/src/soak/points.rs
+++ b/testing/load/src/soak/points.rs
@@ -100,8 +100,8 @@
             point(
                 "no node returns to an older version of the configuration",
                 changed,
-                gathered.reversals,
-                format!("{newest} versions, {} fell", gathered.reversals),
+                gathered.falls.len() as u64,
+                format!("{newest} versions, {} fell", gathered.falls.len()),
             ),
             point(
                 "no route points at a resource that the node lacks",
--- a/testing/load/src/soak/region.rs
+++ b/testing/load/src/soak/region.rs
@@ -91,12 +91,17 @@
         shape.drain = units::Period::from_secs(3);
         shape.relayed = Some(units::Period::default());
         shape.seed = seed;
+        // Few steps, so that a move within a short run sees enough requests at each.
+        shape.set("moves", "steps", STEPS.to_vec());
         // At this level nodes log each version that comes into force.
         shape.log_level = telemetry::Level::Debug;
         Ok(shape)
     }
 }
 
+/// Shares that a new version gets one after the other.
+const STEPS: [&str; 4] = ["5%", "25%", "50%", "100%"];
+
 impl fmt::Display for Region {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
--- a/testing/load/src/soak/run.rs
+++ b/testing/load/src/soak/run.rs
@@ -23,7 +23,7 @@
 use crate::relay::Relay;
 
 /// Calls a second.
-const RATE: f64 = 200.0;
+const RATE: f64 = 400.0;
 /// Attempts of a caller.
 const ATTEMPTS: u32 = 4;
 /// Requests a minute that crash the backend server that runs them.
