--- a/components/membership/examples/mesh.rs
+++ b/components/membership/examples/mesh.rs
@@ -51,6 +51,7 @@
     };
     let settings = Settings {
         flat_limit: shape.flat_limit,
+        lease: units::Period::from_secs(3600),
         ..Settings::default()
     };
     let link = network.link(node, address);
@@ -98,7 +99,7 @@
         }
         compio::time::sleep(POLL).await;
     }
-    for node in nodes.iter().filter(|node| !reached(node)) {
+    for node in nodes.iter().filter(|node| !reached(node)).take(3) {
         println!("not reached: {} {:?}", node.name, node.monitor.counts());
     }
     None
--- a/components/membership/src/compare.rs
+++ b/components/membership/src/compare.rs
@@ -45,7 +45,9 @@
 
     /// Compares with a random other data centre, when this node is one of the bridges.
     pub(crate) async fn run_bridge(self: rc::Rc<Self>, stop: kernel::Stop) {
-        while stop.sleep(jitter(self.settings.bridge_period.0)).await {
+        let mut period = Self::COMPARE_FIRST;
+        while stop.sleep(jitter(period)).await {
+            period = (period * 2).min(self.settings.bridge_period.0);
             let scope = self.scope();
             let own = &self.identity;
             let bridges = self.settings.bridges;
@@ -53,7 +55,7 @@
                 continue;
             }
             let centres = scope.far_centres();
-            let centre = rand::seq::IndexedRandom::choose(centres.as_slice(), &mut rand::rng());
+            let centre = rand::seq::IndexedRandom::choose(centres, &mut rand::rng());
             let bridge = centre.and_then(|centre| scope.bridge(centre, bridges));
             if let Some(bridge) = bridge {
                 stop.guard(self.compare_with(bridge.peer_address)).await;
--- a/components/membership/src/gossip.rs
+++ b/components/membership/src/gossip.rs
@@ -215,7 +215,7 @@
         let news: Vec<_> = news.iter().map(Update::encode).collect();
         for centre in centres {
             let shared = self.clone();
-            let news = news.clone();
+            let (centre, news) = (centre.clone(), news.clone());
             runtime::spawn(async move { shared.forward_to(&centre, news).await }).detach();
         }
     }
--- a/components/membership/src/scope.rs
+++ b/components/membership/src/scope.rs
@@ -15,6 +15,8 @@
     near: Vec<rc::Rc<Member>>,
     /// Members in other data centres that run; empty when the mesh is treated as one.
     far: Vec<rc::Rc<Member>>,
+    /// Their data centres, sorted.
+    far_centres: Vec<units::DataCentre>,
     ranks: Ranks,
     /// The mesh is treated as one data centre.
     flat: bool,
@@ -28,10 +30,15 @@
         let running = || members.iter().filter(is_running);
         let flat = running().count() <= flat_limit;
         let others = running().filter(|one| one.node != own.node).cloned();
-        let (near, far) = others.partition(|one| flat || one.data_centre == own.data_centre);
+        let (near, far): (Vec<_>, Vec<_>) =
+            others.partition(|one| flat || one.data_centre == own.data_centre);
+        let mut far_centres: Vec<_> = far.iter().map(|one| one.data_centre.clone()).collect();
+        far_centres.sort();
+        far_centres.dedup();
         Self {
             near,
             far,
+            far_centres,
             ranks: Ranks::new(members.iter()),
             flat,
             centre: Some(own.data_centre.clone()),
@@ -67,11 +74,8 @@
     }
 
     /// Names of the data centres beyond this scope, sorted.
-    pub(crate) fn far_centres(&self) -> Vec<units::DataCentre> {
-        let mut names: Vec<_> = self.far.iter().map(|one| one.data_centre.clone()).collect();
-        names.sort();
-        names.dedup();
-        names
+    pub(crate) fn far_centres(&self) -> &[units::DataCentre] {
+        &self.far_centres
     }
 
     /// A random member of data centre `name` that exchanges news with other data centres.
