membership: members of a data centre that cannot be reached are shown as suspects

Members are probed by their own data centre only, so that the loss of a whole one left its members alive in all views. Bridges now try a data centre that did not answer again in each turn, and what they find spreads with the probes and expires. Gossip of a suspicion for each member was ruled out: it would cost a piece of news a member, and a refutation each after healing.

--- a/components/membership/src/compare.rs
+++ b/components/membership/src/compare.rs
@@ -3,20 +3,21 @@
 use std::rc;
 use std::time;
 
+use futures_util::future;
 use schema::membership as wire;
 use wire::request::Kind;
 
 use crate::digest::is_running;
 use crate::shared::{Shared, jitter};
 use crate::table::{Record, Way};
-use crate::{Digest, Table, Update};
+use crate::{Digest, Outages, Table, Update};
 
 /// Most records in one exchange.
 const EXCHANGE_RECORDS: usize = 4096;
 
 impl<S: platform::Store, L: peer::Link> Shared<S, L> {
     /// Time within which another node answers a comparison.
-    const COMPARE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+    pub(crate) const COMPARE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
     /// Most buckets that one comparison exchanges; the rest waits for the next one.
     const COMPARE_BUCKETS: usize = 256;
     /// Comparisons with one node in a row, while they bring many differences.
@@ -54,11 +55,26 @@
             if !scope.ranks().is_first(&own.data_centre, bridges, &own.node) {
                 continue;
             }
-            let centres = scope.far_centres();
-            let centre = rand::seq::IndexedRandom::choose(centres, &mut rand::rng());
-            let bridge = centre.and_then(|centre| scope.bridge(centre, bridges));
-            if let Some(bridge) = bridge {
-                stop.guard(self.compare_with(bridge.peer_address)).await;
+            // Those that did not answer are tried again each time, besides a random one.
+            let mut centres = self.outages.borrow().failing();
+            centres.retain(|centre| scope.far_centres().contains(centre));
+            let random = rand::seq::IndexedRandom::choose(scope.far_centres(), &mut rand::rng());
+            centres.extend(random.filter(|one| !centres.contains(one)).cloned());
+            let visits = centres.iter().map(|centre| self.visit(centre));
+            stop.guard(future::join_all(visits)).await;
+        }
+    }
+
+    /// Compares with a member of another data centre, or else with some others of it.
+    async fn visit(&self, centre: &units::DataCentre) {
+        for _ in 0..Outages::FAILURES {
+            let Some(bridge) = self.scope().bridge(centre, self.settings.bridges) else {
+                return;
+            };
+            let reached = self.compare_with(bridge.peer_address).await;
+            self.note_reach(centre, reached);
+            if reached {
+                return;
             }
         }
     }
--- a/components/membership/src/gossip.rs
+++ b/components/membership/src/gossip.rs
@@ -31,6 +31,8 @@
             self.notice_pause(pulse.tick(now), now);
             self.end_suspicions(now);
             self.end_lease(now);
+            let lost = self.outages.borrow().list(now);
+            self.table.borrow_mut().set_lost(lost);
             self.publish(now);
             self.forward();
             self.spread();
@@ -225,7 +227,9 @@
             let Some(bridge) = self.scope().bridge(centre, self.settings.bridges) else {
                 return;
             };
-            if self.send_news(bridge.peer_address, news.clone()).await {
+            let taken = self.send_news(bridge.peer_address, news.clone()).await;
+            self.note_reach(centre, taken);
+            if taken {
                 return;
             }
         }
--- a/components/membership/src/members.rs
+++ b/components/membership/src/members.rs
@@ -63,6 +63,7 @@
             joiners: cell::RefCell::default(),
             assisting: cell::Cell::new(0),
             gossiping: cell::Cell::new(0),
+            outages: cell::RefCell::default(),
             published: cell::Cell::new(now),
         };
         Self {
--- a/components/membership/src/probe.rs
+++ b/components/membership/src/probe.rs
@@ -126,6 +126,7 @@
         let ping = wire::Ping {
             target: node.to_string(),
             updates,
+            outages: self.tell_outages(node),
         };
         let answer = self.request(address, Kind::Ping(ping), timeout).await;
         let answer: Result<wire::Pong, _> = answer;
@@ -133,6 +134,7 @@
             return false;
         };
         self.learn(&pong.updates, Way::Gossip);
+        self.learn_outages(&pong.outages);
         true
     }
 
--- a/components/membership/src/serve.rs
+++ b/components/membership/src/serve.rs
@@ -74,7 +74,9 @@
         let mut updates: Vec<_> = corrections.iter().map(Update::encode).collect();
         updates.extend(self.bad_news(from));
         updates.extend(self.take_news(self.settings.piggyback_limit));
-        answer.send(wire::Pong { updates }.encode_to_vec());
+        self.learn_outages(&ping.outages);
+        let outages = self.tell_outages(from);
+        answer.send(wire::Pong { updates, outages }.encode_to_vec());
     }
 
     fn serve_probe(self: &rc::Rc<Self>, probe: &wire::Probe, answer: peer::Answer) {
--- a/components/membership/src/settings.rs
+++ b/components/membership/src/settings.rs
@@ -66,7 +66,7 @@
             gossip_limit: units::Size(4096),
             piggyback_limit: units::Size(1024),
             compare_period: units::Period::from_secs(10),
-            bridge_period: units::Period::from_secs(10),
+            bridge_period: units::Period::from_secs(3),
             bridges: 3,
             flat_limit: 256,
             members_limit: 40_000,
--- a/components/membership/src/shared.rs
+++ b/components/membership/src/shared.rs
@@ -12,7 +12,7 @@
 use crate::counts::Counter;
 use crate::scope::Scope;
 use crate::table::{Outcome, Way};
-use crate::{Health, Herd, Identity, Reader, Settings, Suspicion, Table, Update};
+use crate::{Health, Herd, Identity, Outages, Reader, Settings, Suspicion, Table, Update};
 
 /// Name under which the service takes requests of other nodes.
 pub(crate) const SERVICE: &str = "membership";
@@ -45,6 +45,7 @@
     pub(crate) assisting: cell::Cell<usize>,
     /// Gossip messages that have no answer yet.
     pub(crate) gossiping: cell::Cell<usize>,
+    pub(crate) outages: cell::RefCell<Outages>,
     pub(crate) published: cell::Cell<time::Instant>,
 }
 
@@ -106,6 +107,45 @@
         table.rumors().take(limit.as_len(), transmissions)
     }
 
+    /// Notes whether the members of another data centre can be reached from this node.
+    pub(crate) fn note_reach(&self, centre: &units::DataCentre, reached: bool) {
+        let now = time::Instant::now();
+        let lifetime = self.outage_lifetime();
+        let mut outages = self.outages.borrow_mut();
+        outages.note(centre, reached, lifetime, now);
+    }
+
+    /// Takes in outages that another node told; those of the own data centre are nonsense.
+    pub(crate) fn learn_outages(&self, told: &[wire::Outage]) {
+        let own = self.identity.data_centre.as_str();
+        let told: Vec<_> = told
+            .iter()
+            .filter(|one| one.centre != own)
+            .cloned()
+            .collect();
+        let lifetime = self.outage_lifetime();
+        let mut outages = self.outages.borrow_mut();
+        outages.learn(&told, lifetime, time::Instant::now());
+    }
+
+    /// Outages to pass on to `to`, which must be of the same data centre.
+    pub(crate) fn tell_outages(&self, to: &units::Node) -> Vec<wire::Outage> {
+        let table = self.table.borrow();
+        let near = table
+            .record(to)
+            .is_some_and(|record| record.member.data_centre == self.identity.data_centre);
+        if near {
+            self.outages.borrow().encode(time::Instant::now())
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Time for which an outage is believed after the last failed attempt: several attempts.
+    fn outage_lifetime(&self) -> time::Duration {
+        (self.settings.bridge_period.0 + Self::COMPARE_TIMEOUT) * 4
+    }
+
     /// Time that a probe may take, by this node's own health.
     pub(crate) fn probe_timeout(&self) -> time::Duration {
         let timeout = self.settings.probe_timeout.0 * self.health.get().factor();
--- a/components/membership/src/table.rs
+++ b/components/membership/src/table.rs
@@ -17,6 +17,8 @@
     suspects: Vec<units::Node>,
     digest: Digest,
     rumors: Rumors,
+    /// Data centres that cannot be reached, sorted.
+    lost: Vec<units::DataCentre>,
     limit: usize,
     generation: u64,
     refuted: u64,
@@ -72,6 +74,7 @@
             suspects: Vec::new(),
             digest: Digest::default(),
             rumors: Rumors::default(),
+            lost: Vec::new(),
             limit,
             generation: 1,
             refuted: 0,
@@ -209,6 +212,14 @@
         self.mark(node, |record| &mut record.held, held);
     }
 
+    /// Shows the members of these data centres as suspects: unreachable is not gone.
+    pub fn set_lost(&mut self, lost: Vec<units::DataCentre>) {
+        if lost != self.lost {
+            self.lost = lost;
+            self.generation += 1;
+        }
+    }
+
     /// Gives every suspect `pause` more time: this process did not run for so long.
     pub fn postpone(&mut self, pause: time::Duration) {
         for node in self.suspects.clone() {
@@ -248,7 +259,9 @@
     /// The view that other services see.
     #[must_use]
     pub fn view(&self) -> View {
-        let members = self.records.iter().map(Record::shown).collect();
+        let lost = |record: &Record| self.lost.binary_search(&record.member.data_centre).is_ok();
+        let shown = self.records.iter().map(|record| record.shown(lost(record)));
+        let members = shown.collect();
         View::new(members, self.generation)
     }
 
@@ -386,10 +399,10 @@
         }
     }
 
-    /// The member as a view shows it.
-    fn shown(&self) -> rc::Rc<Member> {
+    /// The member as a view shows it; `lost` says that its data centre cannot be reached.
+    fn shown(&self, lost: bool) -> rc::Rc<Member> {
         let softened = self.held && self.member.state == State::Dead;
-        let doubted = self.doubted && self.member.state == State::Alive;
+        let doubted = (self.doubted || lost) && self.member.state == State::Alive;
         if softened || doubted {
             let mut member = Member::clone(&self.member);
             member.state = State::Suspect;
--- a/components/membership/tests/mesh.rs
+++ b/components/membership/tests/mesh.rs
@@ -450,6 +450,22 @@
     }
 }
 
+#[compio::test]
+async fn lost_centre_is_suspect_until_it_is_back() {
+    let mesh = Mesh::start(12, 3, by_centre()).await;
+    let lost =
+        |address: units::Address| (0..12).any(|of| of % 3 == 1 && self::address(of) == address);
+    mesh.network.cut(move |from, to| lost(from) != lost(to));
+    let suspect = |node: &Node| {
+        let others = (0..12).filter(|of| (of % 3 == 1) != (node.number % 3 == 1));
+        let mut states = others.map(|of| (state(node, of), phase(node, of)));
+        states.all(|shown| shown == (Some(State::Suspect), Some(Phase::Ready)))
+    };
+    mesh.wait("suspect", suspect).await;
+    mesh.network.heal();
+    mesh.wait_all_alive().await;
+}
+
 #[compio::test]
 async fn false_accusation_is_refuted() {
     let mesh = Mesh::start(5, 1, patient()).await;
--- a/components/membership/tests/policy.rs
+++ b/components/membership/tests/policy.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use membership::{Group, Health, Herd, Pulse, Suspicion};
+use membership::{Group, Health, Herd, Outages, Pulse, Suspicion};
 
 const PERIOD: time::Duration = time::Duration::from_secs(1);
 
@@ -85,3 +85,43 @@
         assert_eq!(herd.includes(group), expected, "{group:?}");
     }
 }
+
+#[test]
+fn outages_cases() {
+    let start = time::Instant::now();
+    let centre: units::DataCentre = "nadi".parse().expect("an id");
+    let lifetime = PERIOD * 20;
+    let mut outages = Outages::default();
+    for _ in 0..Outages::FAILURES {
+        assert!(outages.list(start).is_empty());
+        outages.note(&centre, false, lifetime, start);
+    }
+    assert_eq!(outages.list(start), std::slice::from_ref(&centre));
+    let told = outages.encode(start);
+    let mut other = Outages::default();
+    other.learn(&told, lifetime, start);
+    assert_eq!(other.list(start), std::slice::from_ref(&centre));
+    assert!(other.failing().is_empty(), "only its own attempts count");
+    assert!(other.list(start + lifetime).is_empty(), "it expires");
+    outages.note(&centre, true, lifetime, start);
+    assert!(outages.list(start).is_empty() && outages.failing().is_empty());
+}
+
+/// Two nodes that tell each other of an outage for ever stop believing it all the same.
+#[test]
+fn outages_end() {
+    let centre: units::DataCentre = "nadi".parse().expect("an id");
+    let lifetime = PERIOD * 20;
+    let mut now = time::Instant::now();
+    let (mut one, mut other) = (Outages::default(), Outages::default());
+    for _ in 0..Outages::FAILURES {
+        one.note(&centre, false, lifetime, now);
+    }
+    let end = now + lifetime;
+    while now < end {
+        other.learn(&one.encode(now), lifetime, now);
+        one.learn(&other.encode(now), lifetime, now);
+        now += PERIOD / 10;
+    }
+    assert!(one.list(now).is_empty() && other.list(now).is_empty());
+}
