--- a/components/membership/src/join.rs
+++ b/components/membership/src/join.rs
@@ -142,15 +142,11 @@
             .filter(|seed| **seed != self.identity.peer_address);
         for seed in others {
             match self.pull_from(*seed).await {
-<<<<<<< HEAD
-                Ok(()) => return Attempt::Joined(Joined::Members),
-=======
                 Ok(()) => {
                     // Gives the seed the record of this node, and takes what it learned meanwhile.
                     self.compare_with(*seed).await;
-                    return Attempt::Joined;
+                    return Attempt::Joined(Joined::Members);
                 }
->>>>>>> membership
                 Err(peer::Error::Busy(wait)) => attempt = Attempt::Busy(wait),
                 Err(error) => log::debug!(seed:% = seed, error:% = error; "seed gave no view"),
             }
