--- a/node/src/call/mod.rs
+++ b/node/src/call/mod.rs
@@ -18,7 +18,6 @@
 mod source;
 mod status;
 mod timer;
-mod upkeep;
 
 pub use attempt::Attempt;
 pub use context::Context;
@@ -33,4 +32,3 @@
 pub use retry::{Decision, Retry};
 pub use settings::Settings;
 pub use source::Source;
-pub use upkeep::Upkeep;
