--- a/components/distribution/src/accept.rs
+++ b/components/distribution/src/accept.rs
@@ -69,7 +69,7 @@
         return;
     }
     while !batch.is_empty() {
-        let held = core.state.holder.get();
+        let held = core.state.newest();
         let fold = fold(&held, &batch);
         if fold.needs_confirmation() && confirmed != Some(held.version()) {
             if !confirm(core, &mut confirmed).await {
@@ -267,7 +267,7 @@
     answer: oneshot::Sender<Verdict>,
 ) {
     let confirmed = sync::next(&core).await.is_ok();
-    let settled = core.state.holder.get().settled(&operation);
+    let settled = core.state.newest().settled(&operation);
     let verdict = match settled {
         Some(version) => Verdict::Accepted(Accepted { version }),
         None if confirmed => Verdict::Missing,
--- a/components/distribution/src/handle.rs
+++ b/components/distribution/src/handle.rs
@@ -19,7 +19,9 @@
     pub struct Dump {
         /// Version in force.
         pub version: units::Version,
-        /// Digest of the configuration in force, in hexadecimal.
+        /// Newest version that was built; a starting node puts it in force once it is ready.
+        pub newest: units::Version,
+        /// Digest of the newest version, in hexadecimal.
         pub digest: String,
         /// Whether this node holds at least what it ever held before.
         pub ready: bool,
@@ -91,6 +93,7 @@
         let tail = state.tail.borrow();
         Dump {
             version: snapshot.version(),
+            newest: state.version(),
             digest: format!("{:016x}", state.digest()),
             ready: state.is_ready(),
             watching: state.watching.get(),
--- a/components/distribution/src/keep.rs
+++ b/components/distribution/src/keep.rs
@@ -37,7 +37,7 @@
 
 async fn archive_now<S: Store, L: peer::Link>(core: &Core<S, L>) -> Result<(), Error> {
     let before = sync::read_pointer(core).await?;
-    let snapshot = core.state.holder.get();
+    let snapshot = core.state.newest();
     let missing = snapshot.version().0.saturating_sub(before.version().0);
     if missing < core.state.settings.checkpoint_every {
         return Ok(());
--- a/components/distribution/src/serve.rs
+++ b/components/distribution/src/serve.rs
@@ -173,7 +173,7 @@
             return cached;
         }
     }
-    let snapshot = core.state.holder.get();
+    let snapshot = core.state.newest();
     let blob = rc::Rc::new(Blob {
         version: snapshot.version(),
         bytes: checkpoint::encode(&snapshot),
--- a/components/distribution/src/state.rs
+++ b/components/distribution/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell;
 use std::collections;
+use std::rc;
 use std::time;
 
 use config::{Change, Snapshot};
@@ -54,6 +55,8 @@
     pub(crate) data_centre: units::DataCentre,
     pub(crate) settings: Settings,
     pub(crate) holder: Holder,
+    /// The newest snapshot of a starting node, which comes in force once the node is ready.
+    staged: cell::RefCell<Option<rc::Rc<Snapshot>>>,
     pub(crate) tail: cell::RefCell<Tail>,
     pub(crate) known: cell::RefCell<Known>,
     pub(crate) counts: cell::Cell<Counts>,
@@ -91,6 +94,7 @@
             data_centre,
             settings,
             holder,
+            staged: cell::RefCell::default(),
             tail: cell::RefCell::new(tail),
             known: cell::RefCell::default(),
             counts: cell::Cell::default(),
@@ -106,8 +110,15 @@
         }
     }
 
+    /// The newest snapshot that this node has built, in force or not yet.
+    pub(crate) fn newest(&self) -> rc::Rc<Snapshot> {
+        let staged = self.staged.borrow().clone();
+        staged.unwrap_or_else(|| self.holder.get())
+    }
+
+    /// Version of the newest snapshot.
     pub(crate) fn version(&self) -> units::Version {
-        self.holder.get().version()
+        self.newest().version()
     }
 
     pub(crate) fn digest(&self) -> u64 {
@@ -129,9 +140,13 @@
             log::debug!(version = self.version().0, floor = self.floor.get().0; "this node held a later version before");
             return;
         }
-        if !self.ready.replace(true) {
-            log::info!(version = self.version().0; "configuration is ready");
+        if self.ready.replace(true) {
+            return;
+        }
+        if let Some(staged) = self.staged.take() {
+            self.put_in_force(staged.as_ref().clone(), units::Wall::default());
         }
+        log::info!(version = self.version().0; "configuration is ready");
     }
 
     pub(crate) fn standing(&self) -> wire::Standing {
@@ -189,7 +204,7 @@
 
     /// Puts an encoded entry in force, or says why not.
     pub(crate) fn apply(&self, encoded: &[u8]) -> Outcome {
-        let held = self.holder.get();
+        let held = self.newest();
         let Ok(entry) = config_wire::Entry::decode(encoded) else {
             self.refuse(held.version().next(), "the entry does not decode".into());
             return Outcome::Refused;
@@ -239,21 +254,36 @@
         swapped
     }
 
+    /// Takes a snapshot that is newer than the one held; a ready node puts it in force.
     fn swap(&self, snapshot: Snapshot, digest: u64, accepted: units::Wall) -> bool {
         let version = snapshot.version();
-        if !self.holder.advance(snapshot) {
+        if version <= self.version() {
+            return false;
+        }
+        if !self.is_ready() {
+            // A node that restarts must not show a version below one that it held before.
+            *self.staged.borrow_mut() = Some(rc::Rc::new(snapshot));
+        } else if !self.put_in_force(snapshot, accepted) {
             return false;
         }
         self.digest.set(digest);
+        let mut refused = self.refused.borrow_mut();
+        if refused.as_ref().is_some_and(|one| one.version <= version) {
+            *refused = None;
+        }
+        true
+    }
+
+    fn put_in_force(&self, snapshot: Snapshot, accepted: units::Wall) -> bool {
+        let version = snapshot.version();
+        if !self.holder.advance(snapshot) {
+            return false;
+        }
         let held = self.holder.get();
         if held.version() != version {
             self.violate(|violations| violations.partial += 1);
             log::error!(version = version.0; "invariant violated: another version is in force");
         }
-        let mut refused = self.refused.borrow_mut();
-        if refused.as_ref().is_some_and(|one| one.version <= version) {
-            *refused = None;
-        }
         self.check_reported(&held);
         self.record(version, accepted);
         log::info!(version = version.0; "configuration in force");
