--- a/components/distribution/src/settings.rs
+++ b/components/distribution/src/settings.rs
@@ -33,10 +33,7 @@
         pub rings: usize,
         /// Time that a call to another node may take.
         pub call_timeout: units::Period,
-        /// Entries of up to this size together are pushed to all neighbours; larger ones only to those
-        /// that do not get them from elsewhere.
-        pub eager_size: units::Size,
-        /// Delay after which the other neighbours are told of the version.
+        /// Mean delay after which neighbours that get entries from elsewhere are told of the version.
         pub lazy_delay: units::Period,
         /// Mean time between two comparisons with a random node.
         pub repair: units::Period,
@@ -74,8 +71,7 @@
             watch_pause: units::Period::from_millis(100),
             rings: 2,
             call_timeout: units::Period::from_secs(1),
-            eager_size: units::Size(1024),
-            lazy_delay: units::Period::from_millis(200),
+            lazy_delay: units::Period::from_millis(50),
             repair: units::Period::from_secs(10),
             join_peers: 3,
             join_pause: units::Period::from_millis(200),
--- a/components/distribution/src/spread.rs
+++ b/components/distribution/src/spread.rs
@@ -1,12 +1,12 @@
 //! Push of new versions to the neighbours.
 //!
-//! Small entries go to all neighbours that are not known to hold them. Large ones follow epidemic
-//! broadcast trees (Leitão, Pereira and Rodrigues, SRDS 2007), simplified by the total order of
-//! versions: a neighbour gets them at once until it reports a duplicate; from then on it is told
-//! of new versions after a delay, and only when it is not known to hold them. A node that learns
-//! of a version in this way fetches it, and the link carries entries again. Trees alone were
-//! slower: changes enter at several nodes at once, at the accepting one and the watchers, and
-//! where their paths meet a link of the tree is lost until the delay has restored it.
+//! Epidemic broadcast trees (Leitão, Pereira and Rodrigues, SRDS 2007), simplified by the total
+//! order of versions: a neighbour gets entries at once until it reports a duplicate; from then on
+//! it is told of new versions after a delay, and only when it is not known to hold them. A node
+//! that learns of a version in this way fetches it, and the link carries entries again.
+//!
+//! Changes enter at several nodes at once, at the accepting one and the watchers. Where their
+//! paths meet, a link of the tree is lost until the delay has passed, so that the delay is short.
 
 use std::rc;
 
@@ -14,6 +14,7 @@
 use schema::distribution as wire;
 
 use crate::core::Core;
+use crate::state;
 
 /// Starts to feed all neighbours that are not known to hold the current version.
 pub(crate) fn start<S: platform::Store, L: peer::Link>(core: &rc::Rc<Core<S, L>>) {
@@ -53,6 +54,10 @@
 
 /// Sends what the neighbour lacks, or tells it; `false` ends the feeding.
 async fn step<S: platform::Store, L: peer::Link>(core: &Core<S, L>, member: &Member) -> bool {
+    if core.is_lazy(&member.node) {
+        tell(core, member).await;
+        return false;
+    }
     let held = core.state.version();
     let before = core.state.announced(&member.node).map(|one| one.current);
     let from = before.unwrap_or(units::Version(held.0.saturating_sub(1)));
@@ -61,11 +66,6 @@
         compare(core, member).await;
         return false;
     };
-    let size: usize = entries.iter().map(Vec::len).sum();
-    if core.is_lazy(&member.node) && size > core.state.settings.eager_size.as_len() {
-        tell(core, member).await;
-        return false;
-    }
     push(core, member, entries, before).await
 }
 
@@ -73,7 +73,8 @@
 ///
 /// What the neighbour lacks it fetches itself.
 async fn tell<S: platform::Store, L: peer::Link>(core: &Core<S, L>, member: &Member) {
-    compio::time::sleep(core.state.settings.lazy_delay.0).await;
+    // Both ends of a link wait; drawn delays let the earlier one spare the other its message.
+    compio::time::sleep(state::jitter(core.state.settings.lazy_delay.0)).await;
     if is_behind(core, member) {
         compare(core, member).await;
     }
