--- a/components/moves/src/judge.rs
+++ b/components/moves/src/judge.rs
@@ -135,8 +135,8 @@
             ));
         }
         let elapsed = now.saturating_duration_since(self.step_since);
-        let ahead = hold.as_secs_f64() / elapsed.as_secs_f64().max(0.001);
-        let missing = |trial: &&Trial| !trial.is_healthy() && trial.is_busy(ahead);
+        let pace = hold.as_secs_f64() / elapsed.as_secs_f64().max(0.001);
+        let missing = |trial: &&Trial| !trial.is_healthy() && trial.is_busy(pace);
         self.trials.iter().find(missing).map(|trial| {
             let (route, requests) = (trial.route(), trial.requests());
             format_compact!(
--- a/components/moves/src/settings.rs
+++ b/components/moves/src/settings.rs
@@ -61,7 +61,7 @@
             analysis: Analysis::Sequential,
             wrong_alarms: units::Share::from_parts(50).unwrap_or_default(),
             failure_odds: 1.5,
-            slow_odds: 2.0,
+            slow_odds: 1.5,
             slowdown: 1.5,
             slack: units::Period::from_millis(2),
             report: units::Period::from_millis(500),
