load: a rate is past saturation after two tries, direct and mesh measured in turn; the short soak is shorter

Under a machine load of 34 the ramp ended at its first rate, and the direct p99 (17.5 ms) was above the mesh's (10.3 ms): one disturbance decided. The soak test took 68 s in a debug build; it settles all nodes at once now and runs 24 s of faults.

--- a/testing/load/src/requests/latency.rs
+++ b/testing/load/src/requests/latency.rs
@@ -19,8 +19,12 @@
 const MOST_RATES: u32 = 14;
 /// Length of each try.
 const TRY: units::Period = units::Period::from_secs(2);
+/// Tries of a rate before it counts as past saturation, since the machine may be disturbed.
+const TRIES: u32 = 2;
 /// Length of each measurement.
-const MEASURE: units::Period = units::Period::from_secs(8);
+const MEASURE: units::Period = units::Period::from_secs(4);
+/// Measurements of either kind, in turn, so that both see the same disturbances.
+const ROUNDS: u32 = 3;
 /// Latency of 99 in 100 calls above which a rate is past saturation.
 const SATURATED_P99_MS: f64 = 50.0;
 /// Share of the calls that have to be answered below saturation.
@@ -42,17 +46,19 @@
     let saturation = saturate(&bench, seed).await;
     let rate = saturation / 2.0;
     let mut phase = Phase::new("latency", variant);
-    let direct = drive(
-        &Driver::new(bench.backends()),
-        "direct",
-        rate,
-        MEASURE,
-        seed,
-    )
-    .await;
-    let (cpu, started) = (bench.node_cpu(), time::Instant::now());
-    let meshed = drive(&bench.callers(), "mesh", rate, MEASURE, seed).await;
-    let cores = (bench.node_cpu() - cpu) / started.elapsed().as_secs_f64();
+    let (mut direct, mut meshed) = (Vec::new(), Vec::new());
+    let (mut cpu, mut elapsed) = (0.0, 0.0);
+    for round in 0..ROUNDS {
+        let straight = Driver::new(bench.backends());
+        let name = format!("direct-{round}");
+        direct.extend(drive(&straight, &name, rate, MEASURE, seed).await);
+        let (before, started) = (bench.node_cpu(), time::Instant::now());
+        let name = format!("mesh-{round}");
+        meshed.extend(drive(&bench.callers(), &name, rate, MEASURE, seed).await);
+        cpu += bench.node_cpu() - before;
+        elapsed += started.elapsed().as_secs_f64();
+    }
+    let cores = cpu / elapsed;
     let direct = phase.add_latency("direct", &direct);
     phase.count(&meshed);
     let answered = answered_share(&meshed);
@@ -90,10 +96,7 @@
     let mut carried = FIRST_RATE;
     let mut rate = FIRST_RATE;
     for number in 0..MOST_RATES {
-        let name = format!("ramp-{number}");
-        let calls = drive(&bench.callers(), &name, rate, TRY, seed).await;
-        let late = latencies(&calls).quantiles().p99_ms > SATURATED_P99_MS;
-        if late || answered_share(&calls) < SATURATED_SHARE {
+        if !carries(bench, number, rate, seed).await {
             break;
         }
         carried = rate;
@@ -101,3 +104,16 @@
     }
     carried
 }
+
+/// Whether the mesh carries `rate` calls a second.
+async fn carries(bench: &Bench, number: u32, rate: f64, seed: u64) -> bool {
+    for attempt in 0..TRIES {
+        let name = format!("ramp-{number}-{attempt}");
+        let calls = drive(&bench.callers(), &name, rate, TRY, seed).await;
+        let late = latencies(&calls).quantiles().p99_ms > SATURATED_P99_MS;
+        if !late && answered_share(&calls) >= SATURATED_SHARE {
+            return true;
+        }
+    }
+    false
+}
--- a/testing/load/src/soak/mod.rs
+++ b/testing/load/src/soak/mod.rs
@@ -36,7 +36,7 @@
     /// Seconds in a minute.
     const MINUTE_S: f64 = 60.0;
     /// Shortest run, in which every kind of fault has its place.
-    const SHORTEST: time::Duration = time::Duration::from_secs(30);
+    const SHORTEST: time::Duration = time::Duration::from_secs(24);
     /// Longest run.
     const LONGEST: time::Duration = time::Duration::from_secs(24 * 60 * 60);
 
@@ -49,7 +49,7 @@
                     .long("minutes")
                     .default_value("5")
                     .value_parser(value_parser!(f64))
-                    .help("Length in minutes; 0.5 at least"),
+                    .help("Length in minutes; 0.4 at least"),
             )
             .arg(
                 Arg::new("shape")
--- a/testing/load/src/soak/run.rs
+++ b/testing/load/src/soak/run.rs
@@ -11,7 +11,7 @@
 use super::operators::race;
 use super::points::Evidence;
 use super::{Point, Race, Region, Selection, schedule};
-use crate::caller::Outcome;
+use crate::caller::{Call, Connection, Outcome, Protocol};
 use crate::driver::{Done, Driver};
 use crate::failure::Failure;
 use crate::faults::{Fault, Struck, strike};
@@ -33,7 +33,7 @@
 /// Deadline of the routes.
 const TIMEOUT: units::Period = units::Period::from_secs(2);
 /// Quiet time after the last fault, in which everything has to come back.
-const CALM: time::Duration = time::Duration::from_secs(8);
+const CALM: time::Duration = time::Duration::from_secs(6);
 /// Time from the start of a move to its deadline, at most.
 const MOVE_DEADLINE: time::Duration = time::Duration::from_secs(60);
 /// Time after a withholding in which a bad version may still get work.
@@ -164,23 +164,23 @@
 
     /// Waits until each service answers through each node.
     async fn settle(&self) -> Result<(), Failure> {
-        for relay in &self.relays {
-            for (service, _) in self.region.services() {
-                let what = format!("an answer of {service} through {}", relay.address());
-                let mix = Mix::reads(
-                    "settle",
-                    10.0,
-                    units::Period::from_millis(100),
-                    Region::HOST,
-                    &format!("/{service}"),
-                );
-                let driver = Driver::new(vec![relay.address()]);
-                Mesh::await_condition(&what, SETTLE_LIMIT, async || {
-                    let calls = driver.run(mix.plan(0)).await;
-                    calls.iter().all(|done| done.outcome() == Outcome::Answered)
-                })
-                .await?;
-            }
+        let waits = self.relays.iter().map(|relay| self.settle_node(relay));
+        futures_util::future::try_join_all(waits).await?;
+        Ok(())
+    }
+
+    async fn settle_node(&self, relay: &Relay) -> Result<(), Error> {
+        let address = relay.address();
+        for (service, _) in self.region.services() {
+            let what = format!("an answer of {service} through {address}");
+            Mesh::await_condition(&what, SETTLE_LIMIT, async || {
+                let Ok(connection) = Connection::open(address, Protocol::Http2).await else {
+                    return false;
+                };
+                let call = Call::get("settle", Region::HOST, &path(service));
+                call.run(&connection).await.outcome == Outcome::Answered
+            })
+            .await?;
         }
         Ok(())
     }
