--- a/testing/load/src/cli.rs
+++ b/testing/load/src/cli.rs
@@ -1,8 +1,10 @@
 //! Command line.
 
+use std::fmt;
 use std::process;
 
 use clap::{Arg, ArgMatches, Command};
+use futures_util::future;
 
 use crate::options::Options;
 use crate::requests::{Selection, Variant};
@@ -69,30 +71,42 @@
     }
 }
 
+/// Runs `work` until it ends or the process is asked to stop; dropping it ends its processes.
+async fn until_terminated<E: fmt::Display>(
+    work: impl Future<Output = Result<(), E>>,
+) -> Result<(), String> {
+    let work = std::pin::pin!(work);
+    let terminated = std::pin::pin!(program::terminated());
+    match future::select(work, terminated).await {
+        future::Either::Left((ended, _)) => ended.map_err(|error| error.to_string()),
+        future::Either::Right(_) => Err("stopped by a signal".to_owned()),
+    }
+}
+
 /// Runs the command of the command line.
 #[must_use]
 pub fn run() -> process::ExitCode {
     let matches = command().get_matches();
     match matches.subcommand() {
-        Some(("demo", _)) => program::run(demo::run()),
+        Some(("demo", _)) => program::run(until_terminated(demo::run())),
         Some(("requests", matches)) => {
             let (options, selection) = (Options::read(matches), selection(matches));
-            program::run(async move { requests::run(&options, &selection).await })
+            program::run(until_terminated(requests::run(&options, &selection)))
         }
         Some(("convergence", matches)) => {
             let options = Options::read(matches);
             let selection = convergence::Selection::read(matches);
-            program::run(async move { convergence::run(&options, &selection).await })
+            program::run(until_terminated(convergence::run(&options, &selection)))
         }
         Some(("moves", matches)) => {
             let options = Options::read(matches);
             let selection = moves::Selection::read(matches);
-            program::run(async move { moves::run(&options, &selection).await })
+            program::run(until_terminated(moves::run(&options, &selection)))
         }
         Some(("soak", matches)) => {
             let options = Options::read(matches);
             let selection = soak::Selection::read(matches);
-            program::run(async move { soak::run(&options, &selection).await })
+            program::run(until_terminated(soak::run(&options, &selection)))
         }
         _ => process::ExitCode::from(program::USAGE),
     }
