call: a marked first sending may run at the next-ranked owner when the first one refuses it

A marked resend is never run without a record, so that a marked first sending may go one rank further. Notes of requests that were not run are withdrawn.

--- a/components/admission/src/records.rs
+++ b/components/admission/src/records.rs
@@ -205,6 +205,17 @@
         Ok(())
     }
 
+    /// The owner with the id `by` has not run the key's request after all.
+    pub fn withdraw(&self, key: u128, by: u64) {
+        let mut state = self.shared.state.borrow_mut();
+        if let Ok(place) = state.place(key)
+            && state.records[place].is_noted(by)
+        {
+            state.records.remove(place);
+            state.ended.retain(|ended| ended.0 != key);
+        }
+    }
+
     fn end(&self, key: u128, end: &End, now: time::Instant) {
         let mut state = self.shared.state.borrow_mut();
         let Ok(place) = state.place(key) else {
--- a/components/admission/tests/records.rs
+++ b/components/admission/tests/records.rs
@@ -115,6 +115,10 @@
         describe(records.begin(KEY, REQUEST, true, now)),
         "key-noted"
     );
+    records.withdraw(KEY, 2);
+    assert!(records.note(KEY, REQUEST, 2, now).is_err());
+    records.withdraw(KEY, 1);
+    assert!(records.note(KEY, REQUEST, 1, now).is_ok());
     let _running = first(&records, KEY + 1, now);
     assert!(records.note(KEY + 1, REQUEST, 1, now).is_err());
     let later = now + Duration::from_secs(60);
--- a/node/src/call/ingress/keyed.rs
+++ b/node/src/call/ingress/keyed.rs
@@ -53,16 +53,51 @@
         let cover = if first { time::Duration::ZERO } else { age };
         let wanted = Key {
             recall,
-            backup: home.backup,
+            backup: home.backup.as_ref().map(|backup| backup.endpoint.address),
             ..Key::run(key, cover)
         };
+        attempts += 1;
         let ended = self
-            .attempt_key(arrival, &home.target, wanted, attempts + 1, journey)
+            .attempt_key(arrival, &home.target, wanted, attempts, journey)
             .await;
-        match ended {
-            Err(problem) if recall && is(&problem, admission::Reason::KeyNotFound) => {
-                Err(Problem::unknown(Reason::KeyUnknown))
+        let Err(problem) = ended else {
+            return ended;
+        };
+        let unrecorded = recall && is(&problem, admission::Reason::KeyNotFound);
+        let unreached = first && problem.outcome == Outcome::NotRun && !problem.reason.is_final();
+        if unrecorded {
+            return self
+                .recall_backup(arrival, key, home.backup.as_ref(), attempts, journey)
+                .await;
+        }
+        match &home.backup {
+            // A resend is never run without a record, so that it may run here for the first time.
+            Some(backup) if unreached && self.may_retry(arrival, journey, &problem, attempts) => {
+                let wanted = Key::run(key, time::Duration::ZERO);
+                self.attempt_key(arrival, backup, wanted, attempts + 1, journey)
+                    .await
             }
+            _ => Err(problem),
+        }
+    }
+
+    /// Asks the next-ranked owner, which runs first sendings that the first one cannot take.
+    async fn recall_backup(
+        &self,
+        arrival: &Arrival,
+        key: &CompactString,
+        backup: Option<&Target>,
+        attempts: u32,
+        journey: &Journey,
+    ) -> Result<Answer<L, O>, Problem> {
+        let unknown = Problem::unknown(Reason::KeyUnknown);
+        let backup = backup.ok_or(unknown)?;
+        let wanted = Key::recall(key, time::Duration::ZERO);
+        match self
+            .attempt_key(arrival, backup, wanted, attempts + 1, journey)
+            .await
+        {
+            Err(problem) if problem.outcome == Outcome::NotRun => Err(unknown),
             ended => ended,
         }
     }
--- a/node/src/call/ingress/selection.rs
+++ b/node/src/call/ingress/selection.rs
@@ -14,8 +14,8 @@
     pub(super) target: Target,
     /// When the owner was first seen.
     pub(super) joined: time::Instant,
-    /// Mesh address of the owner that is told before the request runs.
-    pub(super) backup: Option<units::Address>,
+    /// The owner that is told before the request runs, the next-ranked one.
+    pub(super) backup: Option<Target>,
     pub(super) past: Vec<Past>,
 }
 
@@ -118,7 +118,7 @@
         }
         Ok(Home {
             joined: home.joined,
-            backup: home.backup.as_ref().map(|backup| backup.address),
+            backup: home.backup.as_ref().map(target),
             target: Target {
                 endpoint: home.endpoint.clone(),
                 group: Some(group),
--- a/node/src/call/keyed.rs
+++ b/node/src/call/keyed.rs
@@ -33,6 +33,10 @@
         // Records were lost in a restart, within the time in which the key may have run.
         let lost = self.records().age(now) + Self::COVER_SLACK < key.cover;
         if let Some(by) = key.note {
+            if key.recall {
+                self.records().withdraw(hash, by);
+                return Ok(noted());
+            }
             return self.take_note(hash, request, by, lost);
         }
         let recall = key.recall || (lost && key.backup.is_none());
@@ -57,17 +61,9 @@
         if lost {
             return Err(Problem::unknown(Reason::KeyUnknown));
         }
-        let noted = self.records().note(hash, request, by, time::Instant::now());
-        match noted {
-            Ok(()) => {
-                let mut parts = http::Response::new(()).into_parts().0;
-                Headers::set(&mut parts.headers, Headers::OUTCOME, Outcome::Ran.as_str());
-                Ok(Served {
-                    parts,
-                    source: Source::memory(Bytes::new()),
-                    watch: None,
-                })
-            }
+        let taken = self.records().note(hash, request, by, time::Instant::now());
+        match taken {
+            Ok(()) => Ok(noted()),
             Err(refusal) if refusal.reason == admission::Reason::KeysFull => Err(refusal.into()),
             Err(_) => Err(Problem::unknown(Reason::KeyUnknown)),
         }
@@ -77,14 +73,15 @@
     ///
     /// That owner runs the key when this one is gone, and then has to know what may have run. After
     /// a restart of this owner it knows what ran here before.
-    async fn tell_backup(&self, job: &Job, lost: bool) -> Result<(), Problem> {
+    /// With `withdraw` it takes that back.
+    async fn tell_backup(&self, job: &Job, lost: bool, withdraw: bool) -> Result<(), Problem> {
         let Some((key, backup)) = backup_of(job) else {
             return Ok(());
         };
         let mut envelope = job.envelope.clone();
         envelope.request.push_str(".n");
         envelope.key = Some(Key {
-            recall: false,
+            recall: withdraw,
             cover: if lost {
                 key.cover
             } else {
@@ -130,9 +127,9 @@
     async fn run_recorded(&self, job: Job, first: First, lost: bool) -> Given<L> {
         let deadline = job.envelope.deadline;
         let limit = self.key_answer_limit();
-        let told = self.tell_backup(&job, lost).await;
+        let told = self.tell_backup(&job, lost, false).await;
         let ran = match told {
-            Ok(()) => self.run(job).await,
+            Ok(()) => self.run_told(job).await,
             Err(problem) => Err(problem),
         };
         let served = match ran {
@@ -174,6 +171,24 @@
         }
     }
 
+    /// Runs a request that the next-ranked owner knows of, and tells it when it was not run.
+    async fn run_told(&self, job: Job) -> Given<L> {
+        let told = Job {
+            envelope: job.envelope.clone(),
+            head: job.head.clone(),
+            payload: job.payload.clone(),
+        };
+        let ran = self.run(job).await;
+        let not_run = |problem: &Problem| problem.outcome == Outcome::NotRun;
+        if ran.as_ref().is_err_and(not_run)
+            && let Err(problem) = self.tell_backup(&told, false, true).await
+        {
+            // The note stays, which only makes the key's outcome unknown there.
+            log::debug!(reason = problem.reason.as_str(); "a note of a key is not withdrawn");
+        }
+        ran
+    }
+
     async fn join(&self, job: &Job, receiver: oneshot::Receiver<End>) -> Given<L> {
         let waited = compio::time::timeout_at(job.envelope.deadline, receiver).await;
         match waited {
@@ -266,6 +281,17 @@
     whole.into()
 }
 
+/// The answer to another owner's note.
+fn noted<L>() -> Served<L> {
+    let mut parts = http::Response::new(()).into_parts().0;
+    Headers::set(&mut parts.headers, Headers::OUTCOME, Outcome::Ran.as_str());
+    Served {
+        parts,
+        source: Source::memory(Bytes::new()),
+        watch: None,
+    }
+}
+
 /// The key of a request, and the owner that is told before it runs.
 fn backup_of(job: &Job) -> Option<(&Key, units::Address)> {
     let key = job.envelope.key.as_ref()?;
--- a/node/tests/call/keys.rs
+++ b/node/tests/call/keys.rs
@@ -202,3 +202,27 @@
         assert_eq!(send(booking).await, "ran");
     }
 }
+
+/// A first sending runs at the next-ranked owner when the first one refuses, and its resend finds it.
+#[compio::test]
+async fn first_sending_beside_stopping_owner() {
+    let (backends, addresses, _stops) = servers(2).await;
+    let mut fleet = Fleet::start(&addresses).await;
+    let ingress = fleet.add_ingress().await;
+    fleet.nodes[0].owner.stop();
+    let caller = Caller::open(fleet.nodes[ingress].callers).await;
+    for booking in 0..6 {
+        let path = format!("/book/{booking}");
+        let key = format!("key-{booking}");
+        for attempt in ["1", "2", "3"] {
+            let headers = [
+                ("idempotency-key", key.as_str()),
+                ("idempotency-attempt", attempt),
+            ];
+            let got = caller.send_with("POST", &path, &headers, b"").await;
+            assert_eq!((got.status, got.outcome.as_str()), (200, "ran"), "{got:?}");
+        }
+        assert_eq!(runs(&backends, &path), 1);
+    }
+    assert_eq!(backends[0].total(), 0);
+}
