--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -1,6 +1,8 @@
 //! The node that takes a request from its caller.
 
+mod journey;
 mod keyed;
+mod passage;
 mod selection;
 
 use std::cell;
@@ -18,10 +20,13 @@
 use super::counts::Ingress as Counts;
 use super::owner::{Job, Serving, broken_body, build, respond};
 use super::{
-    Attempt, Context, Decision, Download, Ended, Envelope, Headers, Key, Owner, Problem, Reason,
-    Retry, Source, Watch,
+    Attempt, Context, Decision, Download, Envelope, Headers, Key, Owner, Problem, Reason, Retry,
+    Source,
 };
 
+use self::journey::Journey;
+use self::passage::Passage;
+
 /// Handler of callers' requests; clones share its state.
 pub struct Ingress<L, O> {
     shared: rc::Rc<Shared<L, O>>,
@@ -61,26 +66,6 @@
     passage: Passage<L, O>,
 }
 
-/// What has become of a request so far.
-#[derive(Default)]
-struct Journey {
-    /// The problem of the attempt with the worst outcome, the last one among equals.
-    worst: cell::Cell<Option<Problem>>,
-    under_way: cell::Cell<bool>,
-}
-
-/// Follows an answer to its end.
-pub struct Passage<L, O: Observer> {
-    ingress: Ingress<L, O>,
-    attempt: Attempt,
-    owner: Option<Serving<L>>,
-    payload: Payload,
-    route: CompactString,
-    status: http::StatusCode,
-    /// Place in the quota, until the body has ended.
-    _entry: Option<admission::Entry>,
-}
-
 impl<L, O> Clone for Ingress<L, O> {
     fn clone(&self) -> Self {
         let shared = self.shared.clone();
@@ -88,37 +73,6 @@
     }
 }
 
-impl Journey {
-    /// What became of the request: the worst of its attempts, one under way included.
-    fn outcome(&self) -> Outcome {
-        let worst = self
-            .worst
-            .get()
-            .map_or(Outcome::NotRun, |worst| worst.outcome);
-        if self.under_way.get() {
-            worst.max(Outcome::Unknown)
-        } else {
-            worst
-        }
-    }
-
-    /// An attempt ended with `problem`.
-    fn end(&self, problem: Problem) {
-        self.under_way.set(false);
-        if problem.outcome >= self.outcome() {
-            self.worst.set(Some(problem));
-        }
-    }
-
-    /// What its caller is told when it ends with `last`: a later refusal hides no earlier attempt.
-    fn tell(&self, last: Problem) -> Problem {
-        match self.worst.get() {
-            Some(worst) if worst.outcome > last.outcome => worst,
-            _ => last,
-        }
-    }
-}
-
 impl<L: peer::Link, O: Observer> Ingress<L, O> {
     /// Part of the time left that is kept back from the owner, so that its answer arrives in time.
     const DEADLINE_PART: u32 = 20;
@@ -251,7 +205,7 @@
         };
         match compio::time::timeout_at(arrival.deadline, work).await {
             Ok(Ok(mut answer)) => {
-                answer.passage._entry = Some(entry);
+                answer.passage.entry = Some(entry);
                 Ok(answer)
             }
             Ok(Err(problem)) => Err(journey.tell(problem)),
@@ -387,7 +341,7 @@
         let settings = self.shared.context.settings.clone();
         let now = time::Instant::now();
         let mut attempt = Attempt::new(&target.endpoint, target.group, settings, now);
-        journey.under_way.set(true);
+        journey.start();
         let ended = if attempt.endpoint().own {
             self.send_here(arrival, envelope).await
         } else {
@@ -395,7 +349,7 @@
         };
         match ended {
             Ok((parts, source, owner)) => {
-                journey.under_way.set(false);
+                journey.answer();
                 attempt.answer(parts.status);
                 let passage = Passage {
                     ingress: self.clone(),
@@ -404,7 +358,7 @@
                     payload: arrival.payload.clone(),
                     route: arrival.route.name.clone(),
                     status: parts.status,
-                    _entry: None,
+                    entry: None,
                 };
                 Ok(Answer {
                     parts,
@@ -519,31 +473,6 @@
     }
 }
 
-impl<L: peer::Link, O: Observer> Watch for Passage<L, O> {
-    fn end(mut self, ended: Ended) {
-        match ended {
-            Ended::Whole => {
-                let failed = self.status.is_server_error();
-                self.ingress.observe(&self.attempt, &self.route, failed);
-                self.ingress.count(|counts| counts.answered += 1);
-            }
-            Ended::Broken => {
-                self.attempt.break_off();
-                self.ingress.observe(&self.attempt, &self.route, true);
-                self.ingress.count(|counts| counts.truncated += 1);
-                self.payload.abandon();
-            }
-            Ended::Dropped => {
-                self.ingress.count(|counts| counts.cancelled += 1);
-                self.payload.abandon();
-            }
-        }
-        if let Some(owner) = self.owner.take() {
-            owner.end(ended);
-        }
-    }
-}
-
 /// Counts a request whose caller goes away before its answer.
 struct Gone<'i, L: peer::Link, O: Observer> {
     ingress: &'i Ingress<L, O>,
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -1,5 +1,9 @@
 //! The owner of a backend server: the only one that sends requests to it.
 
+mod cancel;
+mod fingerprint;
+mod serving;
+
 use std::cell;
 use std::rc;
 use std::time;
@@ -7,12 +11,15 @@
 use admission::{Announced, Ask, Crash, Gate, Permit, Records, Sharing, Standing};
 use hyper::body::Incoming;
 use serde::Serialize;
-use upstream::{Cause, Dialer, Failure, Payload, Pool};
-use xxhash_rust::xxh3;
+use upstream::{Dialer, Payload, Pool};
 
 use super::counts::Owner as Counts;
 use super::pools::Pools;
-use super::{Context, Download, Ended, Envelope, Headers, Problem, Reason, Source, Watch};
+use super::{Context, Download, Envelope, Headers, Problem, Reason, Source, Watch};
+
+pub(crate) use self::cancel::Cancel;
+use self::fingerprint::Fingerprint;
+pub(super) use self::serving::Serving;
 
 /// The owner of the backend server beside this node; clones share it.
 pub struct Owner<L> {
@@ -73,40 +80,6 @@
     pub watch: Option<Serving<L>>,
 }
 
-/// A request that runs at the backend server.
-pub struct Serving<L> {
-    owner: Owner<L>,
-    permit: Option<Permit>,
-    fingerprint: Fingerprint,
-}
-
-/// What tells a request from others when backend servers crash.
-struct Fingerprint {
-    /// Hash of method, path, length and key.
-    base: u64,
-    payload: Payload,
-}
-
-impl Fingerprint {
-    fn new(head: &http::request::Parts, payload: Payload) -> Self {
-        let mut text = compact_str::CompactString::from(head.method.as_str());
-        text.push(' ');
-        text.push_str(head.uri.path_and_query().map_or("/", |path| path.as_str()));
-        let mut base = xxh3::xxh3_64(text.as_bytes());
-        for name in [http::header::CONTENT_LENGTH, Headers::KEY] {
-            if let Some(value) = head.headers.get(name) {
-                base = xxh3::xxh3_64_with_seed(value.as_bytes(), base);
-            }
-        }
-        Self { base, payload }
-    }
-
-    /// Its value, with the first bytes of the body that have come.
-    fn value(&self) -> u64 {
-        self.base ^ self.payload.head_hash().rotate_left(1)
-    }
-}
-
 impl<L> Clone for Owner<L> {
     fn clone(&self) -> Self {
         let shared = self.shared.clone();
@@ -428,134 +401,6 @@
     }
 }
 
-impl<L: peer::Link> Serving<L> {
-    /// The backend server answered.
-    fn answer(mut self, reply: upstream::Reply, envelope: &Envelope) -> Result<Served<L>, Problem> {
-        if is_shed(&reply.response, envelope) {
-            if let Some(permit) = self.permit.take() {
-                permit.shed();
-            }
-            return Err(Problem::later(Reason::Shed));
-        }
-        self.owner.count(|counts| counts.answered += 1);
-        let (mut parts, source) = Source::split(reply);
-        Headers::strip_hop(&mut parts.headers);
-        Headers::strip_answer(&mut parts.headers);
-        Headers::set(
-            &mut parts.headers,
-            Headers::OUTCOME,
-            upstream::Outcome::Ran.as_str(),
-        );
-        Ok(Served {
-            parts,
-            source,
-            watch: Some(self),
-        })
-    }
-
-    /// The deadline passed without an answer.
-    fn expire(&mut self) {
-        if let Some(permit) = self.permit.take() {
-            // The time until now is the least that the answer would have taken.
-            permit.finish(time::Instant::now());
-        }
-    }
-
-    /// The backend server did not answer.
-    fn fail(&mut self, failure: Failure, instance: u64) -> Problem {
-        let payload = &self.fingerprint.payload;
-        if payload.fault().is_some() {
-            return broken_body(payload, failure.outcome());
-        }
-        let permit = self.permit.take();
-        let alone = permit.as_ref().is_some_and(Permit::is_alone);
-        match failure.cause {
-            Cause::Refused => {
-                if let Some(permit) = permit {
-                    permit.shed();
-                }
-                Problem::later(Reason::Shed)
-            }
-            Cause::Broken => {
-                self.owner.accuse(self.fingerprint.value(), instance, alone);
-                Problem::unknown(Reason::Crashed)
-            }
-            _ => failure.into(),
-        }
-    }
-}
-
-/// Whether the backend server says that it has not run the request.
-///
-/// The id is that of this attempt only, so that an answer to a call that the backend server has
-/// made itself, and passes on, cannot be taken for its own refusal.
-fn is_shed<B>(response: &http::Response<B>, envelope: &Envelope) -> bool {
-    use http::StatusCode;
-    const SHED: [StatusCode; 3] = [
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-        StatusCode::GATEWAY_TIMEOUT,
-    ];
-    let says = |name, text: &str| {
-        response
-            .headers()
-            .get(name)
-            .is_some_and(|value| value == text)
-    };
-    SHED.contains(&response.status())
-        && says(Headers::OUTCOME, upstream::Outcome::NotRun.as_str())
-        && says(Headers::REQUEST, &envelope.request)
-}
-
-impl<L: peer::Link> Watch for Serving<L> {
-    fn end(mut self, ended: Ended) {
-        match ended {
-            Ended::Whole => {
-                if let Some(permit) = self.permit.take() {
-                    permit.finish(time::Instant::now());
-                }
-                let owner = &self.owner;
-                owner.count(|counts| counts.finished += 1);
-                let sharing = &owner.shared.sharing;
-                sharing.finish(self.fingerprint.value(), || owner.others());
-            }
-            Ended::Broken => self.owner.count(|counts| counts.truncated += 1),
-            Ended::Dropped => {
-                self.owner.count(|counts| counts.cancelled += 1);
-                self.fingerprint.payload.abandon();
-            }
-        }
-    }
-}
-
-/// Ends a payload with an error when its request is given up, and counts that.
-///
-/// Without it the backend server could take a cut body for a whole one.
-pub(crate) struct Cancel<'o, L: peer::Link> {
-    owner: &'o Owner<L>,
-    payload: Option<Payload>,
-}
-
-impl<'o, L: peer::Link> Cancel<'o, L> {
-    pub(crate) fn new(owner: &'o Owner<L>, payload: Payload) -> Self {
-        let payload = Some(payload);
-        Self { owner, payload }
-    }
-
-    pub(crate) fn disarm(mut self) {
-        self.payload = None;
-    }
-}
-
-impl<L: peer::Link> Drop for Cancel<'_, L> {
-    fn drop(&mut self) {
-        if let Some(payload) = self.payload.take() {
-            self.owner.count(|counts| counts.cancelled += 1);
-            payload.abandon();
-        }
-    }
-}
-
 impl<L: peer::Link> web::Handler for Owner<L> {
     type Body = Download<Serving<L>>;
 
