membership: announcements are checked once, where they arrive; node: listeners linger at a stop

The node's announcement API and the membership both checked the wire form, with different messages. The API checks it whole, reports every finding, and hands a typed backend server on; the membership only says when the next one is due. The test announce_invalid went with the second check; its three cases stand in node/tests/announce.rs decode_fault_cases, where phase 0 is added. Connections that still come within 500 ms after the request to stop are answered.

--- a/components/membership/examples/mesh.rs
+++ b/components/membership/examples/mesh.rs
@@ -7,8 +7,7 @@
 
 use futures_channel::oneshot;
 use kernel::Service;
-use membership::{Command, Members, Monitor, Reader, Settings, State};
-use schema::announce;
+use membership::{Backend, Command, Members, Monitor, Phase, Reader, Settings, State};
 
 const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(60);
 const QUIET: time::Duration = time::Duration::from_secs(20);
@@ -111,26 +110,19 @@
     })
 }
 
-async fn announce(node: &Node, phase: announce::Phase) {
-    let announcement = announce::Announcement {
-        service: "bookdesk".to_owned(),
-        version: "v1".to_owned(),
-        address: "127.0.0.1:9000".to_owned(),
+async fn announce(node: &Node, phase: Phase) {
+    let backend = Backend {
+        service: "bookdesk".into(),
+        version: "v1".into(),
         slots: 20,
         connections: 120,
-        phase: phase.into(),
-        healthy: true,
-        load: 0,
+        phase,
         instance: 0x1234_5678_9abc,
     };
     let (answer, receiver) = oneshot::channel();
-    let command = Command::Announce {
-        announcement,
-        answer,
-    };
+    let command = Command::Announce { backend, answer };
     node.commands.send(command).expect("a running service");
-    let taken = receiver.await.expect("an answer");
-    taken.expect("a valid announcement");
+    receiver.await.expect("an answer");
 }
 
 fn phase_of(node: &Node, of: &str) -> Option<membership::Phase> {
@@ -194,7 +186,7 @@
 
 /// Time until each member sees a change of phase, and the bytes that the change cost.
 async fn measure_news(nodes: &[Node]) {
-    for phase in [announce::Phase::Ready, announce::Phase::Draining] {
+    for phase in [Phase::Ready, Phase::Draining] {
         let origin = &nodes[nodes.len() / 2];
         let before = sent(nodes);
         let started = time::Instant::now();
@@ -202,7 +194,7 @@
         let seen = |node: &Node| {
             let seen = phase_of(node, &origin.name);
             seen.is_some_and(|seen| {
-                (seen == membership::Phase::Draining) == (phase == announce::Phase::Draining)
+                (seen == membership::Phase::Draining) == (phase == Phase::Draining)
             })
         };
         let time = wait(nodes, seen).await;
--- a/components/membership/src/announce.rs
+++ b/components/membership/src/announce.rs
@@ -2,22 +2,15 @@
 
 use std::time;
 
-use schema::announce;
-
 use crate::shared::Shared;
-use crate::update::{decode_name, decode_phase};
 use crate::{Backend, Phase};
 
 impl<S: platform::Store, L: peer::Link> Shared<S, L> {
     /// Announcements that are due within one lease.
     const ANNOUNCEMENTS: u32 = 3;
 
-    /// Takes an announcement and extends the lease.
-    pub(crate) fn announce(
-        &self,
-        announcement: &announce::Announcement,
-    ) -> Result<announce::Acknowledgement, units::Error> {
-        let mut backend = read(announcement)?;
+    /// Takes an announcement, extends the lease and says when the next announcement is due.
+    pub(crate) fn announce(&self, mut backend: Backend) -> time::Duration {
         if self.draining.get() {
             backend.phase = Phase::Draining;
         }
@@ -28,25 +21,6 @@
         if !known {
             table.renew(|own| own.backend = Some(backend));
         }
-        let due = self.settings.lease.0 / Self::ANNOUNCEMENTS;
-        Ok(announce::Acknowledgement {
-            lease_ms: u32::try_from(due.as_millis()).unwrap_or(u32::MAX),
-        })
+        self.settings.lease.0 / Self::ANNOUNCEMENTS
     }
 }
-
-fn read(announcement: &announce::Announcement) -> Result<Backend, units::Error> {
-    let name = |text: &str| {
-        decode_name(text).ok_or_else(|| units::Error::new(text, "a name of 1 to 128 bytes"))
-    };
-    let phase = decode_phase(announcement.phase);
-    let phase = phase.ok_or_else(|| units::Error::new("phase", "starting, ready or draining"))?;
-    Ok(Backend {
-        service: name(&announcement.service)?,
-        version: name(&announcement.version)?,
-        slots: announcement.slots,
-        connections: announcement.connections,
-        phase,
-        instance: announcement.instance,
-    })
-}
--- a/components/membership/src/command.rs
+++ b/components/membership/src/command.rs
@@ -1,17 +1,20 @@
 //! Requests of other services of the node to the membership service.
 
+use std::time;
+
 use futures_channel::oneshot;
-use schema::announce;
+
+use crate::Backend;
 
 /// A request to the membership service; it is sent through its mailbox.
 #[derive(Debug)]
 pub enum Command {
-    /// Takes an announcement of the backend server beside this node.
+    /// Takes what the backend server beside this node announced, and extends its lease.
     Announce {
-        /// The announcement.
-        announcement: announce::Announcement,
-        /// Takes the lease, or what is wrong with the announcement.
-        answer: oneshot::Sender<Result<announce::Acknowledgement, units::Error>>,
+        /// The backend server as it announced itself.
+        backend: Backend,
+        /// Takes the time until the next announcement is due.
+        answer: oneshot::Sender<time::Duration>,
     },
     /// Announces that the backend server beside this node gets no new requests from now on.
     Drain {
--- a/components/membership/src/join.rs
+++ b/components/membership/src/join.rs
@@ -278,12 +278,9 @@
     ) {
         while let Some(Some(command)) = stop.guard(inbox.receive()).await {
             match command {
-                crate::Command::Announce {
-                    announcement,
-                    answer,
-                } => {
+                crate::Command::Announce { backend, answer } => {
                     // Whoever announced may have given up.
-                    let _ = answer.send(self.announce(&announcement));
+                    let _ = answer.send(self.announce(backend));
                 }
                 crate::Command::Drain { done } => self.drain(done),
             }
--- a/components/membership/tests/mesh.rs
+++ b/components/membership/tests/mesh.rs
@@ -4,11 +4,11 @@
 
 use futures_channel::oneshot;
 use kernel::Service;
-use membership::{Command, Members, Monitor, Phase, Reader, Settings, State};
+use membership::{Backend, Command, Members, Monitor, Phase, Reader, Settings, State};
 use prost::Message;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use schema::{announce, membership as wire};
+use schema::membership as wire;
 
 /// Bound on each wait; a machine under load may need long.
 const LIMIT: time::Duration = time::Duration::from_secs(60);
@@ -16,7 +16,6 @@
 
 struct Node {
     number: usize,
-    address: units::Address,
     reader: Reader,
     monitor: Monitor,
     commands: kernel::Mailbox<Command>,
@@ -72,7 +71,7 @@
         }
         mesh.wait_all_alive().await;
         for node in &mesh.nodes {
-            announce(node, announce::Phase::Ready).await;
+            announce(node, Phase::Ready).await;
         }
         let ready = |node: &Node| (0..count).all(|of| phase(node, of) == Some(Phase::Ready));
         mesh.wait("all ready", ready).await;
@@ -123,7 +122,6 @@
         let task = compio::runtime::spawn(members.run(stop));
         self.nodes.push(Node {
             number,
-            address,
             reader,
             monitor,
             commands,
@@ -186,28 +184,19 @@
     Some(view.member(&name(of))?.backend.as_ref()?.phase)
 }
 
-async fn announce(node: &Node, phase: announce::Phase) {
-    let announcement = announce::Announcement {
-        service: "bookdesk".to_owned(),
-        version: "v1".to_owned(),
-        address: "127.0.0.1:9000".to_owned(),
+async fn announce(node: &Node, phase: Phase) {
+    let backend = Backend {
+        service: "bookdesk".into(),
+        version: "v1".into(),
         slots: 20,
         connections: 120,
-        phase: phase.into(),
-        healthy: true,
-        load: 0,
+        phase,
         instance: 1,
     };
     let (answer, receiver) = oneshot::channel();
-    let command = Command::Announce {
-        announcement,
-        answer,
-    };
+    let command = Command::Announce { backend, answer };
     node.commands.send(command).expect("a running service");
-    receiver
-        .await
-        .expect("an answer")
-        .expect("a valid announcement");
+    receiver.await.expect("an answer");
 }
 
 /// Settings under which no lease runs out during a test.
@@ -282,7 +271,7 @@
     let mesh = Mesh::start(6, 1, patient()).await;
     let cut = address(5);
     mesh.network.cut(move |from, to| from == cut || to == cut);
-    announce(&mesh.nodes[0], announce::Phase::Draining).await;
+    announce(&mesh.nodes[0], Phase::Draining).await;
     let draining = |node: &Node| node.number == 5 || phase(node, 0) == Some(Phase::Draining);
     mesh.wait("draining", draining).await;
     mesh.network.heal();
@@ -294,7 +283,7 @@
 #[compio::test]
 async fn news_crosses_centres() {
     let mesh = Mesh::start(12, 3, by_centre()).await;
-    announce(&mesh.nodes[7], announce::Phase::Draining).await;
+    announce(&mesh.nodes[7], Phase::Draining).await;
     mesh.wait("draining", |node| phase(node, 7) == Some(Phase::Draining))
         .await;
 }
@@ -460,7 +449,7 @@
                 "the view must not be emptied"
             );
         }
-        announce(&mesh.nodes[0], announce::Phase::Draining).await;
+        announce(&mesh.nodes[0], Phase::Draining).await;
         mesh.network.heal();
         mesh.wait_all_alive().await;
         mesh.wait("draining", |node| phase(node, 0) == Some(Phase::Draining))
@@ -560,7 +549,7 @@
         .send(command)
         .expect("a running service");
     told.await.expect("the end of the drain");
-    announce(&mesh.nodes[1], announce::Phase::Ready).await;
+    announce(&mesh.nodes[1], Phase::Ready).await;
     mesh.wait("draining", |node| phase(node, 1) == Some(Phase::Draining))
         .await;
 }
@@ -571,39 +560,9 @@
     mesh.settings = quick();
     mesh.add(4);
     mesh.wait_all_alive().await;
-    announce(&mesh.nodes[4], announce::Phase::Ready).await;
+    announce(&mesh.nodes[4], Phase::Ready).await;
     mesh.wait("ready", |node| phase(node, 4) == Some(Phase::Ready))
         .await;
     mesh.wait("gone", |node| phase(node, 4).is_none()).await;
     assert_eq!(mesh.nodes[4].monitor.counts().lapsed_leases, 1);
 }
-
-#[compio::test]
-async fn announce_invalid() {
-    let mesh = Mesh::start(1, 1, patient()).await;
-    let cases = [
-        ("", "v1", announce::Phase::Ready),
-        ("bookdesk", "", announce::Phase::Ready),
-        ("bookdesk", "v1", announce::Phase::Unspecified),
-    ];
-    for (service, version, phase) in cases {
-        let announcement = announce::Announcement {
-            service: service.to_owned(),
-            version: version.to_owned(),
-            phase: phase.into(),
-            ..announce::Announcement::default()
-        };
-        let (answer, receiver) = oneshot::channel();
-        let command = Command::Announce {
-            announcement,
-            answer,
-        };
-        mesh.nodes[0]
-            .commands
-            .send(command)
-            .expect("a running service");
-        let answer = receiver.await.expect("an answer");
-        assert!(answer.is_err(), "{service} {version} {phase:?}");
-    }
-    assert_eq!(mesh.nodes[0].address, address(0));
-}
--- a/node/src/announce/api.rs
+++ b/node/src/announce/api.rs
@@ -35,13 +35,7 @@
             let message = findings.to_string();
             tonic::Status::with_error_details(tonic::Code::InvalidArgument, message, details)
         })?;
-        let announcement = request.into_inner();
-        let message = |answer| Message {
-            notice,
-            announcement,
-            answer,
-        };
-        let lease = ask::ask(&self.desk, message).await?;
+        let lease = ask::ask(&self.desk, |answer| Message { notice, answer }).await?;
         let lease_ms = u32::try_from(lease.as_millis()).unwrap_or(u32::MAX);
         Ok(tonic::Response::new(wire::Acknowledgement { lease_ms }))
     }
--- a/node/src/announce/desk.rs
+++ b/node/src/announce/desk.rs
@@ -4,7 +4,6 @@
 
 use admission::Announced;
 use futures_channel::oneshot;
-use schema::announce as wire;
 
 use super::Notice;
 use crate::call::Owner;
@@ -14,8 +13,6 @@
 pub struct Message {
     /// What it says, checked.
     pub notice: Notice,
-    /// The same as it came.
-    pub announcement: wire::Announcement,
     /// Takes the time until the next announcement is due.
     pub answer: oneshot::Sender<time::Duration>,
 }
@@ -54,22 +51,17 @@
         };
         self.owner.announce(Some(&announced));
         let (answer, acknowledged) = oneshot::channel();
-        let announcement = message.announcement;
-        let command = membership::Command::Announce {
-            announcement,
-            answer,
-        };
+        let backend = announced.backend;
+        let command = membership::Command::Announce { backend, answer };
         if let Err(error) = self.members.send(command) {
             // The sender sees a dropped answer and announces again.
             log::warn!(error:% = error; "announcement not handed on");
             return;
         }
         match acknowledged.await {
-            Ok(Ok(acknowledgement)) => {
-                let due = time::Duration::from_millis(acknowledgement.lease_ms.into());
+            Ok(due) => {
                 let _ = message.answer.send(due);
             }
-            Ok(Err(error)) => log::warn!(error:% = error; "announcement refused"),
             Err(_) => log::debug!("the membership has stopped"),
         }
     }
--- a/node/src/assembly/listeners.rs
+++ b/node/src/assembly/listeners.rs
@@ -11,6 +11,9 @@
 use crate::settings::Settings;
 use crate::{announce, operator};
 
+/// Time for which connections that still come after the request to stop are answered.
+const LINGER: time::Duration = time::Duration::from_millis(500);
+
 /// Binds and starts all listeners; those that serve requests stop first.
 pub(super) async fn start(builder: &mut Builder) -> Result<(), Report<Error>> {
     let settings = builder.settings.clone();
@@ -48,6 +51,7 @@
         connections: settings.connections,
         ping_after: time::Duration::from_millis(500),
         ping_timeout: time::Duration::from_millis(1_000),
+        linger: LINGER,
         ..web::Limits::default()
     }
 }
--- a/node/tests/announce.rs
+++ b/node/tests/announce.rs
@@ -27,13 +27,14 @@
 #[test]
 fn decode_fault_cases() {
     type Spoil = fn(&mut Announcement);
-    let cases: [(&str, Spoil); 6] = [
+    let cases: [(&str, Spoil); 7] = [
         ("/address", |one| one.address = "localhost:9000".into()),
         ("/service", |one| one.service = String::new()),
         ("/version", |one| one.version = "a b".into()),
         ("/slots", |one| one.slots = 0),
         ("/connections", |one| one.connections = u32::MAX),
         ("/phase", |one| one.phase = 9),
+        ("/phase", |one| one.phase = 0),
     ];
     let mut all = right();
     for (place, spoil) in &cases {
@@ -44,5 +45,6 @@
         spoil(&mut all);
     }
     let findings = Notice::decode(&all).expect_err("everything is wrong");
-    assert_eq!(findings.as_slice().len(), cases.len());
+    // The two wrong phases exclude each other.
+    assert_eq!(findings.as_slice().len(), cases.len() - 1);
 }
