call: an ingress does not retry a request that has crashed two backend servers

Cause: an idempotent request is retried up to twice, a third attempt within a millisecond of the second crash, before the owners' notices have arrived. Ruled out: the quarantine itself (quarantine_after_two_crashes passes with notices delivered).

--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -233,7 +233,12 @@
             if problem.reason.is_final() || !self.may_retry(arrival, journey, &problem, attempts) {
                 return Err(problem);
             }
-            suspect |= problem.reason.is(Reason::Crashed);
+            let crashed = problem.reason.is(Reason::Crashed);
+            if crashed && suspect {
+                // A retry would be faster than the owners' notices of the two crashes.
+                return Err(problem);
+            }
+            suspect |= crashed;
             tried.push(node);
         }
     }
--- a/node/tests/call/fleet.rs
+++ b/node/tests/call/fleet.rs
@@ -1,6 +1,6 @@
 //! Nodes in one process, without gossip: all read one view.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +14,15 @@
 #[derive(Clone, Default)]
 pub(crate) struct Wire {
     owners: Rc<RefCell<Owners>>,
+    /// Whether nothing is delivered any more.
+    cut: Rc<Cell<bool>>,
+}
+
+impl Wire {
+    /// Delivers nothing from now on.
+    pub(crate) fn cut(&self) {
+        self.cut.set(true);
+    }
 }
 
 type Owners = Vec<(units::Address, Owner<Wire>)>;
@@ -26,6 +35,9 @@
         payload: Vec<u8>,
         _: Duration,
     ) -> Result<Vec<u8>, peer::Error> {
+        if self.cut.get() {
+            return Err(peer::Error::Timeout);
+        }
         let owners = self.owners.borrow().clone();
         let owner = owners.into_iter().find(|(address, _)| *address == to);
         let (_, owner) = owner.ok_or(peer::Error::Timeout)?;
@@ -67,7 +79,7 @@
     pub(crate) nodes: Vec<Node>,
     pub(crate) members: Reader,
     pub(crate) holder: distribution::Holder,
-    wire: Wire,
+    pub(crate) wire: Wire,
     settings: Rc<Settings>,
     generation: u64,
 }
--- a/node/tests/call/poison.rs
+++ b/node/tests/call/poison.rs
@@ -37,6 +37,24 @@
     );
 }
 
+/// The ingress retries faster than owners can tell each other.
+#[compio::test]
+async fn crash_retried_once_without_notices() {
+    let crashing = [
+        Script::start(&[Act::Close]).await,
+        Script::start(&[Act::Close]).await,
+        Script::start(&[Act::Close]).await,
+    ];
+    let addresses: Vec<_> = crashing.iter().map(|script| script.address).collect();
+    let mut fleet = Fleet::start(&addresses).await;
+    fleet.wire.cut();
+    let ingress = fleet.add_ingress().await;
+    let caller = Caller::open(fleet.nodes[ingress].callers).await;
+    let got = caller.send("GET", "/poison").await;
+    let crashes: u32 = crashing.iter().map(|script| script.ran.get()).sum();
+    assert_eq!((crashes, got.status, got.outcome.as_str()), (2, 502, "unknown"));
+}
+
 #[compio::test]
 async fn neighbour_not_blamed() {
     // The first request crashes the server, all later ones are answered.
