call: the owner of a withheld version refuses its requests, and the ingress sends them elsewhere

Ruled out: a share that rises after the withholding (the samples show 5% until the end of the move). Before: withheld_version_refused_by_owner ran 14 of 24 requests on the withheld version; after: 0. cargo test -p radishgap-node passes twice.

--- a/node/src/call/attempt.rs
+++ b/node/src/call/attempt.rs
@@ -130,7 +130,7 @@
 
 /// Whether the owner is well and only refuses the request for now.
 fn is_refusal(reason: Reason) -> bool {
-    const REFUSALS: [&str; 18] = [
+    const REFUSALS: [&str; 19] = [
         "no-backend-server",
         "other-backend-server",
         "starting",
@@ -148,6 +148,7 @@
         "key-unknown",
         "key-answered",
         "backend-server-refused",
+        "withheld",
         "body-broken",
     ];
     REFUSALS.contains(&reason.as_str()) || reason.is(Reason::BodyTooLong)
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -220,16 +220,24 @@
     async fn run(&self, arrival: &Arrival, journey: &Journey) -> Result<Answer<L, O>, Problem> {
         let mut tried: Vec<units::Node> = Vec::new();
         let mut suspect = false;
+        let mut closed = None;
         self.earn(arrival);
         loop {
-            let target = self.choose(arrival, &tried)?;
+            let target = self.choose(arrival, &tried, closed.as_ref())?;
             let attempts = u32::try_from(tried.len()).unwrap_or(u32::MAX) + 1;
             let envelope = self.envelope(arrival, &target.endpoint, attempts, suspect, None);
-            let node = target.endpoint.node.clone();
+            let endpoint = target.endpoint.clone();
             let problem = match self.attempt(arrival, target, envelope, journey).await {
                 Ok(answer) => return Ok(answer),
                 Err(problem) => problem,
             };
+            let withheld = problem.reason.is(Reason::Withheld);
+            if withheld && closed.is_none() && arrival.payload.is_replayable() {
+                // Sent elsewhere once, which is no retry: nothing has run or failed.
+                closed = Some(endpoint.version.clone());
+                tried.push(endpoint.node.clone());
+                continue;
+            }
             if problem.reason.is_final() || !self.may_retry(arrival, journey, &problem, attempts) {
                 return Err(problem);
             }
@@ -239,7 +247,7 @@
                 return Err(problem);
             }
             suspect |= crashed;
-            tried.push(node);
+            tried.push(endpoint.node.clone());
         }
     }
 
--- a/node/src/call/ingress/selection.rs
+++ b/node/src/call/ingress/selection.rs
@@ -38,14 +38,16 @@
 }
 
 impl<L: peer::Link, O: Observer> Ingress<L, O> {
-    /// Chooses where the next attempt goes.
+    /// Chooses where the next attempt goes; not to a node of `tried` where there is another, and
+    /// never to the version `closed`, which its owner has refused as withheld.
     pub(super) fn choose(
         &self,
         arrival: &Arrival,
         tried: &[units::Node],
+        closed: Option<&CompactString>,
     ) -> Result<Target, Problem> {
         let now = time::Instant::now();
-        let group = self.draw_group(arrival, rand::random())?;
+        let group = self.draw_group(arrival, rand::random(), closed)?;
         let policy = &self.shared.context.settings.choice;
         let endpoint = routing::choose(&group, tried, policy, now, &mut rand::rng());
         // With every backend server tried, the first one may be better by now.
@@ -60,7 +62,7 @@
 
     /// The next backend server of the baseline.
     pub(super) fn rotate(&self, arrival: &Arrival) -> Result<Target, Problem> {
-        let group = self.draw_group(arrival, rand::random())?;
+        let group = self.draw_group(arrival, rand::random(), None)?;
         let state = self.shared.state.borrow();
         let endpoint = state.rotation.choose(&group).ok_or_else(none_left)?;
         Ok(Target {
@@ -70,12 +72,21 @@
     }
 
     /// Draws a version and gives the backend servers that it may use.
-    fn draw_group(&self, arrival: &Arrival, point: f64) -> Result<rc::Rc<Group>, Problem> {
+    fn draw_group(
+        &self,
+        arrival: &Arrival,
+        point: f64,
+        closed: Option<&CompactString>,
+    ) -> Result<rc::Rc<Group>, Problem> {
         let snapshot = self.shared.context.holder.get();
         let service = snapshot.service(&arrival.route.service);
         let service = service.ok_or(Problem::refused(Reason::NoRoute))?;
         let state = self.shared.state.borrow();
-        let group = state.draw(service, point, &self.shared.context.withheld);
+        let withheld = &self.shared.context.withheld;
+        let open = |version: &str| {
+            !withheld.contains(&service.name, version) && closed.is_none_or(|one| one != version)
+        };
+        let group = state.draw(service, point, open);
         let group = group.ok_or_else(none_left)?;
         let focus = self
             .shared
@@ -93,7 +104,7 @@
         // The upper bits make a point from 0 up to 1, the same on every node.
         #[allow(clippy::cast_precision_loss)]
         let point = (hash_key(key) >> 11) as f64 / (1_u64 << 53) as f64;
-        let group = self.draw_group(arrival, point)?;
+        let group = self.draw_group(arrival, point, None)?;
         let now = time::Instant::now();
         let home = self
             .home_of(&group.service, &group.version, key, now)
@@ -187,15 +198,14 @@
 }
 
 impl State {
-    /// Draws a version of `service` and finds its backend servers.
+    /// Draws an `open` version of `service` and finds its backend servers.
     fn draw(
         &self,
         service: &Service,
         point: f64,
-        withheld: &routing::Withheld,
+        open: impl Fn(&str) -> bool,
     ) -> Option<rc::Rc<Group>> {
-        let open = |version: &str| !withheld.contains(&service.name, version);
-        let drawn = routing::draw(service, point, open)?;
+        let drawn = routing::draw(service, point, &open)?;
         if let Some(group) = self.directory.find(&service.name, &drawn.version) {
             return Some(group.clone());
         }
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -169,6 +169,15 @@
         self.shared.life
     }
 
+    /// Refuses what an ingress sends that has not heard yet that the version is withheld.
+    fn check_withheld(&self, envelope: &Envelope) -> Result<(), Problem> {
+        let withheld = &self.shared.context.withheld;
+        if withheld.contains(&envelope.service, &envelope.version) {
+            return Err(Problem::later(Reason::Withheld));
+        }
+        Ok(())
+    }
+
     pub(crate) fn key_answer_limit(&self) -> usize {
         self.shared.context.settings.admission.key_answer.as_len()
     }
@@ -210,6 +219,7 @@
 
     /// Runs one request at the backend server.
     pub(crate) async fn run(&self, job: Job) -> Result<Served<L>, Problem> {
+        self.check_withheld(&job.envelope)?;
         let fingerprint = Fingerprint::new(&job.head, job.payload.clone());
         let permit = self.admit(&job, &fingerprint).await?;
         let pool = self.shared.pool.borrow().clone();
--- a/node/src/call/reason.rs
+++ b/node/src/call/reason.rs
@@ -27,6 +27,8 @@
     Crashed,
     /// The backend server refused it unexecuted.
     Shed,
+    /// The version of the backend server is withheld.
+    Withheld,
     /// A request with its key may have run at an owner that is gone.
     KeyUnknown,
     /// A request with its key ran, and its answer is no longer kept.
@@ -39,7 +41,7 @@
 
 impl Reason {
     /// Reasons of owners, as ingresses read them.
-    const REMOTE: [&'static str; 26] = [
+    const REMOTE: [&'static str; 27] = [
         "no-backend-server",
         "other-backend-server",
         "starting",
@@ -58,6 +60,7 @@
         "key-answered",
         "backend-server-crashed",
         "backend-server-refused",
+        "withheld",
         "not-connected",
         "connection-closed",
         "stream-refused",
@@ -83,6 +86,7 @@
             Self::TooDeep => "too-deep",
             Self::Crashed => "backend-server-crashed",
             Self::Shed => "backend-server-refused",
+            Self::Withheld => "withheld",
             Self::KeyUnknown => "key-unknown",
             Self::KeyAnswered => "key-answered",
             Self::Mismatched => "mismatched",
--- a/node/tests/call/fleet.rs
+++ b/node/tests/call/fleet.rs
@@ -71,6 +71,7 @@
     pub(crate) owner: Owner<Wire>,
     pub(crate) callers: units::Address,
     pub(crate) seen: Seen,
+    pub(crate) withheld: routing::Withheld,
     member: Member,
     _stops: Vec<kernel::Trigger>,
 }
@@ -131,6 +132,10 @@
     pub(crate) fn configure(&self, routes: &[Route]) {
         let mut puts = vec![Put::Service(service("menus"), None)];
         puts.extend(routes.iter().map(|route| Put::Route(route.clone(), None)));
+        self.put(puts);
+    }
+
+    pub(crate) fn put(&self, puts: Vec<Put>) {
         let change = Change {
             operation: units::Operation::random(),
             puts,
@@ -143,17 +148,29 @@
         }
     }
 
-    /// The backend server beside node `index` announces itself.
+    /// The backend server beside node `index` announces itself, as version `v1`.
     pub(crate) fn announce(
         &mut self,
         index: usize,
         address: units::Address,
         instance: u64,
         phase: Phase,
+    ) {
+        self.announce_version(index, address, instance, phase, "v1");
+    }
+
+    /// The backend server beside node `index` announces itself.
+    pub(crate) fn announce_version(
+        &mut self,
+        index: usize,
+        address: units::Address,
+        instance: u64,
+        phase: Phase,
+        version: &str,
     ) {
         let backend = Backend {
             service: "menus".into(),
-            version: "v1".into(),
+            version: version.into(),
             slots: 8,
             connections: 20,
             phase,
@@ -195,6 +212,7 @@
             settings: self.settings.clone(),
         };
         let seen = Seen::default();
+        let withheld = context.withheld.clone();
         let owner = Owner::new(context.clone(), self.wire.clone());
         let ingress = Ingress::new(context, seen.clone(), owner.clone());
         let mesh = web::Server::bind(any, web::Limits::default())
@@ -227,6 +245,7 @@
             owner,
             callers: callers_address,
             seen,
+            withheld,
             member,
             _stops: vec![mesh_trigger, callers_trigger],
         }
@@ -255,7 +274,7 @@
     }
 }
 
-fn service(name: &str) -> Service {
+pub(crate) fn service(name: &str) -> Service {
     let weight = Weight {
         version: "v1".into(),
         share: units::Share::WHOLE,
--- a/node/tests/call/limits.rs
+++ b/node/tests/call/limits.rs
@@ -6,7 +6,7 @@
 
 use crate::backend::Backend;
 use crate::caller::Caller;
-use crate::fleet::{Fleet, until};
+use crate::fleet::{Fleet, service, until};
 
 #[compio::test]
 async fn slots_not_exceeded() {
@@ -118,3 +118,28 @@
     assert_eq!(got.status, 500);
     assert_eq!(backend.runs("/fails"), 4);
 }
+
+/// The ingress has not heard that the version is withheld; the owner has.
+#[compio::test]
+async fn withheld_version_refused_by_owner() {
+    let (old, bad) = (Backend::default(), Backend::default());
+    let (old_address, _old) = old.start().await;
+    let (bad_address, _bad) = bad.start().await;
+    let mut fleet = Fleet::start(&[old_address, bad_address]).await;
+    let mut shared = service("menus");
+    let mut second = shared.weights[0].clone();
+    second.version = "v2".into();
+    second.share = units::Share::from_parts(5_000).expect("half");
+    shared.weights[0].share = second.share;
+    shared.weights.push(second);
+    fleet.put(vec![config::Put::Service(shared, None)]);
+    fleet.announce_version(1, bad_address, 2, Phase::Ready, "v2");
+    fleet.nodes[1].withheld.add("menus", "v2");
+    let ingress = fleet.add_ingress().await;
+    let caller = Caller::open(fleet.nodes[ingress].callers).await;
+    for _ in 0..24 {
+        let got = caller.send("POST", "/menu").await;
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+    assert_eq!((old.total(), bad.total()), (24, 0));
+}
--- a/node/tests/call/poison.rs
+++ b/node/tests/call/poison.rs
@@ -52,7 +52,10 @@
     let caller = Caller::open(fleet.nodes[ingress].callers).await;
     let got = caller.send("GET", "/poison").await;
     let crashes: u32 = crashing.iter().map(|script| script.ran.get()).sum();
-    assert_eq!((crashes, got.status, got.outcome.as_str()), (2, 502, "unknown"));
+    assert_eq!(
+        (crashes, got.status, got.outcome.as_str()),
+        (2, 502, "unknown")
+    );
 }
 
 #[compio::test]
