node: one list of owners' reasons, and no gauges that nothing feeds

Found by reading the whole change once more. The reasons with which an owner only refuses stood in attempt.rs and again among those that an ingress may read in reason.rs; a new reason had to be added to both, as `withheld` was. reason.rs now holds the 19 refusals and the 8 failures apart, and reads both. Exporter::add_gauges had no caller; it and its state are gone. No behaviour changes: the two lists hold the same 27 reasons, and the same 19 count as refusals.

--- a/node/src/call/attempt.rs
+++ b/node/src/call/attempt.rs
@@ -78,7 +78,7 @@
     pub fn end(&mut self, problem: &Problem) -> bool {
         self.decided = true;
         let now = time::Instant::now();
-        if is_refusal(problem.reason) {
+        if problem.reason.is_refusal() {
             let wait = problem.retry_after.unwrap_or_default();
             self.endpoint().refuse(wait.min(Self::PATIENCE_MIN), now);
         } else if !problem.reason.is(Reason::Deadline) || self.is_overdue() {
@@ -127,29 +127,3 @@
         }
     }
 }
-
-/// Whether the owner is well and only refuses the request for now.
-fn is_refusal(reason: Reason) -> bool {
-    const REFUSALS: [&str; 19] = [
-        "no-backend-server",
-        "other-backend-server",
-        "starting",
-        "draining",
-        "stopping",
-        "queue-full",
-        "too-late",
-        "waited-too-long",
-        "quarantined",
-        "keys-full",
-        "key-reused",
-        "key-not-found",
-        "key-not-noted",
-        "key-noted",
-        "key-unknown",
-        "key-answered",
-        "backend-server-refused",
-        "withheld",
-        "body-broken",
-    ];
-    REFUSALS.contains(&reason.as_str()) || reason.is(Reason::BodyTooLong)
-}
--- a/node/src/call/reason.rs
+++ b/node/src/call/reason.rs
@@ -40,8 +40,8 @@
 }
 
 impl Reason {
-    /// Reasons of owners, as ingresses read them.
-    const REMOTE: [&'static str; 27] = [
+    /// Reasons of owners that are well and only refuse the request.
+    const REFUSALS: [&'static str; 19] = [
         "no-backend-server",
         "other-backend-server",
         "starting",
@@ -58,9 +58,14 @@
         "key-noted",
         "key-unknown",
         "key-answered",
-        "backend-server-crashed",
         "backend-server-refused",
         "withheld",
+        "body-broken",
+    ];
+
+    /// Further reasons of owners, which blame their backend server or a connection.
+    const FAILURES: [&'static str; 8] = [
+        "backend-server-crashed",
         "not-connected",
         "connection-closed",
         "stream-refused",
@@ -68,7 +73,6 @@
         "connection-failed",
         "connection-silent",
         "deadline",
-        "body-broken",
     ];
 
     /// Its text.
@@ -97,7 +101,8 @@
     /// The reason that another node gave; unknown ones become one of their own.
     #[must_use]
     pub fn remote(text: &str) -> Self {
-        let known = Self::REMOTE.into_iter().find(|known| *known == text);
+        let mut reasons = Self::REFUSALS.into_iter().chain(Self::FAILURES);
+        let known = reasons.find(|known| *known == text);
         Self::Remote(known.unwrap_or("other"))
     }
 
@@ -107,6 +112,12 @@
         self.as_str() == other.as_str()
     }
 
+    /// Whether the owner is well and only refuses the request.
+    #[must_use]
+    pub fn is_refusal(self) -> bool {
+        Self::REFUSALS.contains(&self.as_str()) || self.is(Self::BodyTooLong)
+    }
+
     /// Whether no other backend server could take the request.
     #[must_use]
     pub fn is_final(self) -> bool {
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::cell;
 use std::rc;
 
-use opentelemetry::metrics::{Counter, Gauge, Meter};
+use opentelemetry::metrics::{Counter, Meter};
 
 type Source = Box<dyn Fn() -> serde_json::Value>;
 
@@ -17,11 +17,8 @@
 struct State {
     meter: Meter,
     counts: Vec<Component>,
-    gauges: Vec<Component>,
     /// Sorted by name.
     counters: Vec<Tracked>,
-    /// Sorted by name.
-    levels: Vec<(String, Gauge<f64>)>,
 }
 
 struct Component {
@@ -43,9 +40,7 @@
         let state = State {
             meter: metrics.meter("radishgap"),
             counts: Vec::new(),
-            gauges: Vec::new(),
             counters: Vec::new(),
-            levels: Vec::new(),
         };
         Self {
             metrics: rc::Rc::new(metrics),
@@ -63,16 +58,6 @@
         self.state.borrow_mut().counts.push(component);
     }
 
-    /// Adds values that rise and fall; each number in them becomes a gauge.
-    pub fn add_gauges<T, F>(&self, name: &'static str, source: F)
-    where
-        T: serde::Serialize,
-        F: Fn() -> T + 'static,
-    {
-        let component = Component::new(name, source);
-        self.state.borrow_mut().gauges.push(component);
-    }
-
     /// All metrics in the text format of Prometheus.
     ///
     /// # Errors
@@ -108,10 +93,6 @@
         for (name, number) in counts {
             self.count(name, number.as_u64().unwrap_or_default());
         }
-        let gauges: Vec<_> = self.gauges.iter().flat_map(Component::numbers).collect();
-        for (name, number) in gauges {
-            self.record(name, number.as_f64().unwrap_or_default());
-        }
     }
 
     fn count(&mut self, name: String, value: u64) {
@@ -133,16 +114,6 @@
             .add(value.saturating_sub(tracked.exported), &[]);
         tracked.exported = tracked.exported.max(value);
     }
-
-    fn record(&mut self, name: String, value: f64) {
-        let place = self.levels.binary_search_by(|one| one.0.cmp(&name));
-        let place = place.unwrap_or_else(|place| {
-            let gauge = self.meter.f64_gauge(name.clone()).build();
-            self.levels.insert(place, (name, gauge));
-            place
-        });
-        self.levels[place].1.record(value, &[]);
-    }
 }
 
 /// Collects the numbers below `value`, named by their path.
