--- a/components/admission/src/announced.rs
+++ b/components/admission/src/announced.rs
@@ -7,7 +7,9 @@
     /// What a backend server announced to the node beside it.
     #[derive(Serialize)]
     pub struct Announced {
-        /// Where it takes HTTP/2 requests.
+        /// Id that it gives itself at its start; empty where it gives none.
+        pub id: compact_str::CompactString,
+        /// Where it takes requests.
         pub address: units::Address,
         /// What it is and what it can bear.
         pub backend: Backend,
--- a/components/admission/src/limit.rs
+++ b/components/admission/src/limit.rs
@@ -14,6 +14,7 @@
 pub struct Limit {
     current: f64,
     slots: f64,
+    adaptive: bool,
     tolerance: f64,
     slack_ms: f64,
     /// Usual latency in milliseconds, zero before the first window.
@@ -44,13 +45,18 @@
     /// It rises slowly, so that a lasting change of the latency is accepted in the end.
     const USUAL_RISE: f64 = 0.01;
 
-    /// A limit within `slots`, which starts at a quarter of them.
+    /// A limit within `slots`, which starts at a quarter of them where it adapts.
     #[must_use]
     pub fn new(slots: u32, settings: &Settings) -> Self {
         let slots = f64::from(slots.max(1));
         Self {
-            current: (slots / 4.0).max(1.0),
+            current: if settings.adaptive {
+                (slots / 4.0).max(1.0)
+            } else {
+                slots
+            },
             slots,
+            adaptive: settings.adaptive,
             tolerance: settings.latency_tolerance,
             slack_ms: settings.latency_slack.0.as_secs_f64() * 1_000.0,
             usual_ms: 0.0,
@@ -108,6 +114,9 @@
         let bearable = self.usual_ms * self.tolerance + self.slack_ms;
         let slow = self.usual_ms > 0.0 && mean > bearable;
         self.learn(mean);
+        if !self.adaptive {
+            return;
+        }
         if slow || window.shed {
             self.current = (self.current * Self::DECREASE).max(1.0);
         } else if window.reached {
--- a/components/admission/src/settings.rs
+++ b/components/admission/src/settings.rs
@@ -11,6 +11,8 @@
         pub queue_wait: units::Period,
         /// Longest queue, as a multiple of the announced slots.
         pub queue_slots: u32,
+        /// Whether the limit adapts to the latency; without it all announced slots are used.
+        pub adaptive: bool,
         /// Latency above which the limit falls, as a multiple of the usual latency.
         pub latency_tolerance: f64,
         /// Latency beyond that multiple up to which the limit does not fall.
@@ -41,6 +43,7 @@
         Self {
             queue_wait: units::Period::from_millis(100),
             queue_slots: 4,
+            adaptive: true,
             latency_tolerance: 2.0,
             latency_slack: units::Period::from_millis(10),
             ingress_requests: 1_024,
--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -9,6 +9,7 @@
 
 fn announced(phase: Phase, version: &str, slots: u32) -> Announced {
     Announced {
+        id: Default::default(),
         address: "127.0.0.1:1".parse().expect("an address"),
         backend: Backend {
             service: "menus".into(),
--- a/components/config/src/route.rs
+++ b/components/config/src/route.rs
@@ -4,11 +4,11 @@
 use schema::config as wire;
 use serde::{Deserialize, Serialize};
 
-use crate::{Findings, Idempotency, Limits};
+use crate::{Findings, Idempotency, Limits, Part};
 
 units::record! {
     /// A rule that sends requests by host and path to a service.
-    #[derive(Serialize, Deserialize, schemars::JsonSchema)]
+    #[derive(Default, Serialize, Deserialize, schemars::JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct Route {
         /// Name, unique among routes.
@@ -36,6 +36,18 @@
         /// Version of the configuration in which it last changed; set by the system.
         #[serde(default)]
         pub revision: units::Version,
+        /// Most backend servers that one request is sent to; zero leaves it to the nodes' settings.
+        #[serde(default)]
+        pub attempts: u32,
+        /// Time within which an answer is wanted; zero names none.
+        #[serde(default)]
+        pub target: units::Period,
+        /// Rank among the routes of a service; zero is the most urgent.
+        #[serde(default)]
+        pub priority: u32,
+        /// Services that share the requests; empty where `service` gets all of them.
+        #[serde(default)]
+        pub split: Vec<Part>,
     }
 }
 
@@ -62,12 +74,38 @@
         self.path_prefix.ends_with('/') || rest.is_empty() || rest.starts_with('/')
     }
 
+    /// The services that its requests may go to.
+    pub fn services(&self) -> impl Iterator<Item = &CompactString> {
+        let alone = self.split.is_empty().then_some(&self.service);
+        alone
+            .into_iter()
+            .chain(self.split.iter().map(|part| &part.service))
+    }
+
+    /// The service of the request at `point` of all, from 0 up to 1.
+    #[must_use]
+    pub fn draw_service(&self, point: f64) -> &CompactString {
+        let total: u64 = self.split.iter().map(|part| u64::from(part.weight)).sum();
+        // Weights are small numbers.
+        #[allow(clippy::cast_precision_loss)]
+        let mut left = point * total as f64;
+        for part in &self.split {
+            let weight = f64::from(part.weight);
+            if left < weight {
+                return &part.service;
+            }
+            left -= weight;
+        }
+        &self.service
+    }
+
     /// Adds to `findings` what is wrong with the route itself; `place` is its JSON pointer.
     pub fn check(&self, place: &str, findings: &mut Findings) {
         if let Err(error) = self.name.parse::<units::Service>() {
             let problem = format!("`{}` is not a valid name", self.name);
             findings.add(format!("{place}/name"), problem, error.expected);
         }
+        self.check_split(place, findings);
         self.check_host(place, findings);
         self.check_path(place, findings);
         let timeout = self.timeout.as_millis();
@@ -81,6 +119,25 @@
         }
     }
 
+    fn check_split(&self, place: &str, findings: &mut Findings) {
+        if self.split.is_empty() {
+            return;
+        }
+        if self.split.iter().all(|part| part.weight == 0) {
+            let expected = "a weight above zero for one service at least";
+            findings.add(
+                format!("{place}/split"),
+                "no service has a weight",
+                expected,
+            );
+        }
+        if !self.split.iter().any(|part| part.service == self.service) {
+            let problem = format!("`{}` is not among the services", self.service);
+            let expected = "the route's service and others that share its requests";
+            findings.add(format!("{place}/split"), problem, expected);
+        }
+    }
+
     fn check_host(&self, place: &str, findings: &mut Findings) {
         let allowed = |byte: u8| {
             byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-' || byte == b'.'
@@ -119,6 +176,10 @@
             idempotency: idempotency.unwrap_or_default().into(),
             max_body: units::Size(wire.max_body_bytes),
             revision: units::Version(wire.revision),
+            attempts: wire.attempts,
+            target: units::Period::from_millis(u64::from(wire.target_ms)),
+            priority: wire.priority,
+            split: wire.split.iter().map(Part::decode).collect(),
         }
     }
 
@@ -134,6 +195,10 @@
             idempotency: wire::Idempotency::from(self.idempotency).into(),
             max_body_bytes: self.max_body.0,
             revision: self.revision.0,
+            attempts: self.attempts,
+            target_ms: u32::try_from(self.target.as_millis()).unwrap_or(u32::MAX),
+            priority: self.priority,
+            split: self.split.iter().map(Part::encode).collect(),
         }
     }
 }
--- a/components/config/src/service.rs
+++ b/components/config/src/service.rs
@@ -8,17 +8,27 @@
 
 units::record! {
     /// A service and how its traffic is shared among its versions.
-    #[derive(Serialize, Deserialize, schemars::JsonSchema)]
+    #[derive(Default, Serialize, Deserialize, schemars::JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct Service {
         /// Name, unique among services.
         #[schemars(with = "String")]
         pub name: CompactString,
         /// Shares of the versions; they add up to the whole.
+        ///
+        /// Without any, which only a source of whole configurations may leave out, all versions
+        /// that backend servers announce share the traffic.
         pub weights: Vec<Weight>,
         /// Version of the configuration in which it last changed; set by the system.
         #[serde(default)]
         pub revision: units::Version,
+        /// Most connections to one backend server; zero leaves it to what the server announces.
+        #[serde(default)]
+        pub connections: u32,
+        /// Path at which a backend server answers whether it is healthy; empty where it has none.
+        #[serde(default)]
+        #[schemars(with = "String")]
+        pub health_path: CompactString,
     }
 }
 
@@ -76,6 +86,8 @@
             name: wire.name.as_str().into(),
             weights,
             revision: units::Version(wire.revision),
+            connections: wire.connections,
+            health_path: wire.health_path.as_str().into(),
         }
     }
 
@@ -86,6 +98,8 @@
             name: self.name.to_string(),
             weights: self.weights.iter().map(Weight::encode).collect(),
             revision: self.revision.0,
+            connections: self.connections,
+            health_path: self.health_path.to_string(),
         }
     }
 }
--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -37,6 +37,29 @@
 }
 
 impl Snapshot {
+    /// A snapshot of the whole configuration, as a source gives it that has no log of changes.
+    ///
+    /// # Errors
+    /// Routes to services that are missing, and routes that match the same requests.
+    pub fn whole(
+        version: units::Version,
+        mut services: Vec<Service>,
+        mut routes: Vec<Route>,
+    ) -> Result<Self, Findings> {
+        services.sort_by(|one, other| one.name.cmp(&other.name));
+        routes.sort_by(|one, other| one.name.cmp(&other.name));
+        let snapshot = Self {
+            version,
+            services: List::new(services),
+            routes: List::new(routes),
+            settled: Settled::default(),
+        };
+        let mut findings = Findings::default();
+        snapshot.check_order(&mut findings);
+        snapshot.check_whole(&mut findings);
+        findings.into_result(snapshot)
+    }
+
     /// Version of the configuration.
     #[must_use]
     pub fn version(&self) -> units::Version {
@@ -310,7 +333,8 @@
         };
         let removes_service = |one: &Remove| matches!(one, Remove::Service(..));
         if change.removes.iter().any(removes_service) {
-            for route in self.routes().iter().filter(|one| gone(&one.service)) {
+            let lost = |one: &&Route| one.services().any(|name| gone(name));
+            for route in self.routes().iter().filter(lost) {
                 self.check_reference(route, findings);
             }
         }
@@ -318,10 +342,12 @@
 
     /// Reports `route` where its service is missing.
     fn check_reference(&self, route: &Route, findings: &mut Findings) {
-        if self.service(&route.service).is_none() {
-            let problem = format!("there is no service `{}`", route.service);
-            let place = format!("/routes/{}/service", route.name);
-            findings.add(place, problem, "the name of a service in the configuration");
+        for service in route.services() {
+            if self.service(service).is_none() {
+                let problem = format!("there is no service `{service}`");
+                let place = format!("/routes/{}/service", route.name);
+                findings.add(place, problem, "the name of a service in the configuration");
+            }
         }
     }
 
--- a/components/config/tests/properties.rs
+++ b/components/config/tests/properties.rs
@@ -28,6 +28,7 @@
         name: name.into(),
         weights: vec![weight("v1", share), weight("v2", share.rest())],
         revision: units::Version::default(),
+        ..Service::default()
     }
 }
 
@@ -41,6 +42,7 @@
         idempotency: config::Idempotency::ByMethod,
         max_body: units::Size(1024),
         revision: units::Version::default(),
+        ..Route::default()
     }
 }
 
--- a/components/config/tests/snapshot.rs
+++ b/components/config/tests/snapshot.rs
@@ -11,6 +11,7 @@
         name: name.into(),
         weights: vec![weight],
         revision: units::Version::default(),
+        ..Service::default()
     }
 }
 
@@ -24,6 +25,7 @@
         idempotency: config::Idempotency::ByMethod,
         max_body: units::Size(1024),
         revision: units::Version::default(),
+        ..Route::default()
     }
 }
 
--- a/components/distribution/examples/sizes.rs
+++ b/components/distribution/examples/sizes.rs
@@ -33,6 +33,7 @@
             weight("v2026-12-03", new),
         ],
         revision: units::Version::default(),
+        ..Service::default()
     }
 }
 
@@ -46,6 +47,7 @@
         idempotency: config::Idempotency::ByMethod,
         max_body: units::Size(1024 * 1024),
         revision: units::Version::default(),
+        ..Route::default()
     }
 }
 
--- a/components/distribution/src/holder.rs
+++ b/components/distribution/src/holder.rs
@@ -30,7 +30,8 @@
         let dangling = snapshot
             .routes()
             .iter()
-            .any(|route| snapshot.service(&route.service).is_none());
+            .flat_map(config::Route::services)
+            .any(|service| snapshot.service(service).is_none());
         if dangling {
             self.violations.set(self.violations.get() + 1);
             log::error!(version = snapshot.version().0; "invariant violated: dangling route");
--- a/components/distribution/tests/mesh/accept.rs
+++ b/components/distribution/tests/mesh/accept.rs
@@ -29,6 +29,7 @@
         idempotency: config::Idempotency::ByMethod,
         max_body: units::Size(1024),
         revision: units::Version::default(),
+        ..Route::default()
     };
     Put::Route(route, None)
 }
--- a/components/distribution/tests/mesh/bench.rs
+++ b/components/distribution/tests/mesh/bench.rs
@@ -54,6 +54,7 @@
         name: name.into(),
         weights: vec![weight],
         revision: units::Version::default(),
+        ..config::Service::default()
     }
 }
 
--- a/components/moves/examples/calls.rs
+++ b/components/moves/examples/calls.rs
@@ -231,6 +231,7 @@
             share: units::Share::WHOLE,
         }],
         revision: units::Version::default(),
+        ..Service::default()
     };
     let puts: Vec<_> = (0..count)
         .map(|index| Put::Service(service(index), None))
--- a/components/moves/src/runner.rs
+++ b/components/moves/src/runner.rs
@@ -337,10 +337,15 @@
         let Ok(operation) = record.id.operation(purpose) else {
             return Verdict::Unavailable;
         };
+        let snapshot = self.shared().parts.holder.get();
         let service = Service {
             name: record.service().into(),
             weights,
             revision: units::Version::default(),
+            ..snapshot
+                .service(record.service())
+                .cloned()
+                .unwrap_or_default()
         };
         let change = Change {
             operation,
--- a/components/moves/tests/mesh/mod.rs
+++ b/components/moves/tests/mesh/mod.rs
@@ -354,6 +354,7 @@
         idempotency: config::Idempotency::ByMethod,
         max_body: units::Size(1024),
         revision: units::Version::default(),
+        ..Route::default()
     };
     let change = Change {
         operation: "initial".parse().expect("it is an id"),
@@ -379,6 +380,7 @@
         name: "menus".into(),
         weights: weights.iter().map(weight).collect(),
         revision: units::Version::default(),
+        ..Service::default()
     }
 }
 
--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -1,23 +1,38 @@
-//! Client of the object API over HTTP/1.1.
+//! Client of a versioned object store over HTTP/1.1.
 
 use std::cell;
 use std::rc;
 use std::time;
 
-use compact_str::{CompactString, ToCompactString, format_compact};
-use http::{HeaderName, StatusCode, header};
+use compact_str::{ToCompactString, format_compact};
+use http::StatusCode;
 
+use crate::form::{Answer, Ask};
 use crate::{
-    Breaker, Bucket, Counts, Error, Events, Key, Listing, Object, Revision, Settings, Store, wire,
+    Breaker, Bucket, Counts, Error, Events, Form, Key, Listing, Native, Object, Revision, Settings,
+    Store,
 };
 
-/// Client of the object API; clones share connections, limits and counts.
-#[derive(Clone)]
-pub struct Client {
-    inner: rc::Rc<Inner>,
+/// Wait after a 429 that names none.
+const THROTTLE_WAIT: time::Duration = time::Duration::from_secs(1);
+
+/// Client of a versioned object store; clones share connections, limits and counts.
+///
+/// Limits, back-off, circuit breaker and counts are the same for every store; `F` is the form of
+/// its calls.
+pub struct Client<F = Native> {
+    inner: rc::Rc<Inner<F>>,
+}
+
+impl<F> Clone for Client<F> {
+    fn clone(&self) -> Self {
+        let inner = self.inner.clone();
+        Self { inner }
+    }
 }
 
-struct Inner {
+struct Inner<F> {
+    form: F,
     http: cyper::Client,
     address: units::Address,
     settings: Settings,
@@ -34,34 +49,25 @@
     Write,
 }
 
-/// One call before it is sent.
-struct Call {
-    sort: Sort,
-    method: http::Method,
-    path: CompactString,
-    condition: Option<(HeaderName, CompactString)>,
-    body: Vec<u8>,
-    timeout: time::Duration,
-}
-
-/// An answer that was received whole.
-struct Answer {
-    status: StatusCode,
-    revision: Option<Revision>,
-    body: Vec<u8>,
+impl Client {
+    /// A client of the platform's object API at `address`.
+    ///
+    /// # Errors
+    /// As of [`Client::open_as`].
+    pub fn open(address: units::Address, settings: Settings) -> Result<Self, Error> {
+        Self::open_as(Native, address, settings)
+    }
 }
 
-impl Client {
+impl<F: Form> Client<F> {
     /// Largest answer that is read, in bytes.
     const ANSWER_BYTES: usize = 64 * 1024 * 1024;
-    /// Wait after a 429 that names none.
-    const THROTTLE_WAIT: time::Duration = time::Duration::from_secs(1);
 
-    /// A client of the platform at `address`.
+    /// A client of the store at `address`, whose calls have this `form`.
     ///
     /// # Errors
     /// [`Error::Invalid`] when the HTTP client cannot be built.
-    pub fn open(address: units::Address, settings: Settings) -> Result<Self, Error> {
+    pub fn open_as(form: F, address: units::Address, settings: Settings) -> Result<Self, Error> {
         let http = cyper::Client::builder()
             .no_proxy()
             .redirect(cyper::redirect::Policy::none())
@@ -70,6 +76,7 @@
         let now = time::Instant::now();
         let breaker = Breaker::new(settings.breaker_failures, settings.breaker_wait.0);
         let inner = Inner {
+            form,
             http,
             address,
             writes: cell::RefCell::new(Bucket::new(settings.writes, settings.burst, now)),
@@ -102,8 +109,14 @@
     }
 
     /// Sends one call, within our own limits.
-    async fn call(&self, call: Call, add: impl FnOnce(&mut Counts)) -> Result<Answer, Error> {
-        self.await_token(call.sort).await?;
+    async fn call(
+        &self,
+        ask: Ask,
+        sort: Sort,
+        wait: time::Duration,
+        add: impl FnOnce(&mut Counts),
+    ) -> Result<Answer, Error> {
+        self.await_token(sort).await?;
         let now = time::Instant::now();
         let admitted = self
             .inner
@@ -115,11 +128,10 @@
             return Err(Error::Unavailable("the circuit breaker is open".into()));
         }
         self.count(add);
-        let sent = call.body.len() as u64;
+        let sent = ask.body.len() as u64;
         self.count(|counts| counts.sent_bytes += sent);
-        let sort = call.sort;
-        let timeout = call.timeout;
-        let result = match compio::time::timeout(timeout, self.exchange(call)).await {
+        let timeout = self.inner.settings.timeout.0 + wait;
+        let result = match compio::time::timeout(timeout, self.exchange(ask)).await {
             Ok(result) => result,
             Err(_) => Err(Error::Unknown("no answer in time".into())),
         };
@@ -177,8 +189,8 @@
         }
     }
 
-    async fn exchange(&self, call: Call) -> Result<Answer, Error> {
-        let request = self.request(call)?;
+    async fn exchange(&self, ask: Ask) -> Result<Answer, Error> {
+        let request = self.request(ask)?;
         let response = request.send().await.map_err(|error| sent_error(&error))?;
         let status = response.status();
         if status == StatusCode::SERVICE_UNAVAILABLE {
@@ -194,101 +206,51 @@
         if length > Self::ANSWER_BYTES as u64 {
             return Err(Error::Unknown("the answer is too long".into()));
         }
-        let revision = revision(response.headers());
+        let headers = response.headers().clone();
         let body = response.bytes().await;
         let body = body.map_err(|_| Error::Unknown("the answer broke off".into()))?;
         Ok(Answer {
             status,
-            revision,
+            headers,
             body: body.into(),
         })
     }
 
-    fn request(&self, call: Call) -> Result<cyper::RequestBuilder, Error> {
-        let url = format!("http://{}{}", self.inner.address, call.path);
+    fn request(&self, ask: Ask) -> Result<cyper::RequestBuilder, Error> {
+        let url = format!("http://{}{}", self.inner.address, ask.path);
         let invalid = |error: cyper::Error| Error::Invalid(error.to_compact_string());
-        let mut request = self.inner.http.request(call.method, url).map_err(invalid)?;
-        if let Some((name, value)) = call.condition {
+        let mut request = self.inner.http.request(ask.method, url).map_err(invalid)?;
+        if let Some((name, value)) = ask.header {
             request = request.header(name, value.as_str()).map_err(invalid)?;
         }
-        Ok(request.body(call.body))
+        Ok(request.body(ask.body))
     }
 
-    async fn write(
-        &self,
-        method: http::Method,
-        key: &Key,
-        condition: (HeaderName, CompactString),
-        body: Vec<u8>,
-    ) -> Result<Answer, Error> {
-        let removes = method == http::Method::DELETE;
-        let call = Call {
-            sort: Sort::Write,
-            method,
-            path: format_compact!("/v1/objects/{key}"),
-            condition: Some(condition),
-            body,
-            timeout: self.inner.settings.timeout.0,
-        };
-        let add = move |counts: &mut Counts| {
-            if removes {
-                counts.removes += 1;
-            } else {
-                counts.writes += 1;
-            }
-        };
-        let answer = self.call(call, add).await?;
-        match answer.status {
-            StatusCode::OK | StatusCode::NO_CONTENT => Ok(answer),
-            StatusCode::PRECONDITION_FAILED | StatusCode::NOT_FOUND => Err(Error::Conflict),
-            status => Err(refused(status)),
-        }
+    async fn write(&self, ask: Ask) -> Result<Revision, Error> {
+        let add = |counts: &mut Counts| counts.writes += 1;
+        let answer = self
+            .call(ask, Sort::Write, time::Duration::ZERO, add)
+            .await?;
+        self.inner.form.written(&answer)
     }
 
-    async fn get(
-        &self,
-        path: CompactString,
-        wait: time::Duration,
-        add: impl FnOnce(&mut Counts),
-    ) -> Result<Answer, Error> {
-        let call = Call {
-            sort: Sort::Read,
-            method: http::Method::GET,
-            path,
-            condition: None,
-            body: Vec::new(),
-            timeout: self.inner.settings.timeout.0 + wait,
-        };
-        self.call(call, add).await
+    async fn get(&self, ask: Ask, add: impl FnOnce(&mut Counts)) -> Result<Answer, Error> {
+        self.call(ask, Sort::Read, time::Duration::ZERO, add).await
     }
 }
 
-impl Store for Client {
+impl<F: Form> Store for Client<F> {
     async fn read(&self, key: &Key) -> Result<Option<Object>, Error> {
-        let path = format_compact!("/v1/objects/{key}");
-        let answer = self
-            .get(path, time::Duration::ZERO, |counts| counts.reads += 1)
-            .await?;
+        let ask = self.inner.form.read(key);
+        let answer = self.get(ask, |counts| counts.reads += 1).await?;
         match answer.status {
-            StatusCode::OK => {
-                let revision = answer.revision.ok_or_else(no_revision)?;
-                let key = key.clone();
-                let value = answer.body;
-                Ok(Some(Object {
-                    key,
-                    revision,
-                    value,
-                }))
-            }
             StatusCode::NOT_FOUND => Ok(None),
-            status => Err(refused(status)),
+            _ => self.inner.form.object(key, answer).map(Some),
         }
     }
 
     async fn create(&self, key: &Key, value: Vec<u8>) -> Result<Revision, Error> {
-        let condition = (header::IF_NONE_MATCH, "*".into());
-        let answer = self.write(http::Method::PUT, key, condition, value).await?;
-        answer.revision.ok_or_else(no_revision)
+        self.write(self.inner.form.create(key, value)).await
     }
 
     async fn update(
@@ -297,25 +259,38 @@
         expected: Revision,
         value: Vec<u8>,
     ) -> Result<Revision, Error> {
-        let condition = (header::IF_MATCH, tag(expected));
-        let answer = self.write(http::Method::PUT, key, condition, value).await?;
-        answer.revision.ok_or_else(no_revision)
+        let ask = self.inner.form.update(key, expected, value);
+        self.write(ask).await
     }
 
     async fn remove(&self, key: &Key, expected: Revision) -> Result<(), Error> {
-        let condition = (header::IF_MATCH, tag(expected));
-        let answer = self.write(http::Method::DELETE, key, condition, Vec::new());
-        answer.await.map(|_| ())
+        let ask = self.inner.form.remove(key, expected);
+        let add = |counts: &mut Counts| counts.removes += 1;
+        let answer = self
+            .call(ask, Sort::Write, time::Duration::ZERO, add)
+            .await?;
+        self.inner.form.removed(&answer)
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
-        let path = format_compact!("/v1/objects?prefix={prefix}");
-        let answer = self
-            .get(path, time::Duration::ZERO, |counts| counts.lists += 1)
-            .await?;
-        match answer.status {
-            StatusCode::OK => wire::decode_listing(&answer.body),
-            status => Err(refused(status)),
+        let mut whole = Listing {
+            revision: Revision::default(),
+            objects: Vec::new(),
+        };
+        let mut after = None;
+        loop {
+            let ask = self.inner.form.list(prefix, after.as_ref());
+            let answer = self.get(ask, |counts| counts.lists += 1).await?;
+            let page = self.inner.form.page(prefix, &answer)?;
+            if after.is_none() {
+                // Changes while the pages are read come with a watch from the first page.
+                whole.revision = page.listing.revision;
+            }
+            whole.objects.extend(page.listing.objects);
+            after = match whole.objects.last() {
+                Some(last) if page.more => Some(last.key.clone()),
+                _ => return Ok(whole),
+            };
         }
     }
 
@@ -325,14 +300,13 @@
         from: Revision,
         wait: time::Duration,
     ) -> Result<Events, Error> {
-        let millis = wait.as_millis();
-        let path = format_compact!("/v1/watch?prefix={prefix}&from={from}&wait_ms={millis}");
-        let answer = self.get(path, wait, |counts| counts.watches += 1).await?;
-        match answer.status {
-            StatusCode::OK => wire::decode_events(&answer.body),
-            StatusCode::GONE => Err(Error::Gone),
-            status => Err(refused(status)),
+        let ask = self.inner.form.watch(prefix, from, wait);
+        let add = |counts: &mut Counts| counts.watches += 1;
+        let answer = self.call(ask, Sort::Read, wait, add).await?;
+        if answer.status == StatusCode::GONE {
+            return Err(Error::Gone);
         }
+        self.inner.form.events(prefix, &answer)
     }
 }
 
@@ -345,27 +319,9 @@
     }
 }
 
-fn refused(status: StatusCode) -> Error {
-    Error::Invalid(format_compact!("status {status}"))
-}
-
-fn no_revision() -> Error {
-    Error::Unknown("the answer names no revision".into())
-}
-
-fn tag(revision: Revision) -> CompactString {
-    format_compact!("\"{revision}\"")
-}
-
-fn revision(headers: &http::HeaderMap) -> Option<Revision> {
-    let tag = headers.get(header::ETAG)?.to_str().ok()?;
-    let number = tag.strip_prefix('"')?.strip_suffix('"')?;
-    number.parse().ok().map(Revision)
-}
-
 fn retry_after(headers: &http::HeaderMap) -> time::Duration {
     let number = |name: &str| headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
     let millis = number("retry-after-ms").map(time::Duration::from_millis);
     let seconds = || number("retry-after").map(time::Duration::from_secs);
-    millis.or_else(seconds).unwrap_or(Client::THROTTLE_WAIT)
+    millis.or_else(seconds).unwrap_or(THROTTLE_WAIT)
 }
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -1,6 +1,6 @@
 //! The platform's object API: versioned objects, conditional updates and watches.
 //!
-//! [`Store`] is the interface, [`Client`] speaks it over HTTP, and [`Lease`] builds leases with
+//! [`Store`] is the interface, [`Client`] speaks it over HTTP in the [`Form`] of a store, and [`Lease`] builds leases with
 //! fencing tokens on it.
 
 mod backoff;
@@ -9,7 +9,9 @@
 mod client;
 mod counts;
 mod error;
+mod form;
 mod lease;
+mod native;
 mod object;
 mod settings;
 mod store;
@@ -21,7 +23,9 @@
 pub use client::Client;
 pub use counts::Counts;
 pub use error::Error;
+pub use form::{Answer, Ask, Form, Page};
 pub use lease::{Lease, Observed, Record};
+pub use native::Native;
 pub use object::{Event, Events, Key, Listing, Object, Revision};
 pub use settings::Settings;
 pub use store::Store;
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -224,6 +224,26 @@
         place.ok().map(|place| &self.groups[place])
     }
 
+    /// The backend servers of all `open` versions of `service`, if one is ready.
+    #[must_use]
+    pub fn whole(&self, service: &str, open: impl Fn(&str) -> bool) -> Option<rc::Rc<Group>> {
+        let start = self
+            .groups
+            .partition_point(|group| group.service.as_str() < service);
+        let of_service = self.groups[start..]
+            .iter()
+            .take_while(|group| group.service == service);
+        let mut groups = of_service.filter(|group| open(&group.version));
+        let first = groups.next()?;
+        let Some(second) = groups.next() else {
+            return Some(first.clone());
+        };
+        let members = [first, second].into_iter().chain(groups);
+        let mut all: Vec<_> = members.flat_map(|group| group.all().cloned()).collect();
+        all.sort_by(|one, other| one.node.cmp(&other.node));
+        Some(rc::Rc::new(Group::new(all)))
+    }
+
     /// Versions of `service` that had a ready backend server within the key window.
     #[must_use]
     pub fn versions(&self, service: &str) -> Vec<CompactString> {
--- a/components/routing/tests/draw.rs
+++ b/components/routing/tests/draw.rs
@@ -19,6 +19,7 @@
         name: "menus".into(),
         weights: weights.iter().map(weight).collect(),
         revision: units::Version::default(),
+        ..Service::default()
     }
 }
 
--- a/components/routing/tests/table.rs
+++ b/components/routing/tests/table.rs
@@ -13,6 +13,7 @@
         idempotency: config::Idempotency::ByMethod,
         max_body: units::Size(1),
         revision: units::Version::default(),
+        ..Route::default()
     };
     Put::Route(route, None)
 }
@@ -26,6 +27,7 @@
         name: "menus".into(),
         weights: vec![weight],
         revision: units::Version::default(),
+        ..Service::default()
     };
     let change = Change {
         operation: units::Operation::random(),
--- a/components/routing/tests/versions.rs
+++ b/components/routing/tests/versions.rs
@@ -12,6 +12,7 @@
         name: "menus".into(),
         weights: weights.collect(),
         revision: units::Version::default(),
+        ..Service::default()
     }
 }
 
--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -54,11 +54,14 @@
             return Err(findings);
         }
     };
-    check_schema::<T>(&value, &mut findings);
-    if !findings.is_empty() {
-        return Err(findings);
+    let read = T::deserialize(&value);
+    if read.is_err() || !is_in_range(&schema::<T>(), &value) {
+        check_schema::<T>(&value, &mut findings);
+        if !findings.is_empty() {
+            return Err(findings);
+        }
     }
-    match serde_json::from_value::<T>(value) {
+    match read {
         Ok(document) => {
             document.check(&mut findings);
             findings.into_result(document)
@@ -70,6 +73,26 @@
     }
 }
 
+/// Whether the numbers in `value` are within the bounds of `schema`.
+///
+/// Types, units and unknown keys are the deserializer's, so that settings that are right are loaded
+/// without compiling the schema, which takes 38 MB for the settings of a node and keeps them.
+fn is_in_range(schema: &serde_json::Value, value: &serde_json::Value) -> bool {
+    if let Some(number) = value.as_f64() {
+        let bound = |key| schema.get(key).and_then(serde_json::Value::as_f64);
+        let least = bound("minimum").unwrap_or(f64::MIN);
+        let most = bound("maximum").unwrap_or(f64::MAX);
+        return (least..=most).contains(&number);
+    }
+    let Some(fields) = value.as_object() else {
+        return true;
+    };
+    fields.iter().all(|(key, field)| {
+        let property = schema.get("properties").and_then(|all| all.get(key));
+        property.is_none_or(|property| is_in_range(property, field))
+    })
+}
+
 /// The JSON schema of `T`, with all definitions in line.
 pub(crate) fn schema<T: schemars::JsonSchema>() -> serde_json::Value {
     let settings = generate::SchemaSettings::draft2020_12().with(|settings| {
--- a/components/settings/tests/load.rs
+++ b/components/settings/tests/load.rs
@@ -38,6 +38,37 @@
     insta::assert_snapshot!(findings);
 }
 
+#[derive(Debug, serde::Deserialize, schemars::JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct Bounded {
+    /// Settings of a part.
+    part: Part,
+}
+
+#[derive(Debug, serde::Deserialize, schemars::JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct Part {
+    /// How many.
+    #[schemars(range(min = 1, max = 16))]
+    count: u32,
+}
+
+impl Document for Bounded {
+    fn check(&self, _: &mut Findings) {}
+}
+
+#[test]
+fn parse_numbers_in_range() {
+    for (count, right) in [(0, false), (1, true), (16, true), (17, false)] {
+        let text = format!(r#"{{"part": {{"count": {count}}}}}"#);
+        let parsed = settings::parse::<Bounded>(&text);
+        assert_eq!(parsed.is_ok(), right, "{count}");
+        if let Err(findings) = parsed {
+            assert_eq!(findings.as_slice()[0].place, "/part/count");
+        }
+    }
+}
+
 #[test]
 fn parse_fault_cases() {
     for (name, text, place) in [
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -1,4 +1,4 @@
-//! Requests to one HTTP/2 server: pooled connections, replayable bodies, and the outcome of each request.
+//! Requests to one HTTP server: pooled connections, replayable bodies, and the outcome of each request.
 
 mod budget;
 mod cause;
@@ -6,10 +6,13 @@
 mod dialer;
 mod failure;
 mod feed;
+mod line;
+mod lines;
 mod outcome;
 mod payload;
 mod pool;
 mod reply;
+mod server;
 mod settings;
 mod watched;
 
@@ -18,8 +21,10 @@
 pub use dialer::Dialer;
 pub use failure::Failure;
 pub use feed::{Error, Feed};
+pub use lines::Lines;
 pub use outcome::Outcome;
 pub use payload::{Fault, Payload};
 pub use pool::{Counts, Pool};
 pub use reply::{Lease, Reply};
+pub use server::{Protocol, Server};
 pub use settings::Settings;
--- /dev/null
+++ b/components/upstream/src/line.rs
@@ -0,0 +1,89 @@
+//! One HTTP/1.1 connection, which carries one request at a time.
+
+use std::cell;
+use std::io;
+use std::rc;
+use std::time;
+
+use compio::net;
+use cyper_core::HyperStream;
+use hyper::client::conn::http1;
+
+use crate::Feed;
+
+/// One HTTP/1.1 connection, which carries one request at a time.
+pub(crate) struct Line {
+    pub(crate) sender: http1::SendRequest<Feed>,
+    /// Time for which the server keeps it open without a request.
+    pub(crate) keep: time::Duration,
+    /// When its last answer ended.
+    pub(crate) used: time::Instant,
+}
+
+/// Counts a connection for as long as its driver runs.
+struct Open {
+    count: rc::Rc<cell::Cell<usize>>,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - 1);
+    }
+}
+
+impl Line {
+    /// Time for which an idle connection is kept where the server names none.
+    const KEEP: time::Duration = time::Duration::from_secs(4);
+    /// Part of the time that the server names for which a connection is used again.
+    ///
+    /// The server may close it while a request is on its way to it.
+    const KEEP_PART: u32 = 2;
+
+    /// Connects to `address`; the connection is in `count` until it is closed.
+    pub(crate) async fn open(
+        address: units::Address,
+        count: rc::Rc<cell::Cell<usize>>,
+    ) -> io::Result<Self> {
+        count.set(count.get() + 1);
+        let open = Open { count };
+        let stream = net::TcpStream::connect(address.0).await?;
+        stream.set_nodelay(true)?;
+        let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
+        let (sender, driver) = handshake.map_err(io::Error::other)?;
+        compio::runtime::spawn(async move {
+            if let Err(error) = driver.await {
+                log::debug!(address:% = address, error:% = error; "connection failed");
+            }
+            drop(open);
+        })
+        .detach();
+        Ok(Self {
+            sender,
+            keep: Self::KEEP,
+            used: time::Instant::now(),
+        })
+    }
+
+    /// Whether it can take a request now.
+    pub(crate) fn is_ready(&self, now: time::Instant) -> bool {
+        self.sender.is_ready() && !self.is_stale(now)
+    }
+
+    /// Whether it is closed, or was idle for so long that the server may close it.
+    pub(crate) fn is_stale(&self, now: time::Instant) -> bool {
+        self.sender.is_closed() || now.saturating_duration_since(self.used) >= self.keep
+    }
+
+    /// Takes the time that the server names for idle connections.
+    pub(crate) fn read_keep(&mut self, headers: &http::HeaderMap) {
+        let keep = headers.get("keep-alive").and_then(|value| {
+            let text = value.to_str().ok()?;
+            let mut parameters = text.split(',').map(str::trim);
+            let timeout = parameters.find_map(|one| one.strip_prefix("timeout="))?;
+            timeout.parse().ok().map(time::Duration::from_secs)
+        });
+        if let Some(keep) = keep {
+            self.keep = keep / Self::KEEP_PART;
+        }
+    }
+}
--- /dev/null
+++ b/components/upstream/src/lines.rs
@@ -0,0 +1,180 @@
+//! HTTP/1.1 connections to one server.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use crate::line::Line;
+use crate::pool::Counts;
+use crate::{Cause, Dialer, Failure, Feed, Lease, Reply, Settings};
+
+/// HTTP/1.1 connections to one server, each with one request at a time; clones share them.
+#[derive(Clone)]
+pub struct Lines {
+    shared: rc::Rc<Shared>,
+}
+
+pub(crate) struct Shared {
+    address: units::Address,
+    settings: rc::Rc<Settings>,
+    dialer: Dialer,
+    /// Connections without a request, the one used last at the end.
+    idle: cell::RefCell<Vec<Line>>,
+    /// Connections that are open or being opened.
+    open: rc::Rc<cell::Cell<usize>>,
+    busy: cell::Cell<usize>,
+    opened: cell::Cell<u64>,
+    retired: cell::Cell<u64>,
+}
+
+/// A connection while a request or its answer is on it.
+pub(crate) struct Busy {
+    shared: rc::Rc<Shared>,
+    line: Option<Line>,
+}
+
+impl Busy {
+    fn new(shared: rc::Rc<Shared>, line: Line) -> Self {
+        shared.busy.set(shared.busy.get() + 1);
+        Self {
+            shared,
+            line: Some(line),
+        }
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.line
+            .as_ref()
+            .is_none_or(|line| line.sender.is_closed())
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.shared.busy.set(self.shared.busy.get() - 1);
+        // A connection whose answer was not read to its end closes itself, and is never ready.
+        if let Some(mut line) = self.line.take() {
+            line.used = time::Instant::now();
+            self.shared.idle.borrow_mut().push(line);
+        }
+    }
+}
+
+impl Lines {
+    /// Attempts to find a connection that takes the request before any byte of it is sent.
+    const UNSENT_TRIES: usize = 3;
+
+    /// No connection yet to `address`.
+    #[must_use]
+    pub fn new(address: units::Address, settings: rc::Rc<Settings>, dialer: Dialer) -> Self {
+        let shared = Shared {
+            address,
+            settings,
+            dialer,
+            idle: cell::RefCell::default(),
+            open: rc::Rc::default(),
+            busy: cell::Cell::default(),
+            opened: cell::Cell::default(),
+            retired: cell::Cell::default(),
+        };
+        Self {
+            shared: rc::Rc::new(shared),
+        }
+    }
+
+    /// The server's address.
+    #[must_use]
+    pub fn address(&self) -> units::Address {
+        self.shared.address
+    }
+
+    /// Figures.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        Counts {
+            open: self.shared.open.get(),
+            in_flight: self.shared.busy.get(),
+            opened: self.shared.opened.get(),
+            retired: self.shared.retired.get(),
+        }
+    }
+
+    /// Closes the connections that the server may close soon.
+    pub fn close_stale(&self, now: time::Instant) {
+        self.shared.close_stale(now);
+    }
+
+    /// Sends one request; dropping the future closes its connection.
+    ///
+    /// # Errors
+    /// The failure says what became of the request.
+    pub async fn send(&self, request: http::Request<Feed>) -> Result<Reply, Failure> {
+        let mut request = request;
+        for _ in 0..Self::UNSENT_TRIES {
+            let mut busy = self.take().await?;
+            let Some(line) = busy.line.as_mut() else {
+                continue;
+            };
+            match line.sender.try_send_request(request).await {
+                Ok(response) => {
+                    line.read_keep(response.headers());
+                    let lease = Lease::of_line(busy);
+                    return Ok(Reply { response, lease });
+                }
+                Err(mut error) => {
+                    busy.line = None;
+                    self.shared.retired.set(self.shared.retired.get() + 1);
+                    match error.take_message() {
+                        Some(unsent) => request = unsent,
+                        None => return Err(Cause::of(error.error()).into()),
+                    }
+                }
+            }
+        }
+        Err(Cause::Unsent.into())
+    }
+
+    /// An idle connection, or a new one.
+    async fn take(&self) -> Result<Busy, Failure> {
+        let shared = &self.shared;
+        let now = time::Instant::now();
+        shared.close_stale(now);
+        let mut idle = shared.idle.borrow_mut();
+        if let Some(place) = idle.iter().rposition(|line| line.is_ready(now)) {
+            let line = idle.remove(place);
+            drop(idle);
+            return Ok(Busy::new(shared.clone(), line));
+        }
+        drop(idle);
+        if shared.open.get() >= shared.settings.connections {
+            return Err(Cause::Connect.into());
+        }
+        let wait = shared.dialer.reserve(now);
+        if !wait.is_zero() {
+            compio::time::sleep(wait).await;
+        }
+        let limit = shared.settings.connect_timeout.0;
+        let opening = Line::open(shared.address, shared.open.clone());
+        match compio::time::timeout(limit, opening).await {
+            Ok(Ok(line)) => {
+                shared.opened.set(shared.opened.get() + 1);
+                Ok(Busy::new(shared.clone(), line))
+            }
+            Ok(Err(error)) => {
+                log::debug!(address:% = shared.address, error:% = error; "dial failed");
+                Err(Cause::Connect.into())
+            }
+            Err(_) => Err(Cause::Connect.into()),
+        }
+    }
+}
+
+impl Shared {
+    fn close_stale(&self, now: time::Instant) {
+        let mut idle = self.idle.borrow_mut();
+        let before = idle.len();
+        idle.retain(|line| !line.is_stale(now));
+        let retired = (before - idle.len()) as u64;
+        self.retired.set(self.retired.get() + retired);
+    }
+}
--- a/components/upstream/src/reply.rs
+++ b/components/upstream/src/reply.rs
@@ -6,6 +6,7 @@
 use hyper::body::Incoming;
 
 use crate::connection::State;
+use crate::lines::Busy;
 
 /// An answer whose body may still be arriving.
 pub struct Reply {
@@ -17,27 +18,47 @@
 
 /// A request's place on a connection, given back when dropped.
 pub struct Lease {
+    place: Place,
+}
+
+enum Place {
+    /// One of the streams of an HTTP/2 connection.
+    Stream(Stream),
+    /// The whole of an HTTP/1.1 connection.
+    Line(Busy),
+}
+
+struct Stream {
     state: rc::Rc<State>,
 }
 
 impl Lease {
+    pub(crate) fn of_line(busy: Busy) -> Self {
+        let place = Place::Line(busy);
+        Self { place }
+    }
+
     pub(crate) fn new(state: rc::Rc<State>) -> Self {
         let now = time::Instant::now();
         if state.in_flight.get() == 0 {
             state.busy_since.set(now);
         }
         state.in_flight.set(state.in_flight.get() + 1);
-        Self { state }
+        let place = Place::Stream(Stream { state });
+        Self { place }
     }
 
-    /// Whether the connection has failed to answer a ping.
+    /// Whether the connection is closed.
     #[must_use]
     pub fn is_closed(&self) -> bool {
-        self.state.closed.get()
+        match &self.place {
+            Place::Stream(stream) => stream.state.closed.get(),
+            Place::Line(busy) => busy.is_closed(),
+        }
     }
 }
 
-impl Drop for Lease {
+impl Drop for Stream {
     fn drop(&mut self) {
         self.state.in_flight.set(self.state.in_flight.get() - 1);
     }
--- a/components/upstream/src/settings.rs
+++ b/components/upstream/src/settings.rs
@@ -7,6 +7,8 @@
     #[derive(Serialize, Deserialize, schemars::JsonSchema)]
     #[serde(default, deny_unknown_fields)]
     pub struct Settings {
+        /// Version of HTTP that backend servers speak; nodes speak HTTP/2 with each other.
+        pub backend_protocol: crate::Protocol,
         /// Most connections to one server.
         pub connections: usize,
         /// Requests on one connection after which another one is opened.
@@ -31,6 +33,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            backend_protocol: crate::Protocol::default(),
             connections: 4,
             streams: 100,
             connect_timeout: units::Period::from_millis(500),
--- a/node/examples/path.rs
+++ b/node/examples/path.rs
@@ -103,6 +103,7 @@
         name: "menus".into(),
         weights: vec![weight],
         revision: units::Version::default(),
+        ..Service::default()
     };
     let route = Route {
         name: "menus".into(),
@@ -113,6 +114,7 @@
         idempotency: config::Idempotency::ByMethod,
         max_body: units::Size(1 << 20),
         revision: units::Version::default(),
+        ..Route::default()
     };
     let change = Change {
         operation: units::Operation::random(),
@@ -133,6 +135,7 @@
     let holder = distribution::Holder::default();
     holder.advance(configuration());
     let context = Context {
+        dialect: node::call::Native,
         node: format!("n{index}").parse().expect("a node id"),
         data_centre: "ba".parse().expect("a data centre"),
         holder,
@@ -145,7 +148,11 @@
     if index < owners {
         let address = address(BACKEND_PORT, index);
         let backend = backend();
-        owner.announce(Some(&admission::Announced { address, backend }));
+        owner.announce(Some(&admission::Announced {
+            id: Default::default(),
+            address,
+            backend,
+        }));
     }
     let ingress = Ingress::new(context, Blind, owner.clone());
     let mesh = web::Server::bind(address(MESH_PORT, index), limits()).await;
--- a/node/src/announce/desk.rs
+++ b/node/src/announce/desk.rs
@@ -6,7 +6,7 @@
 use futures_channel::oneshot;
 
 use super::Notice;
-use crate::call::Owner;
+use crate::call::{Dialect, Native, Owner};
 
 /// An announcement of the backend server beside the node.
 #[derive(Debug)]
@@ -18,21 +18,21 @@
 }
 
 /// Hands announcements to the request path and to the membership.
-pub struct Desk<L> {
+pub struct Desk<L, D = Native> {
     inbox: kernel::Inbox<Message>,
-    owner: Owner<L>,
+    owner: Owner<L, D>,
     members: kernel::Mailbox<membership::Command>,
     lease: time::Duration,
 }
 
-impl<L: peer::Link> Desk<L> {
+impl<L: peer::Link, D: Dialect> Desk<L, D> {
     /// Hands what arrives in `inbox` to `owner` and `members`.
     ///
     /// A backend server that is silent for `lease` is taken for gone.
     #[must_use]
     pub fn new(
         inbox: kernel::Inbox<Message>,
-        owner: Owner<L>,
+        owner: Owner<L, D>,
         members: kernel::Mailbox<membership::Command>,
         lease: time::Duration,
     ) -> Self {
@@ -46,6 +46,7 @@
 
     async fn take(&self, message: Message) {
         let announced = Announced {
+            id: message.notice.id,
             address: message.notice.address,
             backend: message.notice.backend,
         };
@@ -67,7 +68,7 @@
     }
 }
 
-impl<L: peer::Link> kernel::Service for Desk<L> {
+impl<L: peer::Link, D: Dialect> kernel::Service for Desk<L, D> {
     const NAME: &'static str = "announce";
 
     async fn run(mut self, stop: kernel::Stop) {
--- a/node/src/announce/notice.rs
+++ b/node/src/announce/notice.rs
@@ -7,6 +7,8 @@
 units::record! { eq:
     /// What a backend server says of itself.
     pub struct Notice {
+        /// Id that it gives itself; empty where it gives none.
+        pub id: compact_str::CompactString,
         /// Where it takes requests.
         pub address: units::Address,
         /// What the mesh shall know of it.
@@ -41,6 +43,7 @@
         let load = units::Share::from_parts(wire.load.min(units::Share::WHOLE.parts()));
         match (address, phase) {
             (Some(address), Some(phase)) => findings.into_result(Self {
+                id: compact_str::CompactString::default(),
                 address,
                 backend: Backend {
                     service: wire.service.as_str().into(),
--- a/node/src/assembly/requests.rs
+++ b/node/src/assembly/requests.rs
@@ -7,7 +7,7 @@
 
 use super::{Builder, Error, Link, MAILBOX, names};
 use crate::announce;
-use crate::call::{Context, Ingress, Owner};
+use crate::call::{Context, Ingress, Native, Owner};
 use crate::dump::Dump;
 use crate::metrics::Exporter;
 
@@ -24,6 +24,7 @@
         members: builder.find(names::VIEW)?,
         withheld: builder.find(names::WITHHELD)?,
         focus: builder.find(names::FOCUS)?,
+        dialect: Native,
         settings: rc::Rc::new(settings.requests.clone()),
     };
     let link: Link = builder.find(names::LINK)?;
--- a/node/src/call/arrival.rs
+++ b/node/src/call/arrival.rs
@@ -8,7 +8,7 @@
 use http::{Method, header};
 use upstream::Payload;
 
-use super::{Headers, Problem, Reason};
+use super::{Asked, Headers, Problem, Reason};
 
 /// A request as it arrives from a caller, with the route that matches it.
 pub(crate) struct Arrival {
@@ -19,6 +19,8 @@
     /// Headers, without those of the connection and those that only nodes exchange.
     pub(crate) headers: http::HeaderMap,
     pub(crate) route: rc::Rc<Route>,
+    /// The service that runs it, one of the route's.
+    pub(crate) service: CompactString,
     pub(crate) deadline: time::Instant,
     /// Calls above this one.
     pub(crate) depth: u32,
@@ -36,32 +38,15 @@
 }
 
 impl Arrival {
-    /// Longest id that is taken over from a caller, in bytes.
-    const ID_BYTES: usize = 160;
-    /// Longest idempotency key, in bytes.
-    const KEY_BYTES: usize = 256;
-    /// Deepest nesting of calls.
-    const DEPTH_LIMIT: u64 = 64;
-
     /// Reads the parts that need no route.
     ///
     /// # Errors
-    /// [`Reason::Malformed`], [`Reason::Method`] or [`Reason::TooDeep`].
+    /// [`Reason::Malformed`] or [`Reason::Method`].
     pub(crate) fn check(head: &http::request::Parts) -> Result<CompactString, Problem> {
         if head.method == Method::CONNECT {
             return Err(Problem::refused(Reason::Method));
         }
-        let depth = Headers::number(&head.headers, &Headers::DEPTH).unwrap_or_default();
-        if depth >= Self::DEPTH_LIMIT {
-            return Err(Problem::refused(Reason::TooDeep));
-        }
-        let key = head.headers.get(Headers::KEY);
-        let key_fits = key.is_none_or(|key| {
-            key.to_str()
-                .is_ok_and(|key| !key.is_empty() && key.len() <= Self::KEY_BYTES)
-        });
-        let once = |name| head.headers.get_all(name).iter().count() <= 1;
-        if !key_fits || !once(header::HOST) || !once(Headers::KEY) {
+        if head.headers.get_all(header::HOST).iter().count() > 1 {
             return Err(Problem::refused(Reason::Malformed));
         }
         host(head).ok_or(Problem::refused(Reason::Malformed))
@@ -71,11 +56,14 @@
     ///
     /// # Errors
     /// [`Reason::BodyTooLong`].
+    #[allow(clippy::too_many_arguments)]
     pub(crate) fn new(
         head: http::request::Parts,
         body: hyper::body::Incoming,
         id: CompactString,
+        asked: Asked,
         route: rc::Rc<Route>,
+        service: CompactString,
         caller: CompactString,
         keep: usize,
     ) -> Result<Self, Problem> {
@@ -86,17 +74,11 @@
         }
         let body = web::Body::arriving(body, head.version, Some(limit));
         let started = time::Instant::now();
-        let asked = Headers::number(&head.headers, &Headers::DEADLINE_MS);
-        let asked = asked.map_or(time::Duration::MAX, time::Duration::from_millis);
-        let number = |name| {
-            let number = Headers::number(&head.headers, &name)?;
-            u32::try_from(number).ok()
-        };
+        let patience = asked.patience.unwrap_or(time::Duration::MAX);
         let idempotent = is_idempotent(&head.method, route.idempotency);
-        let key = Headers::text(&head.headers, &Headers::KEY).filter(|_| !idempotent);
-        let above = number(Headers::DEPTH);
-        let attempt = number(Headers::ATTEMPT).filter(|_| above.is_some());
-        let key_attempt = number(Headers::KEY_ATTEMPT);
+        let key = asked.key.filter(|_| !idempotent);
+        let above = asked.above;
+        let attempt = asked.attempt.filter(|_| above.is_some());
         let mut headers = head.headers;
         Headers::strip_hop(&mut headers);
         Headers::strip_internal(&mut headers);
@@ -105,26 +87,19 @@
             method: head.method,
             uri: head.uri,
             headers,
-            deadline: started + asked.min(route.timeout.0),
+            deadline: started + patience.min(route.timeout.0),
             depth: above.map_or(0, |above| above.saturating_add(1)),
             attempt: attempt.unwrap_or(1).max(1),
             caller,
             idempotent,
             key,
-            key_attempt,
+            key_attempt: asked.key_attempt,
             payload: Payload::new(body, keep),
             route,
+            service,
         })
     }
 
-    /// The id that the caller gave, if it is usable.
-    pub(crate) fn given_id(head: &http::request::Parts) -> Option<CompactString> {
-        let id = Headers::text(&head.headers, &Headers::REQUEST)?;
-        let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
-        let fits = !id.is_empty() && id.len() <= Self::ID_BYTES;
-        (fits && id.bytes().all(allowed)).then_some(id)
-    }
-
     /// Method, URI and headers for one attempt.
     pub(crate) fn head(&self) -> http::request::Parts {
         let (mut parts, ()) = http::Request::new(()).into_parts();
--- a/node/src/call/context.rs
+++ b/node/src/call/context.rs
@@ -2,11 +2,11 @@
 
 use std::rc;
 
-use super::Settings;
+use super::{Native, Settings};
 
 /// What the request path reads from other services; clones share it.
 #[derive(Clone)]
-pub struct Context {
+pub struct Context<D = Native> {
     /// This node.
     pub node: units::Node,
     /// Its data centre.
@@ -19,6 +19,8 @@
     pub withheld: routing::Withheld,
     /// Versions that use only some of their backend servers.
     pub focus: routing::Focus,
+    /// How callers and backend servers speak.
+    pub dialect: D,
     /// Settings of the request path.
     pub settings: rc::Rc<Settings>,
 }
--- a/node/src/call/counts.rs
+++ b/node/src/call/counts.rs
@@ -58,6 +58,8 @@
     pub crashed: u64,
     /// Resends that got the end of the first request with their key.
     pub joined: u64,
+    /// Answers of the backend server that belonged to another request.
+    pub mismatched: u64,
     /// Requests given up by the ingress.
     pub cancelled: u64,
 }
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -104,6 +104,18 @@
         }
     }
 
+    /// Removes every header of ours.
+    pub fn strip_own(headers: &mut http::HeaderMap) {
+        const PREFIX: &str = "radishgap-";
+        let own = headers
+            .keys()
+            .filter(|name| name.as_str().starts_with(PREFIX));
+        let own: Vec<_> = own.cloned().collect();
+        for name in own {
+            headers.remove(name);
+        }
+    }
+
     /// The text of a header; `None` when it is missing or not text.
     pub(crate) fn text(headers: &http::HeaderMap, name: &HeaderName) -> Option<CompactString> {
         headers.get(name)?.to_str().ok().map(CompactString::from)
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -20,22 +20,22 @@
 use super::counts::Ingress as Counts;
 use super::owner::{Job, Serving, broken_body, build, respond};
 use super::{
-    Attempt, Context, Decision, Download, Envelope, Headers, Key, Owner, Problem, Reason, Retry,
-    Source,
+    Asked, Attempt, Context, Decision, Dialect, Download, Envelope, Headers, Key, Native, Owner,
+    Problem, Reason, Retry, Source,
 };
 
 use self::journey::Journey;
 use self::passage::Passage;
 
 /// Handler of callers' requests; clones share its state.
-pub struct Ingress<L, O> {
-    shared: rc::Rc<Shared<L, O>>,
+pub struct Ingress<L, O, D = Native> {
+    shared: rc::Rc<Shared<L, O, D>>,
 }
 
-struct Shared<L, O> {
-    context: Context,
+struct Shared<L, O, D> {
+    context: Context<D>,
     observer: O,
-    owner: Owner<L>,
+    owner: Owner<L, D>,
     quota: Quota,
     state: cell::RefCell<State>,
     counts: cell::Cell<Counts>,
@@ -60,20 +60,20 @@
 }
 
 /// An answer at the ingress.
-struct Answer<L, O: Observer> {
+struct Answer<L, O: Observer, D: Dialect> {
     parts: http::response::Parts,
     source: Source,
-    passage: Passage<L, O>,
+    passage: Passage<L, O, D>,
 }
 
-impl<L, O> Clone for Ingress<L, O> {
+impl<L, O, D> Clone for Ingress<L, O, D> {
     fn clone(&self) -> Self {
         let shared = self.shared.clone();
         Self { shared }
     }
 }
 
-impl<L: peer::Link, O: Observer> Ingress<L, O> {
+impl<L: peer::Link, O: Observer, D: Dialect> Ingress<L, O, D> {
     /// Part of the time left that is kept back from the owner, so that its answer arrives in time.
     const DEADLINE_PART: u32 = 20;
     /// Longest time that is kept back.
@@ -81,7 +81,7 @@
 
     /// An ingress that shares `owner` with the mesh listener.
     #[must_use]
-    pub fn new(context: Context, observer: O, owner: Owner<L>) -> Self {
+    pub fn new(context: Context<D>, observer: O, owner: Owner<L, D>) -> Self {
         let settings = context.settings.clone();
         let directory = Directory::new(context.node.clone(), context.data_centre.clone());
         let state = State {
@@ -107,7 +107,7 @@
 
     /// The owner in this process.
     #[must_use]
-    pub fn owner(&self) -> &Owner<L> {
+    pub fn owner(&self) -> &Owner<L, D> {
         &self.shared.owner
     }
 
@@ -127,6 +127,7 @@
     pub fn maintain(&self, now: time::Instant) {
         self.refresh(now);
         self.shared.owner.pools().maintain(now);
+        self.shared.owner.maintain(now);
     }
 
     fn count(&self, change: impl FnOnce(&mut Counts)) {
@@ -158,37 +159,30 @@
         &self,
         request: http::Request<Incoming>,
         id: &CompactString,
+        asked: Asked,
     ) -> Result<Arrival, Problem> {
         let (head, body) = request.into_parts();
         let host = Arrival::check(&head)?;
         self.refresh(time::Instant::now());
         let table = self.shared.state.borrow().table.clone();
+        if table.version() == units::Version::default() {
+            return Err(Problem::later(Reason::Unconfigured));
+        }
         let route = table.find(&host, head.uri.path());
         let route = route.ok_or(Problem::refused(Reason::NoRoute))?.clone();
-        let caller = self.caller(&head);
-        let keep = self.shared.context.settings.upstream.replay.as_len();
-        Arrival::new(head, body, id.clone(), route, caller, keep)
-    }
-
-    /// Who sends the request: its address, with the node where that is local to the node.
-    fn caller(&self, head: &http::request::Parts) -> CompactString {
-        let peer = head.extensions.get::<web::Peer>();
-        let Some(ip) = peer.map(|peer| peer.0.0.ip()) else {
-            return CompactString::default();
-        };
-        if ip.is_loopback() {
-            format_compact!("{}/{ip}", self.shared.context.node)
-        } else {
-            format_compact!("{ip}")
-        }
+        let context = &self.shared.context;
+        let caller = context.dialect.caller(&context.node, &head);
+        let service = route.draw_service(rand::random()).clone();
+        let keep = context.settings.upstream.replay.as_len();
+        Arrival::new(head, body, id.clone(), asked, route, service, caller, keep)
     }
 
     /// Runs a request to an answer or a problem within its deadline.
-    async fn serve(&self, arrival: &Arrival) -> Result<Answer<L, O>, Problem> {
+    async fn serve(&self, arrival: &Arrival) -> Result<Answer<L, O, D>, Problem> {
         if arrival.left().is_zero() {
             return Err(Problem::refused(Reason::Deadline));
         }
-        let Some(entry) = self.shared.quota.enter(&arrival.route.service) else {
+        let Some(entry) = self.shared.quota.enter(&arrival.service) else {
             return Err(Problem::later(Reason::Refused(
                 admission::Reason::OverShare,
             )));
@@ -217,7 +211,7 @@
     }
 
     /// Attempts a request until it is answered or must not be sent again.
-    async fn run(&self, arrival: &Arrival, journey: &Journey) -> Result<Answer<L, O>, Problem> {
+    async fn run(&self, arrival: &Arrival, journey: &Journey) -> Result<Answer<L, O, D>, Problem> {
         let mut tried: Vec<units::Node> = Vec::new();
         let mut suspect = false;
         let mut closed = None;
@@ -268,7 +262,7 @@
         };
         let retry = &self.shared.context.settings.retry;
         let mut state = self.shared.state.borrow_mut();
-        let allowed = retry.allows(&decision, state.budget(&arrival.route.service, retry));
+        let allowed = retry.allows(&decision, state.budget(&arrival.service, retry));
         drop(state);
         if allowed && !arrival.idempotent && decision.outcome != Outcome::NotRun {
             self.count(|counts| counts.repeated += 1);
@@ -286,7 +280,7 @@
         }
         let retry = &self.shared.context.settings.retry;
         let mut state = self.shared.state.borrow_mut();
-        let budget = state.budget(&arrival.route.service, retry);
+        let budget = state.budget(&arrival.service, retry);
         budget.earn(arrival.depth);
     }
 
@@ -295,7 +289,7 @@
         &self,
         arrival: &Arrival,
         journey: &Journey,
-    ) -> Result<Answer<L, O>, Problem> {
+    ) -> Result<Answer<L, O, D>, Problem> {
         let mut attempts = 0;
         loop {
             attempts += 1;
@@ -346,7 +340,7 @@
         target: Target,
         envelope: Envelope,
         journey: &Journey,
-    ) -> Result<Answer<L, O>, Problem> {
+    ) -> Result<Answer<L, O, D>, Problem> {
         self.count(|counts| {
             counts.attempts += 1;
             counts.retries += u64::from(envelope.attempt > arrival.attempt);
@@ -394,7 +388,7 @@
         &self,
         arrival: &Arrival,
         envelope: Envelope,
-    ) -> Result<(http::response::Parts, Source, Option<Serving<L>>), Problem> {
+    ) -> Result<(http::response::Parts, Source, Option<Serving<L, D>>), Problem> {
         let job = Job {
             envelope,
             head: arrival.head(),
@@ -410,7 +404,7 @@
         arrival: &Arrival,
         envelope: &Envelope,
         endpoint: &Endpoint,
-    ) -> Result<(http::response::Parts, Source, Option<Serving<L>>), Problem> {
+    ) -> Result<(http::response::Parts, Source, Option<Serving<L, D>>), Problem> {
         let Some(feed) = arrival.payload.feed() else {
             return Err(broken_body(&arrival.payload, Outcome::NotRun));
         };
@@ -487,12 +481,12 @@
 }
 
 /// Counts a request whose caller goes away before its answer.
-struct Gone<'i, L: peer::Link, O: Observer> {
-    ingress: &'i Ingress<L, O>,
+struct Gone<'i, L: peer::Link, O: Observer, D: Dialect> {
+    ingress: &'i Ingress<L, O, D>,
     payload: Option<Payload>,
 }
 
-impl<L: peer::Link, O: Observer> Drop for Gone<'_, L, O> {
+impl<L: peer::Link, O: Observer, D: Dialect> Drop for Gone<'_, L, O, D> {
     fn drop(&mut self) {
         if let Some(payload) = self.payload.take() {
             self.ingress.count(|counts| counts.cancelled += 1);
@@ -501,16 +495,21 @@
     }
 }
 
-impl<L: peer::Link, O: Observer> web::Handler for Ingress<L, O> {
-    type Body = Download<Passage<L, O>>;
+impl<L: peer::Link, O: Observer, D: Dialect> web::Handler for Ingress<L, O, D> {
+    type Body = Download<Passage<L, O, D>>;
 
     async fn handle(self, request: http::Request<Incoming>) -> http::Response<Self::Body> {
         self.count(|counts| counts.requests += 1);
+        let dialect = self.shared.context.dialect.clone();
         let (head, body) = request.into_parts();
-        let id = Arrival::given_id(&head)
+        let asked = dialect.read(&head);
+        let given = asked.as_ref().ok().and_then(|asked| asked.id.clone());
+        let id = given
             .unwrap_or_else(|| format_compact!("{:x}-{:x}", self.shared.origin, self.next_id()));
         let request = http::Request::from_parts(head, body);
-        let answer = match self.arrive(request, &id) {
+        let arrived = asked.map_err(Problem::refused);
+        let arrived = arrived.and_then(|asked| self.arrive(request, &id, asked));
+        let answer = match arrived {
             Ok(arrival) => {
                 let payload = Some(arrival.payload.clone());
                 let mut gone = Gone {
@@ -525,29 +524,29 @@
             Err(problem) => Err(problem),
         };
         match answer {
-            Ok((answer, deadline)) => complete(answer, deadline, &id),
+            Ok((answer, deadline)) => complete(&dialect, answer, deadline, &id),
             Err(problem) => {
                 self.count(|counts| match problem.outcome {
                     Outcome::NotRun => counts.not_run += 1,
                     Outcome::Unknown | Outcome::Ran => counts.unknown += 1,
                 });
-                respond(&problem, &id)
+                respond(dialect.answer(&problem, &id))
             }
         }
     }
 }
 
 /// The answer as its caller gets it.
-fn complete<L: peer::Link, O: Observer>(
-    answer: Answer<L, O>,
+fn complete<L: peer::Link, O: Observer, D: Dialect>(
+    dialect: &D,
+    answer: Answer<L, O, D>,
     deadline: time::Instant,
     id: &str,
-) -> http::Response<Download<Passage<L, O>>> {
+) -> http::Response<Download<Passage<L, O, D>>> {
     let download = Download::new(answer.source, Some(answer.passage), deadline);
     let mut response = http::Response::from_parts(answer.parts, download);
     *response.version_mut() = http::Version::HTTP_11;
-    response.headers_mut().remove(Headers::LOAD);
-    Headers::set(response.headers_mut(), Headers::REQUEST, id);
+    dialect.finish(response.headers_mut(), id);
     response
 }
 
--- a/node/src/call/ingress/keyed.rs
+++ b/node/src/call/ingress/keyed.rs
@@ -7,10 +7,10 @@
 use upstream::Outcome;
 
 use super::selection::Past;
-use super::{Answer, Arrival, Ingress, Journey, Key, Problem, Reason, Target};
+use super::{Answer, Arrival, Dialect, Ingress, Journey, Key, Problem, Reason, Target};
 
 /// What the owners know that may have run a request before.
-enum Known<L, O: Observer> {
+enum Known<L, O: Observer, D: Dialect> {
     /// None has begun to run it.
     Nothing,
     /// An owner has begun to run it, and told the one that was asked.
@@ -18,10 +18,10 @@
     /// Whoever may have run it can no longer be asked.
     Gone,
     /// The end of its run.
-    Ended(Box<Result<Answer<L, O>, Problem>>),
+    Ended(Box<Result<Answer<L, O, D>, Problem>>),
 }
 
-impl<L: peer::Link, O: Observer> Ingress<L, O> {
+impl<L: peer::Link, O: Observer, D: Dialect> Ingress<L, O, D> {
     /// Runs a request with an idempotency key at the owner that keeps the key's record.
     ///
     /// Owners that may have run it before are asked first, unless the caller says that it sends it
@@ -31,7 +31,7 @@
         arrival: &Arrival,
         key: &CompactString,
         journey: &Journey,
-    ) -> Result<Answer<L, O>, Problem> {
+    ) -> Result<Answer<L, O, D>, Problem> {
         self.earn(arrival);
         let home = self.home(arrival, key)?;
         let first = arrival.key_attempt == Some(1);
@@ -89,7 +89,7 @@
         backup: Option<&Target>,
         attempts: u32,
         journey: &Journey,
-    ) -> Result<Answer<L, O>, Problem> {
+    ) -> Result<Answer<L, O, D>, Problem> {
         let unknown = Problem::unknown(Reason::KeyUnknown);
         let backup = backup.ok_or(unknown)?;
         let wanted = Key::recall(key, time::Duration::ZERO);
@@ -110,7 +110,7 @@
         past: &Past,
         attempts: &mut u32,
         journey: &Journey,
-    ) -> Known<L, O> {
+    ) -> Known<L, O, D> {
         for (target, joined) in &past.targets {
             *attempts += 1;
             let cover = time::Instant::now().saturating_duration_since(*joined);
@@ -144,7 +144,7 @@
         key: Key,
         attempts: u32,
         journey: &Journey,
-    ) -> Result<Answer<L, O>, Problem> {
+    ) -> Result<Answer<L, O, D>, Problem> {
         let window = self.shared.context.settings.choice.key_window.0;
         let cover = key.cover.min(window);
         let key = Some(Key { cover, ..key });
--- a/node/src/call/ingress/passage.rs
+++ b/node/src/call/ingress/passage.rs
@@ -6,16 +6,16 @@
 
 use super::Ingress;
 use crate::call::owner::Serving;
-use crate::call::{Attempt, Ended, Watch};
+use crate::call::{Attempt, Dialect, Ended, Watch};
 
 /// Follows an answer to its end.
-pub struct Passage<L, O: Observer> {
+pub struct Passage<L, O: Observer, D: Dialect> {
     /// The ingress that observes the end.
-    pub(super) ingress: Ingress<L, O>,
+    pub(super) ingress: Ingress<L, O, D>,
     /// The attempt that was answered.
     pub(super) attempt: Attempt,
     /// What follows the answer at the owner, where that is in this process.
-    pub(super) owner: Option<Serving<L>>,
+    pub(super) owner: Option<Serving<L, D>>,
     /// Body of the request.
     pub(super) payload: Payload,
     /// Name of the route.
@@ -26,7 +26,7 @@
     pub(super) entry: Option<admission::Entry>,
 }
 
-impl<L: peer::Link, O: Observer> Watch for Passage<L, O> {
+impl<L: peer::Link, O: Observer, D: Dialect> Watch for Passage<L, O, D> {
     fn end(mut self, ended: Ended) {
         match ended {
             Ended::Whole => {
--- a/node/src/call/ingress/selection.rs
+++ b/node/src/call/ingress/selection.rs
@@ -7,7 +7,7 @@
 use config::Service;
 use routing::{Endpoint, Group, Observer};
 
-use super::{Arrival, Ingress, Problem, Reason, State, Target, hash_key};
+use super::{Arrival, Dialect, Ingress, Problem, Reason, State, Target, hash_key};
 
 /// The owner that runs a request with a key, and the owners that may have run it before.
 pub(super) struct Home {
@@ -37,7 +37,7 @@
     }
 }
 
-impl<L: peer::Link, O: Observer> Ingress<L, O> {
+impl<L: peer::Link, O: Observer, D: Dialect> Ingress<L, O, D> {
     /// Chooses where the next attempt goes; not to a node of `tried` where there is another, and
     /// never to the version `closed`, which its owner has refused as withheld.
     pub(super) fn choose(
@@ -79,7 +79,7 @@
         closed: Option<&CompactString>,
     ) -> Result<rc::Rc<Group>, Problem> {
         let snapshot = self.shared.context.holder.get();
-        let service = snapshot.service(&arrival.route.service);
+        let service = snapshot.service(&arrival.service);
         let service = service.ok_or(Problem::refused(Reason::NoRoute))?;
         let state = self.shared.state.borrow();
         let withheld = &self.shared.context.withheld;
@@ -205,6 +205,9 @@
         point: f64,
         open: impl Fn(&str) -> bool,
     ) -> Option<rc::Rc<Group>> {
+        if service.weights.is_empty() {
+            return self.directory.whole(&service.name, open);
+        }
         let drawn = routing::draw(service, point, &open)?;
         if let Some(group) = self.directory.find(&service.name, &drawn.version) {
             return Some(group.clone());
--- a/node/src/call/keyed.rs
+++ b/node/src/call/keyed.rs
@@ -11,19 +11,19 @@
 use xxhash_rust::xxh3;
 
 use super::owner::{Cancel, Job, Served, Serving, build};
-use super::{Download, Headers, Key, Owner, Problem, Reason, Source};
+use super::{Dialect, Download, Headers, Key, Owner, Problem, Reason, Source};
 
 /// What the first request with a key hands to its caller.
-type Given<L> = Result<Served<L>, Problem>;
+type Given<L, D> = Result<Served<L, D>, Problem>;
 
-impl<L: peer::Link> Owner<L> {
+impl<L: peer::Link, D: Dialect> Owner<L, D> {
     /// Longest time that telling the next-ranked owner may take.
     const NOTE_LIMIT: time::Duration = time::Duration::from_millis(500);
     /// Slack in the comparison of the records' age with what they have to cover.
     const COVER_SLACK: time::Duration = time::Duration::from_millis(1_500);
 
     /// Runs a request with a key, or gives the end of the one that ran.
-    pub(crate) async fn serve_keyed(&self, job: Job) -> Given<L> {
+    pub(crate) async fn serve_keyed(&self, job: Job) -> Given<L, D> {
         let Some(key) = job.envelope.key.clone() else {
             return self.run(job).await;
         };
@@ -57,7 +57,7 @@
     }
 
     /// Another owner is about to run the request.
-    fn take_note(&self, hash: u128, request: u64, by: u64, lost: bool) -> Given<L> {
+    fn take_note(&self, hash: u128, request: u64, by: u64, lost: bool) -> Given<L, D> {
         if lost {
             return Err(Problem::unknown(Reason::KeyUnknown));
         }
@@ -108,7 +108,7 @@
     }
 
     /// Runs the first request with its key to its end, even when its caller goes away.
-    async fn run_first(&self, job: Job, first: First, lost: bool) -> Given<L> {
+    async fn run_first(&self, job: Job, first: First, lost: bool) -> Given<L, D> {
         let (sender, receiver) = oneshot::channel();
         let owner = self.clone();
         let payload = job.payload.clone();
@@ -124,7 +124,7 @@
         given.unwrap_or(Err(Problem::unknown(Reason::KeyUnknown)))
     }
 
-    async fn run_recorded(&self, job: Job, first: First, lost: bool) -> Given<L> {
+    async fn run_recorded(&self, job: Job, first: First, lost: bool) -> Given<L, D> {
         let deadline = job.envelope.deadline;
         let limit = self.key_answer_limit();
         let told = self.tell_backup(&job, lost, false).await;
@@ -172,7 +172,7 @@
     }
 
     /// Runs a request that the next-ranked owner knows of, and tells it when it was not run.
-    async fn run_told(&self, job: Job) -> Given<L> {
+    async fn run_told(&self, job: Job) -> Given<L, D> {
         let told = Job {
             envelope: job.envelope.clone(),
             head: job.head.clone(),
@@ -189,7 +189,7 @@
         ran
     }
 
-    async fn join(&self, job: &Job, receiver: oneshot::Receiver<End>) -> Given<L> {
+    async fn join(&self, job: &Job, receiver: oneshot::Receiver<End>) -> Given<L, D> {
         let waited = compio::time::timeout_at(job.envelope.deadline, receiver).await;
         match waited {
             Ok(Ok(end)) => self.give(end),
@@ -199,7 +199,7 @@
     }
 
     /// Gives a resend the end of the first request with its key.
-    fn give(&self, end: End) -> Given<L> {
+    fn give(&self, end: End) -> Given<L, D> {
         self.count(|counts| counts.joined += 1);
         match end {
             End::Answer(stored) => {
@@ -227,25 +227,25 @@
 }
 
 /// An answer, as far as it was collected.
-enum Collected<L> {
+enum Collected<L, D> {
     Whole(http::response::Parts, Bytes),
     /// It is longer than the limit; what was collected comes before the rest.
-    Long(Served<L>),
+    Long(Served<L, D>),
     Broken,
 }
 
 /// Collects up to `limit` bytes of the answer.
-async fn collect<L: peer::Link>(
-    served: Served<L>,
+async fn collect<L: peer::Link, D: Dialect>(
+    served: Served<L, D>,
     limit: usize,
     deadline: time::Instant,
-) -> Collected<L> {
+) -> Collected<L, D> {
     let Served {
         parts,
         source,
         watch,
     } = served;
-    let mut download: Download<Serving<L>> = Download::new(source, watch, deadline);
+    let mut download: Download<Serving<L, D>> = Download::new(source, watch, deadline);
     let mut chunks = VecDeque::new();
     let mut length = 0;
     while let Some(frame) = download.frame().await {
@@ -282,7 +282,7 @@
 }
 
 /// The answer to another owner's note.
-fn noted<L>() -> Served<L> {
+fn noted<L, D>() -> Served<L, D> {
     let mut parts = http::Response::new(()).into_parts().0;
     Headers::set(&mut parts.headers, Headers::OUTCOME, Outcome::Ran.as_str());
     Served {
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -11,27 +11,29 @@
 use admission::{Announced, Ask, Crash, Gate, Permit, Records, Sharing, Standing};
 use hyper::body::Incoming;
 use serde::Serialize;
-use upstream::{Dialer, Payload, Pool};
+use upstream::{Dialer, Payload, Server};
 
 use super::counts::Owner as Counts;
 use super::pools::Pools;
-use super::{Context, Download, Envelope, Headers, Problem, Reason, Source, Watch};
+use super::{
+    Context, Dialect, Download, Envelope, Headers, Native, Problem, Reason, Source, Watch,
+};
 
 pub(crate) use self::cancel::Cancel;
 use self::fingerprint::Fingerprint;
 pub(super) use self::serving::Serving;
 
 /// The owner of the backend server beside this node; clones share it.
-pub struct Owner<L> {
-    shared: rc::Rc<Shared<L>>,
+pub struct Owner<L, D = Native> {
+    shared: rc::Rc<Shared<L, D>>,
 }
 
-struct Shared<L> {
-    context: Context,
+struct Shared<L, D> {
+    context: Context<D>,
     gate: Gate,
     records: Records,
     sharing: Sharing<L>,
-    pool: cell::RefCell<Option<(u64, Pool)>>,
+    backend: cell::RefCell<Option<Beside>>,
     /// A crash that is not certain: the backend server may only have lost a connection.
     crashed: cell::RefCell<Option<(Crash, time::Instant)>>,
     counts: cell::Cell<Counts>,
@@ -41,6 +43,16 @@
     life: u64,
 }
 
+/// The backend server beside the node, with its connections.
+#[derive(Clone)]
+struct Beside {
+    /// Id that it gave itself; empty where it gave none.
+    id: compact_str::CompactString,
+    /// Number of its start.
+    instance: u64,
+    server: Server,
+}
+
 /// State of an owner.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Dump {
@@ -71,35 +83,35 @@
 }
 
 /// An answer at the owner.
-pub struct Served<L> {
+pub struct Served<L, D> {
     /// Status and headers.
     pub parts: http::response::Parts,
     /// Its body.
     pub source: Source,
     /// To be told how the body ended; `None` when it is in memory.
-    pub watch: Option<Serving<L>>,
+    pub watch: Option<Serving<L, D>>,
 }
 
-impl<L> Clone for Owner<L> {
+impl<L, D> Clone for Owner<L, D> {
     fn clone(&self) -> Self {
         let shared = self.shared.clone();
         Self { shared }
     }
 }
 
-impl<L: peer::Link> Owner<L> {
+impl<L: peer::Link, D: Dialect> Owner<L, D> {
     /// Time after a crash for which an announcement of the same start may be from before it.
     const CRASH_SETTLES: time::Duration = time::Duration::from_millis(300);
 
     /// An owner without a backend server; suspects are shared over `link`.
     #[must_use]
-    pub fn new(context: Context, link: L) -> Self {
+    pub fn new(context: Context<D>, link: L) -> Self {
         let settings = rc::Rc::new(context.settings.admission.clone());
         let shared = Shared {
             gate: Gate::new(settings.clone()),
             records: Records::new(settings.clone(), time::Instant::now()),
             sharing: Sharing::new(link, settings),
-            pool: cell::RefCell::default(),
+            backend: cell::RefCell::default(),
             crashed: cell::RefCell::default(),
             counts: cell::Cell::default(),
             pools: Pools::new(&context.settings.upstream),
@@ -146,8 +158,8 @@
     /// State.
     #[must_use]
     pub fn dump(&self) -> Dump {
-        let pool = self.shared.pool.borrow();
-        let connections = pool.as_ref().map(|(_, pool)| pool.counts());
+        let backend = self.shared.backend.borrow();
+        let connections = backend.as_ref().map(|beside| beside.server.counts());
         Dump {
             gate: self.shared.gate.dump(),
             connections: connections.unwrap_or_default(),
@@ -196,7 +208,7 @@
     ///
     /// # Errors
     /// The problem says what became of the request.
-    pub async fn serve(&self, job: Job) -> Result<Served<L>, Problem> {
+    pub async fn serve(&self, job: Job) -> Result<Served<L, D>, Problem> {
         self.count(|counts| counts.requests += 1);
         let payload = job.payload.clone();
         let served = if job.envelope.key.is_some() && !self.shared.context.settings.baseline {
@@ -218,12 +230,12 @@
     }
 
     /// Runs one request at the backend server.
-    pub(crate) async fn run(&self, job: Job) -> Result<Served<L>, Problem> {
+    pub(crate) async fn run(&self, job: Job) -> Result<Served<L, D>, Problem> {
         self.check_withheld(&job.envelope)?;
         let fingerprint = Fingerprint::new(&job.head, job.payload.clone());
         let permit = self.admit(&job, &fingerprint).await?;
-        let pool = self.shared.pool.borrow().clone();
-        let Some((instance, pool)) = pool else {
+        let beside = self.shared.backend.borrow().clone();
+        let Some(beside) = beside else {
             return Err(Problem::later(Reason::Refused(
                 admission::Reason::NoBackend,
             )));
@@ -231,7 +243,8 @@
         let Some(feed) = job.payload.feed() else {
             return Err(broken_body(&job.payload, upstream::Outcome::NotRun));
         };
-        let request = self.request(&job, pool.address(), feed)?;
+        let request = self.request(&job, &beside, feed)?;
+        let sent = request.headers().clone();
         self.count(|counts| counts.sent += 1);
         let mut serving = Serving {
             owner: self.clone(),
@@ -239,9 +252,9 @@
             fingerprint,
         };
         let deadline = job.envelope.deadline;
-        match compio::time::timeout_at(deadline, pool.send(request)).await {
-            Ok(Ok(reply)) => serving.answer(reply, &job.envelope),
-            Ok(Err(failure)) => Err(serving.fail(failure, instance)),
+        match compio::time::timeout_at(deadline, beside.server.send(request)).await {
+            Ok(Ok(reply)) => serving.answer(reply, &sent, &job.envelope),
+            Ok(Err(failure)) => Err(serving.fail(failure, beside.instance)),
             Err(_) => {
                 job.payload.abandon();
                 serving.expire();
@@ -294,15 +307,23 @@
     fn request(
         &self,
         job: &Job,
-        address: units::Address,
+        beside: &Beside,
         feed: upstream::Feed,
     ) -> Result<http::Request<upstream::Feed>, Problem> {
         let mut headers = job.head.headers.clone();
         Headers::strip_hop(&mut headers);
         Headers::strip_internal(&mut headers);
-        job.envelope
-            .write_public(&mut headers, time::Instant::now());
-        build(&job.head, headers, address, feed)
+        let dialect = &self.shared.context.dialect;
+        dialect.write(
+            &job.envelope,
+            &beside.id,
+            &mut headers,
+            time::Instant::now(),
+        );
+        match &beside.server {
+            Server::Http1(_) => build_http1(&job.head, headers, feed),
+            Server::Http2(_) => build(&job.head, headers, beside.server.address(), feed),
+        }
     }
 
     /// Addresses of the other owners of the same service.
@@ -325,10 +346,10 @@
             return;
         };
         let instance = announced.backend.instance;
-        let mut pool = self.shared.pool.borrow_mut();
-        let kept = pool
-            .as_ref()
-            .is_some_and(|(held, pool)| *held == instance && pool.address() == announced.address);
+        let mut beside = self.shared.backend.borrow_mut();
+        let kept = beside.as_ref().is_some_and(|held| {
+            held.instance == instance && held.server.address() == announced.address
+        });
         if kept {
             return;
         }
@@ -337,10 +358,19 @@
             .connections
             .min(announced.backend.connections as usize);
         let dialer = Dialer::new(settings.dials_per_second);
-        *pool = Some((
+        let server = Server::new(announced.address, rc::Rc::new(settings), dialer);
+        *beside = Some(Beside {
+            id: announced.id.clone(),
             instance,
-            Pool::new(announced.address, rc::Rc::new(settings), dialer),
-        ));
+            server,
+        });
+    }
+
+    /// Closes connections that the backend server may close soon.
+    pub(crate) fn maintain(&self, now: time::Instant) {
+        if let Some(beside) = &*self.shared.backend.borrow() {
+            beside.server.maintain(now);
+        }
     }
 
     /// Withdraws a crash when the backend server still announces the same start.
@@ -399,6 +429,27 @@
     Ok(request)
 }
 
+/// Builds a request in the form that an HTTP/1.1 server takes.
+fn build_http1(
+    head: &http::request::Parts,
+    mut headers: http::HeaderMap,
+    feed: upstream::Feed,
+) -> Result<http::Request<upstream::Feed>, Problem> {
+    let malformed = |_| Problem::refused(Reason::Malformed);
+    if let Some(authority) = head.uri.authority() {
+        let host = http::HeaderValue::from_str(authority.as_str());
+        let host = host.map_err(|_| Problem::refused(Reason::Malformed))?;
+        headers.entry(http::header::HOST).or_insert(host);
+    }
+    let mut uri = http::uri::Parts::default();
+    uri.path_and_query = head.uri.path_and_query().cloned();
+    let mut request = http::Request::new(feed);
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = http::Uri::from_parts(uri).map_err(malformed)?;
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
 /// What a payload that broke off means for its request.
 pub(crate) fn broken_body(payload: &Payload, outcome: upstream::Outcome) -> Problem {
     let reason = match payload.fault() {
@@ -411,8 +462,8 @@
     }
 }
 
-impl<L: peer::Link> web::Handler for Owner<L> {
-    type Body = Download<Serving<L>>;
+impl<L: peer::Link, D: Dialect> web::Handler for Owner<L, D> {
+    type Body = Download<Serving<L, D>>;
 
     async fn handle(self, request: http::Request<Incoming>) -> http::Response<Self::Body> {
         let (head, body) = request.into_parts();
@@ -442,7 +493,7 @@
                 let download = Download::new(served.source, served.watch, deadline);
                 http::Response::from_parts(served.parts, download)
             }
-            Err(problem) => respond(&problem, &id),
+            Err(problem) => respond(problem.answer(&id)),
         };
         Headers::set(answer.headers_mut(), Headers::REQUEST, &id);
         let load = load_parts(self.shared.gate.load());
@@ -460,9 +511,10 @@
     parts
 }
 
-/// The answer to a request with a problem.
-pub(crate) fn respond<W: Watch>(problem: &Problem, id: &str) -> http::Response<Download<W>> {
-    let (status, headers, body) = problem.answer(id);
+/// The system's own answer to a request.
+pub(crate) fn respond<W: Watch>(
+    (status, headers, body): (http::StatusCode, http::HeaderMap, bytes::Bytes),
+) -> http::Response<Download<W>> {
     let mut answer = http::Response::new(Download::memory(body));
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
--- a/node/src/call/owner/cancel.rs
+++ b/node/src/call/owner/cancel.rs
@@ -3,17 +3,18 @@
 use upstream::Payload;
 
 use super::Owner;
+use crate::call::Dialect;
 
 /// Ends a payload with an error when its request is given up, and counts that.
 ///
 /// Without it the backend server could take a cut body for a whole one.
-pub(crate) struct Cancel<'o, L: peer::Link> {
-    owner: &'o Owner<L>,
+pub(crate) struct Cancel<'o, L: peer::Link, D: Dialect> {
+    owner: &'o Owner<L, D>,
     payload: Option<Payload>,
 }
 
-impl<'o, L: peer::Link> Cancel<'o, L> {
-    pub(crate) fn new(owner: &'o Owner<L>, payload: Payload) -> Self {
+impl<'o, L: peer::Link, D: Dialect> Cancel<'o, L, D> {
+    pub(crate) fn new(owner: &'o Owner<L, D>, payload: Payload) -> Self {
         let payload = Some(payload);
         Self { owner, payload }
     }
@@ -23,7 +24,7 @@
     }
 }
 
-impl<L: peer::Link> Drop for Cancel<'_, L> {
+impl<L: peer::Link, D: Dialect> Drop for Cancel<'_, L, D> {
     fn drop(&mut self) {
         if let Some(payload) = self.payload.take() {
             self.owner.count(|counts| counts.cancelled += 1);
--- a/node/src/call/owner/serving.rs
+++ b/node/src/call/owner/serving.rs
@@ -7,33 +7,39 @@
 
 use super::fingerprint::Fingerprint;
 use super::{Owner, Served, broken_body};
-use crate::call::{Ended, Envelope, Headers, Problem, Reason, Source, Watch};
+use crate::call::{Dialect, Ended, Envelope, Headers, Problem, Reason, Source, Watch};
 
 /// A request that runs at the backend server.
-pub struct Serving<L> {
+pub struct Serving<L, D> {
     /// The owner that runs it.
-    pub(super) owner: Owner<L>,
+    pub(super) owner: Owner<L, D>,
     /// Its place at the gate, until it has ended.
     pub(super) permit: Option<Permit>,
     /// What it is known by after a crash.
     pub(super) fingerprint: Fingerprint,
 }
 
-impl<L: peer::Link> Serving<L> {
+impl<L: peer::Link, D: Dialect> Serving<L, D> {
     /// The backend server answered.
     pub(super) fn answer(
         mut self,
         reply: upstream::Reply,
+        sent: &http::HeaderMap,
         envelope: &Envelope,
-    ) -> Result<Served<L>, Problem> {
-        if is_shed(&reply.response, envelope) {
+    ) -> Result<Served<L, D>, Problem> {
+        let (mut parts, source) = Source::split(reply);
+        let dialect = &self.owner.shared.context.dialect;
+        if !dialect.is_match(sent, &parts) {
+            self.owner.count(|counts| counts.mismatched += 1);
+            return Err(Problem::unknown(Reason::Mismatched));
+        }
+        if dialect.is_unexecuted(&parts, envelope) {
             if let Some(permit) = self.permit.take() {
                 permit.shed();
             }
             return Err(Problem::later(Reason::Shed));
         }
         self.owner.count(|counts| counts.answered += 1);
-        let (mut parts, source) = Source::split(reply);
         Headers::strip_hop(&mut parts.headers);
         Headers::strip_answer(&mut parts.headers);
         Headers::set(
@@ -80,7 +86,7 @@
     }
 }
 
-impl<L: peer::Link> Watch for Serving<L> {
+impl<L: peer::Link, D: Dialect> Watch for Serving<L, D> {
     fn end(mut self, ended: Ended) {
         match ended {
             Ended::Whole => {
@@ -100,25 +106,3 @@
         }
     }
 }
-
-/// Whether the backend server says that it has not run the request.
-///
-/// The id is that of this attempt only, so that an answer to a call that the backend server has
-/// made itself, and passes on, cannot be taken for its own refusal.
-fn is_shed<B>(response: &http::Response<B>, envelope: &Envelope) -> bool {
-    use http::StatusCode;
-    const SHED: [StatusCode; 3] = [
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-        StatusCode::GATEWAY_TIMEOUT,
-    ];
-    let says = |name, text: &str| {
-        response
-            .headers()
-            .get(name)
-            .is_some_and(|value| value == text)
-    };
-    SHED.contains(&response.status())
-        && says(Headers::OUTCOME, upstream::Outcome::NotRun.as_str())
-        && says(Headers::REQUEST, &envelope.request)
-}
--- a/node/src/call/reason.rs
+++ b/node/src/call/reason.rs
@@ -9,6 +9,8 @@
     Refused(admission::Reason),
     /// The connection to the next server failed it.
     Failed(upstream::Cause),
+    /// No configuration has come yet.
+    Unconfigured,
     /// No route matches its host and path.
     NoRoute,
     /// It has no valid host, path or headers.
@@ -81,6 +83,7 @@
         match self {
             Self::Refused(reason) => refusal(reason),
             Self::Failed(cause) => failure(cause),
+            Self::Unconfigured => "no-configuration",
             Self::NoRoute => "no-route",
             Self::Malformed => "malformed",
             Self::Method => "method",
--- a/node/src/call/source.rs
+++ b/node/src/call/source.rs
@@ -28,7 +28,7 @@
     #[must_use]
     pub fn split(reply: upstream::Reply) -> (http::response::Parts, Self) {
         let (parts, incoming) = reply.response.into_parts();
-        let body = web::Body::arriving(incoming, http::Version::HTTP_2, None);
+        let body = web::Body::arriving(incoming, parts.version, None);
         (parts, Self::Connection(body, reply.lease))
     }
 
--- a/node/tests/call/fleet.rs
+++ b/node/tests/call/fleet.rs
@@ -177,6 +177,7 @@
             instance,
         };
         let announced = Announced {
+            id: Default::default(),
             address,
             backend: backend.clone(),
         };
@@ -209,6 +210,7 @@
             members: self.members.clone(),
             withheld: routing::Withheld::default(),
             focus: routing::Focus::default(),
+            dialect: node::call::Native,
             settings: self.settings.clone(),
         };
         let seen = Seen::default();
@@ -271,6 +273,7 @@
         idempotency: config::Idempotency::ByMethod,
         max_body: units::Size(256 * 1024),
         revision: units::Version::default(),
+        ..Route::default()
     }
 }
 
@@ -283,6 +286,7 @@
         name: name.into(),
         weights: vec![weight],
         revision: units::Version::default(),
+        ..Service::default()
     }
 }
 
--- a/testing/load/src/demo.rs
+++ b/testing/load/src/demo.rs
@@ -91,6 +91,7 @@
         name: name.into(),
         weights: vec![weight],
         revision: units::Version::default(),
+        ..Service::default()
     }
 }
 
@@ -104,6 +105,7 @@
         idempotency: config::Idempotency::ByMethod,
         max_body: units::Size(1024 * 1024),
         revision: units::Version::default(),
+        ..Route::default()
     }
 }
 
--- a/testing/load/src/operator.rs
+++ b/testing/load/src/operator.rs
@@ -169,6 +169,7 @@
         name: name.into(),
         weights: vec![weight],
         revision: units::Version::default(),
+        ..Service::default()
     };
     Put::Service(service, None)
 }
@@ -186,6 +187,7 @@
         idempotency: config::Idempotency::ByMethod,
         max_body: units::Size(16 * 1024 * 1024),
         revision: units::Version::default(),
+        ..Route::default()
     };
     Put::Route(route, None)
 }
