web: requests that a client sends ahead are worked on side by side

Change: `web::Pipeline` takes bodiless requests of HTTP/1.1 apart and gives each a server connection in memory; answers go out in order. A client that leaves is noticed also when further requests lie behind. The first request of another sort hands the connection to hyper.

--- a/components/upstream/src/lines.rs
+++ b/components/upstream/src/lines.rs
@@ -139,13 +139,9 @@
         let shared = &self.shared;
         let now = time::Instant::now();
         shared.close_stale(now);
-        let mut idle = shared.idle.borrow_mut();
-        if let Some(place) = idle.iter().rposition(|line| line.is_ready(now)) {
-            let line = idle.remove(place);
-            drop(idle);
+        if let Some(line) = shared.take_idle(now) {
             return Ok(Busy::new(shared.clone(), line));
         }
-        drop(idle);
         if shared.open.get() >= shared.settings.connections {
             return Err(Cause::Connect.into());
         }
@@ -170,6 +166,13 @@
 }
 
 impl Shared {
+    /// The connection that was used last among those that can take a request.
+    fn take_idle(&self, now: time::Instant) -> Option<Line> {
+        let mut idle = self.idle.borrow_mut();
+        let place = idle.iter().rposition(|line| line.is_ready(now))?;
+        Some(idle.remove(place))
+    }
+
     fn close_stale(&self, now: time::Instant) {
         let mut idle = self.idle.borrow_mut();
         let before = idle.len();
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod executor;
 mod grpc;
+mod pipeline;
 mod server;
 
 pub use body::{Body, Fault};
--- /dev/null
+++ b/components/web/src/pipeline/exchange.rs
@@ -0,0 +1,166 @@
+//! One request of a pipeline and its answer.
+
+use std::cell;
+use std::convert;
+use std::pin;
+use std::rc;
+use std::task;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+
+use super::memory::Memory;
+use crate::server::Handler;
+use crate::{Limits, Peer};
+
+/// A server connection in memory, by what is done with it.
+pub(crate) trait Driven: Future<Output = Result<(), hyper::Error>> {
+    /// Lets the answer say that the connection closes, where its head is not written yet.
+    fn close(self: pin::Pin<&mut Self>);
+}
+
+/// One request of a pipeline and its answer.
+pub(crate) struct Exchange<D> {
+    memory: Memory,
+    /// `None` once the answer was written whole, or failed.
+    driver: Option<pin::Pin<Box<D>>>,
+    progress: rc::Rc<Progress>,
+}
+
+/// How far an answer has got.
+#[derive(Default)]
+struct Progress {
+    /// Its body was written to its end, or dropped.
+    body_ended: cell::Cell<bool>,
+    /// Its head says that the connection closes, or was asked to.
+    closes: cell::Cell<bool>,
+    /// It failed before its end.
+    failed: cell::Cell<bool>,
+}
+
+/// Body of an answer that tells when the server has done with it.
+struct Followed<B> {
+    body: B,
+    progress: rc::Rc<Progress>,
+}
+
+/// Starts the work on the request in `head`.
+pub(crate) fn start<H: Handler>(
+    head: Vec<u8>,
+    handler: H,
+    peer: Peer,
+    limits: Limits,
+) -> Exchange<impl Driven> {
+    let memory = Memory::new(head);
+    let progress = rc::Rc::new(Progress::default());
+    let followed = progress.clone();
+    let service = hyper::service::service_fn(move |mut request: http::Request<Incoming>| {
+        request.extensions_mut().insert(peer);
+        let answer = handler.clone().handle(request);
+        let progress = followed.clone();
+        async move {
+            let answer = answer.await;
+            let closes = answer.headers().get(http::header::CONNECTION);
+            if closes.is_some_and(|value| value == "close") {
+                progress.closes.set(true);
+            }
+            Ok::<_, convert::Infallible>(answer.map(|body| Followed { body, progress }))
+        }
+    });
+    let connection = http1::Builder::new()
+        .max_buf_size(limits.header_bytes as usize)
+        .serve_connection(memory.clone(), service);
+    Exchange {
+        memory,
+        driver: Some(Box::pin(connection)),
+        progress,
+    }
+}
+
+impl<D: Driven> Exchange<D> {
+    /// Works on the request.
+    pub(crate) fn poll(&mut self, context: &mut task::Context<'_>) {
+        let Some(driver) = &mut self.driver else {
+            return;
+        };
+        match driver.as_mut().poll(context) {
+            task::Poll::Pending if self.progress.body_ended.get() => self.driver = None,
+            task::Poll::Pending => {}
+            task::Poll::Ready(ended) => {
+                let whole = ended.is_ok() && self.progress.body_ended.get();
+                self.progress.failed.set(!whole);
+                // hyper ends its connection after an answer to a request that asks for that.
+                self.progress.closes.set(true);
+                self.driver = None;
+            }
+        }
+    }
+
+    /// Moves what was answered to `to`; whether there was something.
+    pub(crate) fn take_answer(&mut self, to: &mut Vec<u8>) -> bool {
+        self.memory.take_answer(to)
+    }
+
+    /// Whether the answer has come to its end whole; `None` while it has not ended.
+    pub(crate) fn is_answered(&self) -> Option<bool> {
+        match self.driver {
+            Some(_) => None,
+            None => Some(!self.progress.failed.get()),
+        }
+    }
+
+    /// Whether the connection closes after this answer.
+    pub(crate) fn says_close(&self) -> bool {
+        self.progress.closes.get()
+    }
+
+    /// Lets the answer say that the connection closes.
+    pub(crate) fn close(&mut self) {
+        self.progress.closes.set(true);
+        if let Some(driver) = &mut self.driver {
+            driver.as_mut().close();
+        }
+    }
+}
+
+impl<S, B> Driven for http1::Connection<Memory, S>
+where
+    S: hyper::service::HttpService<Incoming, ResBody = B>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: http_body::Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    fn close(self: pin::Pin<&mut Self>) {
+        self.graceful_shutdown();
+    }
+}
+
+impl<B> http_body::Body for Followed<B>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<http_body::Frame<Bytes>, B::Error>>> {
+        pin::Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl<B> Drop for Followed<B> {
+    fn drop(&mut self) {
+        self.progress.body_ended.set(true);
+    }
+}
--- /dev/null
+++ b/components/web/src/pipeline/memory.rs
@@ -0,0 +1,104 @@
+//! The stream of a server connection in memory.
+
+use std::cell;
+use std::io;
+use std::pin;
+use std::rc;
+use std::task;
+
+use hyper::rt;
+
+/// The stream of a server connection in memory, with one request to read; clones share it.
+#[derive(Clone)]
+pub(crate) struct Memory {
+    state: rc::Rc<cell::RefCell<State>>,
+}
+
+struct State {
+    request: Vec<u8>,
+    taken: usize,
+    answer: Vec<u8>,
+    /// Wakes the writer once the answer was taken.
+    writer: Option<task::Waker>,
+}
+
+impl Memory {
+    /// Bytes of an answer that wait for earlier answers before its body is held back.
+    const AHEAD: usize = 64 * 1024;
+
+    pub(crate) fn new(request: Vec<u8>) -> Self {
+        let state = State {
+            request,
+            taken: 0,
+            answer: Vec::new(),
+            writer: None,
+        };
+        Self {
+            state: rc::Rc::new(cell::RefCell::new(state)),
+        }
+    }
+
+    /// Moves what was answered to `to`; whether there was something.
+    pub(crate) fn take_answer(&self, to: &mut Vec<u8>) -> bool {
+        let mut state = self.state.borrow_mut();
+        if state.answer.is_empty() {
+            return false;
+        }
+        to.append(&mut state.answer);
+        if let Some(writer) = state.writer.take() {
+            writer.wake();
+        }
+        true
+    }
+}
+
+impl rt::Read for Memory {
+    /// After the request nothing comes, and the stream does not end: its end would cancel the
+    /// request.
+    fn poll_read(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+        mut buffer: rt::ReadBufCursor<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let mut state = self.state.borrow_mut();
+        let left = state.request.len() - state.taken;
+        if left == 0 {
+            return task::Poll::Pending;
+        }
+        let count = left.min(buffer.remaining());
+        let taken = state.taken;
+        buffer.put_slice(&state.request[taken..taken + count]);
+        state.taken += count;
+        task::Poll::Ready(Ok(()))
+    }
+}
+
+impl rt::Write for Memory {
+    fn poll_write(
+        self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        let mut state = self.state.borrow_mut();
+        if state.answer.len() >= Self::AHEAD {
+            state.writer = Some(context.waker().clone());
+            return task::Poll::Pending;
+        }
+        state.answer.extend_from_slice(bytes);
+        task::Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        task::Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        task::Poll::Ready(Ok(()))
+    }
+}
--- /dev/null
+++ b/components/web/src/pipeline/mod.rs
@@ -0,0 +1,265 @@
+//! Requests that a client sends before the earlier ones on its connection are answered.
+//!
+//! Such requests are worked on side by side; the answers go out in the order of the requests, as
+//! RFC 9112, section 9.3.2, asks. hyper's server takes one request at a time, so that each request
+//! gets a server connection in memory here, which parses and answers it. Only requests without a
+//! body are taken apart this way; the first one of another sort hands the connection over to hyper.
+
+pub(crate) mod exchange;
+mod head;
+mod memory;
+mod rewound;
+
+use std::collections::VecDeque;
+use std::future;
+use std::io;
+use std::pin;
+use std::task;
+use std::time;
+
+use compio::net;
+use cyper_core::HyperStream;
+use hyper::rt;
+
+use self::exchange::{Driven, Exchange};
+use self::head::Head;
+pub(crate) use self::rewound::Rewound;
+use crate::Limits;
+
+type Stream = HyperStream<net::TcpStream>;
+
+/// How the work on a connection went on.
+pub(crate) enum Ended {
+    /// The connection is closed.
+    Closed,
+    /// The rest of it is for hyper: the stream, with the bytes that were read already.
+    Rest(Rewound<Stream>),
+}
+
+/// Bytes that are read at a time.
+const CHUNK_BYTES: usize = 8 * 1024;
+
+/// A connection whose requests are worked on side by side, each by what `start` makes of its head.
+pub(crate) struct Pipeline<F, D> {
+    stream: Stream,
+    start: F,
+    limits: Limits,
+    /// Bytes that were read and belong to no exchange yet.
+    read: Vec<u8>,
+    /// Requests that are not answered whole, oldest first.
+    exchanges: VecDeque<Exchange<D>>,
+    /// Bytes of answers that are not written yet.
+    unwritten: Vec<u8>,
+    /// No further request is taken; the connection closes after the answers.
+    closing: bool,
+    /// The next request is not for this stage.
+    rest: bool,
+}
+
+impl<F: Fn(Vec<u8>) -> Exchange<D>, D: Driven> Pipeline<F, D> {
+    /// Most bytes that are read ahead.
+    const READ_AHEAD: usize = 64 * 1024;
+    /// Longest wait for a client to close a connection after its last answer; closing it with
+    /// unread bytes would reset it, and the client could lose that answer.
+    const CLOSE_WAIT: time::Duration = time::Duration::from_millis(300);
+    /// Wait for a first request when the server stops before one has come.
+    const FIRST_WAIT: time::Duration = time::Duration::from_millis(200);
+
+    pub(crate) fn new(stream: Stream, limits: Limits, start: F) -> Self {
+        Self {
+            stream,
+            start,
+            limits,
+            read: Vec::new(),
+            exchanges: VecDeque::new(),
+            unwritten: Vec::new(),
+            closing: false,
+            rest: false,
+        }
+    }
+
+    /// Works on requests until the connection closes or has to be handed over.
+    pub(crate) async fn run(mut self, stop: &kernel::Stop) -> Ended {
+        let ended = self.serve(stop).await;
+        match ended {
+            Ok(()) if self.rest => Ended::Rest(Rewound::new(self.read, self.stream)),
+            Ok(()) => {
+                self.close().await;
+                Ended::Closed
+            }
+            Err(error) => {
+                log::debug!(error:% = error; "connection ended with an error");
+                Ended::Closed
+            }
+        }
+    }
+
+    /// Works until nothing is left to do here.
+    async fn serve(&mut self, stop: &kernel::Stop) -> io::Result<()> {
+        let mut stopped = pin::pin!(stop.requested());
+        let mut taken = false;
+        loop {
+            let idle = self.exchanges.is_empty() && self.unwritten.is_empty();
+            if idle && (self.rest || self.closing) {
+                return Ok(());
+            }
+            let limit = idle.then_some(self.limits.header_timeout);
+            let step = future::poll_fn(|context| {
+                if !self.closing && stopped.as_mut().poll(context).is_ready() {
+                    return task::Poll::Ready(Step::Stop);
+                }
+                self.poll_step(context).map(Step::Moved)
+            });
+            let step = match limit {
+                None => step.await,
+                Some(limit) => match compio::time::timeout(limit, step).await {
+                    Ok(step) => step,
+                    Err(_) => return Ok(()),
+                },
+            };
+            match step {
+                Step::Moved(moved) => taken |= moved?,
+                Step::Stop if idle && !taken => {
+                    let first = future::poll_fn(|context| self.poll_step(context));
+                    if let Ok(moved) = compio::time::timeout(Self::FIRST_WAIT, first).await {
+                        moved?;
+                    }
+                    self.stop();
+                }
+                Step::Stop => self.stop(),
+            }
+        }
+    }
+
+    /// Takes no further request; the last answer says that the connection closes.
+    fn stop(&mut self) {
+        self.closing = true;
+        if let Some(last) = self.exchanges.back_mut() {
+            last.close();
+        }
+    }
+
+    /// Reads, works and writes until something has moved; whether a request was taken.
+    fn poll_step(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Result<bool>> {
+        let mut moved = self.poll_read(context)?.is_ready();
+        let taken = self.take_requests();
+        moved |= taken | self.poll_exchanges(context)?;
+        moved |= self.poll_write(context)?.is_ready();
+        if moved {
+            task::Poll::Ready(Ok(taken))
+        } else {
+            task::Poll::Pending
+        }
+    }
+
+    fn poll_read(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
+        if self.rest || self.closing || self.read.len() >= Self::READ_AHEAD {
+            return task::Poll::Pending;
+        }
+        let mut chunk = [0; CHUNK_BYTES];
+        let mut buffer = rt::ReadBuf::new(&mut chunk);
+        task::ready!(rt::Read::poll_read(
+            pin::Pin::new(&mut self.stream),
+            context,
+            buffer.unfilled()
+        ))?;
+        if buffer.filled().is_empty() {
+            // The client has gone, and does not want the answers that are missing.
+            return task::Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        self.read.extend_from_slice(buffer.filled());
+        task::Poll::Ready(Ok(()))
+    }
+
+    /// Starts the work on each whole request that was read; whether there was one.
+    fn take_requests(&mut self) -> bool {
+        let mut taken = false;
+        while !self.rest && !self.closing && self.exchanges.len() < self.limits.pipelined {
+            match Head::find(&self.read) {
+                Head::Partial if self.read.len() < self.limits.header_bytes as usize => break,
+                Head::Bodiless(length) => {
+                    let rest = self.read.split_off(length);
+                    let head = std::mem::replace(&mut self.read, rest);
+                    self.exchanges.push_back((self.start)(head));
+                    taken = true;
+                }
+                Head::Partial | Head::Other => self.rest = true,
+            }
+        }
+        taken
+    }
+
+    /// Works on all requests and takes what is answered of the oldest ones.
+    fn poll_exchanges(&mut self, context: &mut task::Context<'_>) -> io::Result<bool> {
+        let mut moved = false;
+        for exchange in &mut self.exchanges {
+            exchange.poll(context);
+        }
+        while let Some(first) = self.exchanges.front_mut() {
+            moved |= first.take_answer(&mut self.unwritten);
+            let Some(whole) = first.is_answered() else {
+                break;
+            };
+            moved = true;
+            let closes = first.says_close();
+            self.exchanges.pop_front();
+            if closes || !whole {
+                // What was sent behind an answer that closes the connection counts as not read.
+                self.exchanges.clear();
+                self.closing = true;
+            }
+        }
+        Ok(moved)
+    }
+
+    fn poll_write(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
+        if self.unwritten.is_empty() {
+            return task::Poll::Pending;
+        }
+        let mut stream = pin::Pin::new(&mut self.stream);
+        let written = task::ready!(rt::Write::poll_write(
+            stream.as_mut(),
+            context,
+            &self.unwritten
+        ))?;
+        self.unwritten.drain(..written);
+        if self.unwritten.is_empty() {
+            let _ = rt::Write::poll_flush(stream, context)?;
+        }
+        task::Poll::Ready(Ok(()))
+    }
+
+    /// Closes the connection once the client has what was written.
+    async fn close(&mut self) {
+        let shutting = future::poll_fn(|context| {
+            let stream = pin::Pin::new(&mut self.stream);
+            rt::Write::poll_shutdown(stream, context)
+        });
+        if shutting.await.is_err() {
+            return;
+        }
+        let ending = future::poll_fn(|context| self.poll_end(context));
+        let _ = compio::time::timeout(Self::CLOSE_WAIT, ending).await;
+    }
+
+    /// Reads and drops what still comes, until the client closes its side.
+    fn poll_end(&mut self, context: &mut task::Context<'_>) -> task::Poll<()> {
+        let mut chunk = [0; CHUNK_BYTES];
+        loop {
+            let mut buffer = rt::ReadBuf::new(&mut chunk);
+            let stream = pin::Pin::new(&mut self.stream);
+            let read = task::ready!(rt::Read::poll_read(stream, context, buffer.unfilled()));
+            if read.is_err() || buffer.filled().is_empty() {
+                return task::Poll::Ready(());
+            }
+        }
+    }
+}
+
+/// What has happened on a connection.
+enum Step {
+    /// Bytes have moved, or the connection failed; whether a request was taken.
+    Moved(io::Result<bool>),
+    /// The server stops.
+    Stop,
+}
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -15,11 +15,13 @@
 use hyper_util::server::conn::auto;
 
 use crate::Executor;
+use crate::pipeline::{self, Pipeline, Rewound, exchange};
 
 /// Answers requests; cloned for each request, so that a clone has to be cheap.
 pub trait Handler: Clone + 'static {
     /// Body of the answers.
     type Body: http_body::Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>
+        + Unpin
         + 'static;
 
     /// Answers one request. Dropping the future cancels the request.
@@ -36,6 +38,9 @@
     pub connections: usize,
     /// HTTP/2 streams at a time on one connection.
     pub streams: u32,
+    /// Requests of one HTTP/1.1 connection that are worked on side by side; zero or one takes them
+    /// one after the other.
+    pub pipelined: usize,
     /// Largest list of headers, in bytes.
     pub header_bytes: u32,
     /// Time that a client has for sending the headers of a request.
@@ -60,6 +65,7 @@
         Self {
             connections: 1024,
             streams: 1024,
+            pipelined: 0,
             header_bytes: 32 * 1024,
             header_timeout: time::Duration::from_secs(10),
             ping_after: time::Duration::from_secs(10),
@@ -196,6 +202,17 @@
     stop: kernel::Stop,
 ) {
     let _ = stream.set_nodelay(true);
+    let stream = HyperStream::new_plain(stream);
+    let stream = if limits.pipelined > 1 {
+        let start = |head| exchange::start(head, handler.clone(), peer, limits);
+        let pipeline = Pipeline::new(stream, limits, start);
+        match pipeline.run(&stop).await {
+            pipeline::Ended::Rest(stream) => stream,
+            pipeline::Ended::Closed => return,
+        }
+    } else {
+        Rewound::new(Vec::new(), stream)
+    };
     let taken = rc::Rc::new(cell::Cell::new(false));
     let taking = taken.clone();
     let service = hyper::service::service_fn(move |mut request: http::Request<Incoming>| {
@@ -206,7 +223,7 @@
         async move { Ok::<_, convert::Infallible>(answer.await) }
     });
     let builder = configure(limits);
-    let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
+    let connection = builder.serve_connection(stream, service);
     let mut connection = pin::pin!(connection);
     let ended = {
         let stopped = pin::pin!(stopped(&stop, &taken));
