moves: short moves that an order in the store asks for; placing by the soonest answer

Idempotent requests whose backend server answered 500 were not sent again. A slow backend server in the own data centre kept its callers (median 134 ms at ba against 66 ms elsewhere).

Change: `moves::canary`: one schedule on every node, three nodes judge by cumulative sums, whoever finds badness tells all, the store's status ends a move. `routing::Splits`: versions that no move has named get nothing while an established one is ready. `routing::Placing::Soonest` compares slowness, load and distance. `Retry::failures`, and a bound on backend servers from the route.

Ruled out: the product's long moves, whose evidence needs 90 s and whose steps are changes to the log of configurations, which does not exist here.

--- a/components/moves/src/lib.rs
+++ b/components/moves/src/lib.rs
@@ -10,6 +10,7 @@
 mod alarm;
 mod analysis;
 mod block;
+pub mod canary;
 mod catalogue;
 mod command;
 pub mod contrast;
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -5,7 +5,7 @@
 
 use rand::Rng;
 
-use crate::{Endpoint, Group, Policy, Verdict};
+use crate::{Endpoint, Group, Placing, Policy, Verdict, soonest};
 
 /// Chooses a backend server of `group`, other than those `tried` where there is one.
 ///
@@ -20,6 +20,10 @@
     now: time::Instant,
     rng: &mut impl Rng,
 ) -> Option<rc::Rc<Endpoint>> {
+    if policy.placing == Placing::Soonest {
+        let soonest = soonest::choose(group, tried, policy, now, rng);
+        return soonest.or_else(|| last_resort(group, tried, rng));
+    }
     let home = pick(&group.local, tried, policy, now, rng);
     if let Some(home) = &home
         && !is_crowded(home, policy, now)
@@ -66,7 +70,7 @@
 }
 
 /// One random element that is `wanted`: random tries first, a search from a random place then.
-fn sample<'e>(
+pub(crate) fn sample<'e>(
     endpoints: &'e [rc::Rc<Endpoint>],
     wanted: impl Fn(&&'e rc::Rc<Endpoint>) -> bool,
     rng: &mut impl Rng,
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -75,25 +75,28 @@
         }
     }
 
-    /// Takes over `view`; does nothing when it is the one held.
+    /// Takes over `view`; does nothing when it is the one held. Returns whether it was another one.
     ///
     /// The cost grows with the members that have changed, but for a comparison of pointers.
-    pub fn update(&mut self, view: &rc::Rc<View>, policy: &Policy, now: time::Instant) {
+    pub fn update(&mut self, view: &rc::Rc<View>, policy: &Policy, now: time::Instant) -> bool {
         let held = self.view.replace(view.clone());
         let Some(held) = held.filter(|_| self.started) else {
-            return self.rebuild(view, policy, now);
+            self.rebuild(view, policy, now);
+            return true;
         };
         if held.generation() == view.generation() {
-            return;
+            return false;
         }
         let changed = changes(held.members(), view.members());
         if changed.len() > Self::CHANGES_LIMIT {
-            return self.rebuild(view, policy, now);
+            self.rebuild(view, policy, now);
+            return true;
         }
         for node in changed {
             self.apply(&node, view.member(&node), now);
         }
         self.forget(policy, now);
+        true
     }
 
     /// Takes over the whole of `view`.
@@ -244,6 +247,13 @@
         Some(rc::Rc::new(Group::new(all)))
     }
 
+    /// Versions of `service` that have a ready backend server, sorted.
+    #[must_use]
+    pub fn ready_versions(&self, service: &str) -> Vec<CompactString> {
+        let of_service = self.groups.iter().filter(|group| group.service == service);
+        of_service.map(|group| group.version.clone()).collect()
+    }
+
     /// Versions of `service` that had a ready backend server within the key window.
     #[must_use]
     pub fn versions(&self, service: &str) -> Vec<CompactString> {
--- a/components/routing/src/endpoint.rs
+++ b/components/routing/src/endpoint.rs
@@ -37,6 +37,8 @@
     pub(crate) in_flight: cell::Cell<u32>,
     latency: cell::Cell<Latency>,
     load: cell::Cell<Option<Load>>,
+    /// Latency of its answers as a multiple of what is usual on their routes.
+    slowness: cell::Cell<f64>,
     busy_until: cell::Cell<Option<time::Instant>>,
 }
 
@@ -51,6 +53,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Load {
     part: f64,
+    /// Requests that this node had on it then.
+    in_flight: u32,
     at: time::Instant,
 }
 
@@ -87,6 +91,7 @@
                 at: now,
             }),
             load: cell::Cell::new(None),
+            slowness: cell::Cell::new(1.0),
             busy_until: cell::Cell::new(None),
         })
     }
@@ -132,7 +137,12 @@
 
     /// Takes the load that the owner reports with an answer.
     pub fn report(&self, part: f64, now: time::Instant) {
-        self.load.set(Some(Load { part, at: now }));
+        let in_flight = self.in_flight.get();
+        self.load.set(Some(Load {
+            part,
+            in_flight,
+            at: now,
+        }));
     }
 
     /// The owner has refused a request and asks to come back after `wait`.
@@ -157,6 +167,40 @@
         fresh.map_or(own, |load| load.part.max(own))
     }
 
+    /// Load with one more request of this node, as a part of its limit: the owner's fresh report, and
+    /// what this node has sent since.
+    #[must_use]
+    pub fn expected_load(&self, now: time::Instant, policy: &Policy) -> f64 {
+        let slots = f64::from(self.slots);
+        let own = f64::from(self.in_flight.get());
+        let fresh = self
+            .load
+            .get()
+            .filter(|load| now.saturating_duration_since(load.at) <= policy.load_lifetime.0);
+        let load = fresh.map_or(own / slots, |load| {
+            load.part + (own - f64::from(load.in_flight)) / slots
+        });
+        load.max(0.0) + 1.0 / slots
+    }
+
+    /// Takes the latency of one answer as a multiple of what is usual on its route.
+    ///
+    /// Answers of a full server say how long its queue is, not how fast it is.
+    pub fn compare(&self, ratio: f64, now: time::Instant, policy: &Policy) {
+        const PART: f64 = 0.1;
+        const LEAST: f64 = 0.1;
+        if self.load(now, policy) <= 1.0 {
+            let held = self.slowness.get();
+            self.slowness.set((held + (ratio - held) * PART).max(LEAST));
+        }
+    }
+
+    /// Latency of its answers as a multiple of what is usual on their routes.
+    #[must_use]
+    pub fn slowness(&self) -> f64 {
+        self.slowness.get()
+    }
+
     /// Cost of one more request here; the lower one of two is chosen.
     #[must_use]
     pub fn cost(&self, now: time::Instant, policy: &Policy) -> f64 {
--- a/components/routing/src/policy.rs
+++ b/components/routing/src/policy.rs
@@ -2,11 +2,29 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Which backend server a request goes to.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, schemars::JsonSchema,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Placing {
+    /// The own data centre first, until it is crowded.
+    #[default]
+    Nearest,
+    /// Where the answer is due soonest; the own data centre while that costs little.
+    Soonest,
+}
+
 units::record! {
     /// Parameters of the choice of backend servers.
     #[derive(Serialize, Deserialize, schemars::JsonSchema)]
     #[serde(default, deny_unknown_fields)]
     pub struct Policy {
+        /// Which backend server a request goes to.
+        pub placing: Placing,
+        /// Cost of another data centre as a multiple of the own one's, where the answer that is due
+        /// soonest decides.
+        pub away_cost: f64,
         /// Time over which a new backend server grows to its full share.
         pub slow_start: units::Period,
         /// Failures in a row after which a backend server is ejected.
@@ -31,6 +49,8 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
+            placing: Placing::default(),
+            away_cost: 1.25,
             slow_start: units::Period::from_secs(10),
             eject_failures: 5,
             eject_base: units::Period::from_millis(1_000),
--- a/components/web/tests/pipeline.rs
+++ b/components/web/tests/pipeline.rs
@@ -200,7 +200,12 @@
 #[compio::test]
 async fn heads_in_pieces() {
     let mut bench = Bench::open().await;
-    for piece in ["GE", "T /pie", "ces HTTP/1.1\r\nhost: menus", ".example\r\n\r"] {
+    for piece in [
+        "GE",
+        "T /pie",
+        "ces HTTP/1.1\r\nhost: menus",
+        ".example\r\n\r",
+    ] {
         bench.send(piece).await;
         compio::time::sleep(Duration::from_millis(5)).await;
     }
--- a/node/examples/path.rs
+++ b/node/examples/path.rs
@@ -141,6 +141,7 @@
         holder,
         members,
         withheld: routing::Withheld::default(),
+        splits: routing::Splits::default(),
         focus: routing::Focus::default(),
         settings: Rc::new(Settings::default()),
     };
--- a/node/src/assembly/requests.rs
+++ b/node/src/assembly/requests.rs
@@ -23,6 +23,7 @@
         holder: builder.find(names::CONFIGURATION)?,
         members: builder.find(names::VIEW)?,
         withheld: builder.find(names::WITHHELD)?,
+        splits: routing::Splits::default(),
         focus: builder.find(names::FOCUS)?,
         dialect: Native,
         settings: rc::Rc::new(settings.requests.clone()),
--- a/node/src/call/arrival.rs
+++ b/node/src/call/arrival.rs
@@ -19,6 +19,8 @@
     /// Headers, without those of the connection and those that only nodes exchange.
     pub(crate) headers: http::HeaderMap,
     pub(crate) route: rc::Rc<Route>,
+    /// Usual latency on the route.
+    pub(crate) usual: rc::Rc<routing::Usual>,
     /// The service that runs it, one of the route's.
     pub(crate) service: CompactString,
     pub(crate) deadline: time::Instant,
@@ -62,7 +64,7 @@
         body: hyper::body::Incoming,
         id: CompactString,
         asked: Asked,
-        route: rc::Rc<Route>,
+        (route, usual): (rc::Rc<Route>, rc::Rc<routing::Usual>),
         service: CompactString,
         caller: CompactString,
         keep: usize,
@@ -96,6 +98,7 @@
             key_attempt: asked.key_attempt,
             payload: Payload::new(body, keep),
             route,
+            usual,
             service,
         })
     }
--- a/node/src/call/attempt.rs
+++ b/node/src/call/attempt.rs
@@ -3,7 +3,7 @@
 use std::rc;
 use std::time;
 
-use routing::{Endpoint, Flight, Group, Policy};
+use routing::{Endpoint, Flight, Group, Policy, Usual};
 
 use super::{Problem, Reason};
 
@@ -14,6 +14,7 @@
 pub struct Attempt {
     flight: Flight,
     group: Option<rc::Rc<Group>>,
+    usual: rc::Rc<Usual>,
     policy: rc::Rc<super::Settings>,
     started: time::Instant,
     decided: bool,
@@ -31,6 +32,7 @@
     pub fn new(
         endpoint: &rc::Rc<Endpoint>,
         group: Option<rc::Rc<Group>>,
+        usual: rc::Rc<Usual>,
         settings: rc::Rc<super::Settings>,
         now: time::Instant,
     ) -> Self {
@@ -42,6 +44,7 @@
         Self {
             flight: endpoint.start(),
             group,
+            usual,
             policy: settings,
             started: now,
             decided: false,
@@ -67,6 +70,8 @@
         let now = time::Instant::now();
         let latency = now.saturating_duration_since(self.started);
         self.endpoint().observe(latency, now, self.choice());
+        let ratio = self.usual.compare(latency);
+        self.endpoint().compare(ratio, now, self.choice());
         if status.is_server_error() {
             self.fail(now);
         } else {
--- a/node/src/call/context.rs
+++ b/node/src/call/context.rs
@@ -17,6 +17,8 @@
     pub members: membership::Reader,
     /// Versions that get nothing now.
     pub withheld: routing::Withheld,
+    /// Versions of services whose versions the configuration does not list.
+    pub splits: routing::Splits,
     /// Versions that use only some of their backend servers.
     pub focus: routing::Focus,
     /// How callers and backend servers speak.
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -4,6 +4,7 @@
 mod keyed;
 mod passage;
 mod selection;
+mod trail;
 
 use std::cell;
 use std::rc;
@@ -12,7 +13,7 @@
 use admission::Quota;
 use compact_str::{CompactString, format_compact};
 use hyper::body::Incoming;
-use routing::{Directory, Endpoint, Group, Observer, Rotation, Sample, Table};
+use routing::{Directory, Endpoint, Group, Observer, Rotation, Sample, Table, Usual};
 use upstream::{Budget, Outcome, Payload};
 use xxhash_rust::xxh3;
 
@@ -26,6 +27,7 @@
 
 use self::journey::Journey;
 use self::passage::Passage;
+use self::trail::Trail;
 
 /// Handler of callers' requests; clones share its state.
 pub struct Ingress<L, O, D = Native> {
@@ -49,8 +51,12 @@
     table: rc::Rc<Table>,
     directory: Directory,
     rotation: Rotation,
+    /// The versions of the last view were taken over with all moves known.
+    settled: bool,
     /// Sorted by service.
     budgets: Vec<(CompactString, Budget)>,
+    /// Usual latencies, sorted by route.
+    usual: Vec<(CompactString, rc::Rc<Usual>)>,
 }
 
 /// Where an attempt goes.
@@ -88,7 +94,9 @@
             table: rc::Rc::default(),
             directory,
             rotation: Rotation::default(),
+            settled: false,
             budgets: Vec::new(),
+            usual: Vec::new(),
         };
         let shared = Shared {
             observer,
@@ -143,9 +151,18 @@
         let mut state = self.shared.state.borrow_mut();
         if state.table.version() != snapshot.version() {
             state.table = rc::Rc::new(Table::new(&snapshot));
+            state.forget_routes(&snapshot);
+        }
+        let context = &self.shared.context;
+        let changed = state.directory.update(&view, &context.settings.choice, now);
+        if changed || !state.settled {
+            state.settled = context.splits.is_known();
+            for service in snapshot.services() {
+                let ready = state.directory.ready_versions(&service.name);
+                let open = |version: &str| !context.withheld.contains(&service.name, version);
+                context.splits.observe(&service.name, &ready, open);
+            }
         }
-        let policy = &self.shared.context.settings.choice;
-        state.directory.update(&view, policy, now);
     }
 
     fn next_id(&self) -> u64 {
@@ -170,11 +187,21 @@
         }
         let route = table.find(&host, head.uri.path());
         let route = route.ok_or(Problem::refused(Reason::NoRoute))?.clone();
+        let usual = self.shared.state.borrow_mut().usual(&route.name);
         let context = &self.shared.context;
         let caller = context.dialect.caller(&context.node, &head);
         let service = route.draw_service(rand::random()).clone();
         let keep = context.settings.upstream.replay.as_len();
-        Arrival::new(head, body, id.clone(), asked, route, service, caller, keep)
+        Arrival::new(
+            head,
+            body,
+            id.clone(),
+            asked,
+            (route, usual),
+            service,
+            caller,
+            keep,
+        )
     }
 
     /// Runs a request to an answer or a problem within its deadline.
@@ -212,52 +239,58 @@
 
     /// Attempts a request until it is answered or must not be sent again.
     async fn run(&self, arrival: &Arrival, journey: &Journey) -> Result<Answer<L, O, D>, Problem> {
-        let mut tried: Vec<units::Node> = Vec::new();
-        let mut suspect = false;
-        let mut closed = None;
+        let mut trail = Trail::default();
         self.earn(arrival);
         loop {
-            let target = self.choose(arrival, &tried, closed.as_ref())?;
-            let attempts = u32::try_from(tried.len()).unwrap_or(u32::MAX) + 1;
-            let envelope = self.envelope(arrival, &target.endpoint, attempts, suspect, None);
+            let target = self.choose(arrival, &trail.tried, trail.closed.as_ref())?;
+            let attempts = trail.attempts() + 1;
+            let envelope = self.envelope(arrival, &target.endpoint, attempts, trail.suspect, None);
             let endpoint = target.endpoint.clone();
             let problem = match self.attempt(arrival, target, envelope, journey).await {
+                Ok(answer) if answer.parts.status.is_server_error() => {
+                    trail.reached += 1;
+                    if !self.may_retry(arrival, &trail, Outcome::Ran, attempts) {
+                        return Ok(answer);
+                    }
+                    self.observe(&answer.passage.attempt, &arrival.route.name, true);
+                    journey.end(Problem::unknown(Reason::Failure));
+                    trail.tried.push(endpoint.node.clone());
+                    continue;
+                }
                 Ok(answer) => return Ok(answer),
                 Err(problem) => problem,
             };
+            trail.reached += u32::from(problem.reason.is_from_backend());
             let withheld = problem.reason.is(Reason::Withheld);
-            if withheld && closed.is_none() && arrival.payload.is_replayable() {
+            if withheld && trail.closed.is_none() && arrival.payload.is_replayable() {
                 // Sent elsewhere once, which is no retry: nothing has run or failed.
-                closed = Some(endpoint.version.clone());
-                tried.push(endpoint.node.clone());
+                trail.closed = Some(endpoint.version.clone());
+                trail.tried.push(endpoint.node.clone());
                 continue;
             }
-            if problem.reason.is_final() || !self.may_retry(arrival, journey, &problem, attempts) {
+            let outcome = problem.outcome.max(journey.outcome());
+            if problem.reason.is_final() || !self.may_retry(arrival, &trail, outcome, attempts) {
                 return Err(problem);
             }
             let crashed = problem.reason.is(Reason::Crashed);
-            if crashed && suspect {
+            if crashed && trail.suspect {
                 // A retry would be faster than the owners' notices of the two crashes.
                 return Err(problem);
             }
-            suspect |= crashed;
-            tried.push(endpoint.node.clone());
+            trail.suspect |= crashed;
+            trail.tried.push(endpoint.node.clone());
         }
     }
 
-    fn may_retry(
-        &self,
-        arrival: &Arrival,
-        journey: &Journey,
-        problem: &Problem,
-        attempts: u32,
-    ) -> bool {
+    fn may_retry(&self, arrival: &Arrival, trail: &Trail, outcome: Outcome, attempts: u32) -> bool {
         let decision = Decision {
-            outcome: problem.outcome.max(journey.outcome()),
+            outcome,
             idempotent: arrival.idempotent,
             replayable: arrival.payload.is_replayable(),
             retried_above: arrival.attempt > 1,
             attempts,
+            reached: trail.reached,
+            reach: arrival.route.attempts,
             left: arrival.left(),
         };
         let retry = &self.shared.context.settings.retry;
@@ -347,7 +380,8 @@
         });
         let settings = self.shared.context.settings.clone();
         let now = time::Instant::now();
-        let mut attempt = Attempt::new(&target.endpoint, target.group, settings, now);
+        let usual = arrival.usual.clone();
+        let mut attempt = Attempt::new(&target.endpoint, target.group, usual, settings, now);
         journey.start();
         let ended = if attempt.endpoint().own {
             self.send_here(arrival, envelope).await
@@ -469,6 +503,23 @@
 }
 
 impl State {
+    /// The usual latency of the route called `name`.
+    fn usual(&mut self, name: &CompactString) -> rc::Rc<Usual> {
+        match self.usual.binary_search_by(|one| one.0.cmp(name)) {
+            Ok(place) => self.usual[place].1.clone(),
+            Err(place) => {
+                let usual = rc::Rc::new(Usual::default());
+                self.usual.insert(place, (name.clone(), usual.clone()));
+                usual
+            }
+        }
+    }
+
+    /// Forgets the usual latencies of routes that are gone.
+    fn forget_routes(&mut self, snapshot: &config::Snapshot) {
+        self.usual.retain(|one| snapshot.route(&one.0).is_some());
+    }
+
     fn budget(&mut self, service: &CompactString, retry: &Retry) -> &mut Budget {
         let place = self.budgets.binary_search_by(|one| one.0.cmp(service));
         let place = place.unwrap_or_else(|place| {
--- a/node/src/call/ingress/keyed.rs
+++ b/node/src/call/ingress/keyed.rs
@@ -7,6 +7,7 @@
 use upstream::Outcome;
 
 use super::selection::Past;
+use super::trail::Trail;
 use super::{Answer, Arrival, Dialect, Ingress, Journey, Key, Problem, Reason, Target};
 
 /// What the owners know that may have run a request before.
@@ -72,7 +73,15 @@
         }
         match &home.backup {
             // A resend is never run without a record, so that it may run here for the first time.
-            Some(backup) if unreached && self.may_retry(arrival, journey, &problem, attempts) => {
+            Some(backup)
+                if unreached
+                    && self.may_retry(
+                        arrival,
+                        &reached(attempts),
+                        problem.outcome.max(journey.outcome()),
+                        attempts,
+                    ) =>
+            {
                 let wanted = Key::run(key, time::Duration::ZERO);
                 self.attempt_key(arrival, backup, wanted, attempts + 1, journey)
                     .await
@@ -154,6 +163,14 @@
     }
 }
 
+/// A trail of attempts that count as having reached a backend server.
+fn reached(attempts: u32) -> Trail {
+    Trail {
+        reached: attempts,
+        ..Trail::default()
+    }
+}
+
 fn is(problem: &Problem, reason: admission::Reason) -> bool {
     problem.reason.is(Reason::Refused(reason))
 }
--- a/node/src/call/ingress/selection.rs
+++ b/node/src/call/ingress/selection.rs
@@ -86,7 +86,14 @@
         let open = |version: &str| {
             !withheld.contains(&service.name, version) && closed.is_none_or(|one| one != version)
         };
-        let group = state.draw(service, point, open);
+        let drawn = service.weights.is_empty().then(|| {
+            let splits = &self.shared.context.splits;
+            splits.draw(&service.name, point)
+        });
+        let group = match drawn {
+            Some(drawn) => state.draw_unlisted(service, &drawn, open),
+            None => state.draw(service, point, open),
+        };
         let group = group.ok_or_else(none_left)?;
         let focus = self
             .shared
@@ -198,6 +205,33 @@
 }
 
 impl State {
+    /// The backend servers of what was drawn of a service whose versions are not listed.
+    fn draw_unlisted(
+        &self,
+        service: &Service,
+        drawn: &routing::Drawn,
+        open: impl Fn(&str) -> bool,
+    ) -> Option<rc::Rc<Group>> {
+        use routing::Drawn;
+        let directory = &self.directory;
+        let name = &service.name;
+        match drawn {
+            Drawn::Unknown => None,
+            Drawn::Established(versions) => directory.whole(name, |version| {
+                open(version) && versions.iter().any(|one| one == version)
+            }),
+            Drawn::Trial(trial) => {
+                let wanted = directory.whole(name, |version| open(version) && version == trial);
+                wanted.or_else(|| directory.whole(name, &open))
+            }
+            Drawn::Others { trial, takes_over } => {
+                let others = directory.whole(name, |version| open(version) && version != trial);
+                let trial = || directory.whole(name, &open);
+                others.or_else(|| takes_over.then(trial).flatten())
+            }
+        }
+    }
+
     /// Draws an `open` version of `service` and finds its backend servers.
     fn draw(
         &self,
@@ -205,9 +239,6 @@
         point: f64,
         open: impl Fn(&str) -> bool,
     ) -> Option<rc::Rc<Group>> {
-        if service.weights.is_empty() {
-            return self.directory.whole(&service.name, open);
-        }
         let drawn = routing::draw(service, point, &open)?;
         if let Some(group) = self.directory.find(&service.name, &drawn.version) {
             return Some(group.clone());
--- a/node/src/call/reason.rs
+++ b/node/src/call/reason.rs
@@ -27,6 +27,8 @@
     TooDeep,
     /// The backend server crashed or lost its connections with the request on it.
     Crashed,
+    /// The backend server answered that it failed, and no other one answered.
+    Failure,
     /// The backend server refused it unexecuted.
     Shed,
     /// The version of the backend server is withheld.
@@ -66,7 +68,7 @@
     ];
 
     /// Further reasons of owners, which blame their backend server or a connection.
-    const FAILURES: [&'static str; 8] = [
+    const FAILURES: [&'static str; 9] = [
         "backend-server-crashed",
         "not-connected",
         "connection-closed",
@@ -75,6 +77,7 @@
         "connection-failed",
         "connection-silent",
         "deadline",
+        "mismatched",
     ];
 
     /// Its text.
@@ -92,6 +95,7 @@
             Self::Deadline => "deadline",
             Self::TooDeep => "too-deep",
             Self::Crashed => "backend-server-crashed",
+            Self::Failure => "backend-server-failed",
             Self::Shed => "backend-server-refused",
             Self::Withheld => "withheld",
             Self::KeyUnknown => "key-unknown",
@@ -121,6 +125,21 @@
         Self::REFUSALS.contains(&self.as_str()) || self.is(Self::BodyTooLong)
     }
 
+    /// Whether the backend server has got the request, whatever became of it there.
+    #[must_use]
+    pub fn is_from_backend(self) -> bool {
+        const REACHED: [&str; 7] = [
+            "backend-server-refused",
+            "backend-server-crashed",
+            "connection-failed",
+            "connection-silent",
+            "stream-reset",
+            "mismatched",
+            "deadline",
+        ];
+        REACHED.contains(&self.as_str())
+    }
+
     /// Whether no other backend server could take the request.
     #[must_use]
     pub fn is_final(self) -> bool {
--- a/node/src/call/status.rs
+++ b/node/src/call/status.rs
@@ -19,6 +19,7 @@
         | "stream-reset"
         | "connection-failed"
         | "connection-silent"
+        | "backend-server-failed"
         | "mismatched" => Code::BAD_GATEWAY,
         _ => Code::SERVICE_UNAVAILABLE,
     }
--- a/node/tests/call/fleet.rs
+++ b/node/tests/call/fleet.rs
@@ -209,6 +209,7 @@
             holder: self.holder.clone(),
             members: self.members.clone(),
             withheld: routing::Withheld::default(),
+            splits: routing::Splits::default(),
             focus: routing::Focus::default(),
             dialect: node::call::Native,
             settings: self.settings.clone(),
