admission: a queue by priority and by what can still be answered in time

Change: `admission::Queue`, at the owner, by target and priority that the ingress tells; what cannot be in time any more takes the room that is left; Retry-After from the queue, spread. Distance grows with the bytes that a route usually moves. Versions are established only once orders and members are known; the node is not ready before.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -9,7 +9,8 @@
 use membership::Phase;
 use serde::Serialize;
 
-use crate::{Announced, Lanes, Limit, Permit, Reason, Refusal, Settings};
+use crate::waiting::Waiting;
+use crate::{Announced, Limit, Permit, Queue, Reason, Refusal, Settings, Urgency};
 
 /// Decides when a request may run at the backend server; clones share the state.
 #[derive(Clone)]
@@ -28,7 +29,7 @@
     running: usize,
     /// A request runs alone, or waits for the others to end so that it can.
     alone: bool,
-    waiting: Lanes<Waiter>,
+    waiting: Waiting<Waiter>,
     /// Requests that have to run alone, in the order of their arrival.
     waiting_alone: std::collections::VecDeque<Waiter>,
     stopping: bool,
@@ -48,8 +49,8 @@
     pub service: CompactString,
     /// Version that it is meant for.
     pub version: CompactString,
-    /// When it has to be finished.
-    pub deadline: time::Instant,
+    /// How urgent it is.
+    pub urgency: Urgency,
     /// Whether nothing may run beside it.
     pub alone: bool,
 }
@@ -113,7 +114,7 @@
             limit,
             running: 0,
             alone: false,
-            waiting: Lanes::default(),
+            waiting: Waiting::new(settings.order),
             waiting_alone: std::collections::VecDeque::new(),
             stopping: false,
             counts: Counts::default(),
@@ -203,7 +204,10 @@
             Entered::Now(permit) => return Ok(permit),
             Entered::Later(receiver) => receiver,
         };
-        let left = ask.deadline.saturating_duration_since(time::Instant::now());
+        let left = ask
+            .urgency
+            .deadline
+            .saturating_duration_since(time::Instant::now());
         let wait = left.min(self.shared.settings.queue_wait.0);
         match compio::time::timeout(wait, receiver).await {
             Ok(Ok(admitted)) => admitted,
@@ -211,7 +215,7 @@
                 let mut state = self.shared.state.borrow_mut();
                 state.forget_cancelled();
                 state.counts.refused_waited += 1;
-                let retry_after = state.expected_wait();
+                let retry_after = state.retry_after();
                 Err(Refusal::new(Reason::Waited, retry_after))
             }
         }
@@ -227,8 +231,8 @@
         }
         state.limit.reach();
         let (sender, receiver) = oneshot::channel();
-        let evicted = state.enqueue(ask, Waiter { sender }, &self.shared.settings);
-        let retry_after = state.expected_wait();
+        let evicted = state.enqueue(ask, Waiter { sender }, &self.shared.settings, now);
+        let retry_after = state.retry_after();
         drop(state);
         if let Some(evicted) = evicted {
             let refusal = Refusal::new(Reason::Full, retry_after);
@@ -290,23 +294,41 @@
 
     /// Refuses what cannot be finished by its deadline.
     fn check_time(&mut self, ask: &Ask, now: time::Instant) -> Result<(), Refusal> {
-        let left = ask.deadline.saturating_duration_since(now);
+        let left = ask.urgency.deadline.saturating_duration_since(now);
         let wait = if self.has_room(ask.alone) {
             time::Duration::ZERO
         } else {
-            self.expected_wait()
+            self.expected_wait(&ask.urgency, now)
         };
         // Half of the usual latency: a refusal should be right far more often than not.
         let needed = wait + self.limit.latency() / 2;
         if left.is_zero() || needed > left {
             self.counts.refused_late += 1;
-            return Err(Refusal::new(Reason::Late, wait));
+            return Err(Refusal::new(Reason::Late, self.retry_after()));
         }
         Ok(())
     }
 
-    fn expected_wait(&self) -> time::Duration {
-        let ahead = u32::try_from(self.waiting.len() + 1).unwrap_or(u32::MAX);
+    /// When a request that starts now would be answered.
+    fn due(&self, now: time::Instant) -> time::Instant {
+        Queue::<Waiter>::due(now, self.limit.latency())
+    }
+
+    /// Wait of a request of this urgency.
+    fn expected_wait(&self, urgency: &Urgency, now: time::Instant) -> time::Duration {
+        self.wait_behind(self.waiting.ahead(urgency, self.due(now)))
+    }
+
+    /// Time until room is expected for one that comes back behind all who wait, spread so that those
+    /// who are refused together do not come back together.
+    fn retry_after(&self) -> time::Duration {
+        const SPREAD: std::ops::Range<f64> = 0.5..1.5;
+        let spread = rand::random_range(SPREAD);
+        self.wait_behind(self.waiting.len()).mul_f64(spread)
+    }
+
+    fn wait_behind(&self, ahead: usize) -> time::Duration {
+        let ahead = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
         let limit = u32::try_from(self.limit.current().max(1)).unwrap_or(u32::MAX);
         self.limit.latency().saturating_mul(ahead) / limit
     }
@@ -338,7 +360,13 @@
         self.counts.admitted_alone += u64::from(alone);
     }
 
-    fn enqueue(&mut self, ask: &Ask, waiter: Waiter, settings: &Settings) -> Option<Waiter> {
+    fn enqueue(
+        &mut self,
+        ask: &Ask,
+        waiter: Waiter,
+        settings: &Settings,
+        now: time::Instant,
+    ) -> Option<Waiter> {
         self.forget_cancelled();
         let evicted = if ask.alone {
             let full = self.waiting_alone.len() >= Gate::ALONE_LIMIT;
@@ -354,7 +382,9 @@
                 .as_ref()
                 .map_or(1, |one| one.backend.slots.max(1));
             let limit = slots.saturating_mul(settings.queue_slots.max(1)) as usize;
-            self.waiting.push(&ask.caller, waiter, limit)
+            let due = self.due(now);
+            self.waiting
+                .push(&ask.caller, ask.urgency, waiter, limit, due)
         };
         self.counts.queued += 1;
         self.counts.refused_full += u64::from(evicted.is_some());
@@ -364,7 +394,7 @@
     /// Takes all who wait, when the backend server no longer runs what they wait for.
     fn drain_waiting(&mut self) -> Vec<Waiter> {
         let mut drained: Vec<_> = self.waiting_alone.drain(..).collect();
-        while let Some(waiter) = self.waiting.pop() {
+        while let Some(waiter) = self.waiting.pop(time::Instant::now()) {
             drained.push(waiter);
         }
         self.counts.refused_phase += drained.len() as u64;
@@ -400,7 +430,8 @@
             return None;
         }
         loop {
-            let waiter = self.waiting.pop()?;
+            let due = self.due(time::Instant::now());
+            let waiter = self.waiting.pop(due)?;
             if !waiter.sender.is_canceled() {
                 self.take(false);
                 return Some((waiter, false));
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -14,6 +14,8 @@
 mod settings;
 mod sharing;
 mod suspects;
+mod urgency;
+mod waiting;
 
 pub use announced::Announced;
 pub use crash::Crash;
@@ -29,3 +31,5 @@
 pub use settings::Settings;
 pub use sharing::{SERVICE, Sharing};
 pub use suspects::{Standing, Suspects};
+pub use urgency::{Queue, Urgency};
+pub use waiting::Order;
--- a/components/admission/src/settings.rs
+++ b/components/admission/src/settings.rs
@@ -7,6 +7,8 @@
     #[derive(Serialize, Deserialize, schemars::JsonSchema)]
     #[serde(default, deny_unknown_fields)]
     pub struct Settings {
+        /// Order in which waiting requests are let through.
+        pub order: crate::Order,
         /// Longest wait in the queue.
         pub queue_wait: units::Period,
         /// Longest queue, as a multiple of the announced slots.
@@ -41,6 +43,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            order: crate::Order::default(),
             queue_wait: units::Period::from_millis(100),
             queue_slots: 4,
             adaptive: true,
--- /dev/null
+++ b/components/admission/src/waiting.rs
@@ -0,0 +1,85 @@
+//! Requests that wait for a slot.
+
+use std::time;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::{Lanes, Queue, Urgency};
+
+/// Order in which waiting requests are let through.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, schemars::JsonSchema,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Order {
+    /// Callers take turns.
+    #[default]
+    Callers,
+    /// By priority and by what can still be answered in time.
+    Urgency,
+}
+
+/// Requests that wait for a slot, in one of the orders.
+#[derive(Debug)]
+pub(crate) enum Waiting<T> {
+    Callers(Lanes<T>),
+    Urgency(Queue<T>),
+}
+
+impl<T> Waiting<T> {
+    pub(crate) fn new(order: Order) -> Self {
+        match order {
+            Order::Callers => Self::Callers(Lanes::default()),
+            Order::Urgency => Self::Urgency(Queue::default()),
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        match self {
+            Self::Callers(lanes) => lanes.len(),
+            Self::Urgency(queue) => queue.len(),
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Adds an element; with `limit` elements waiting one has to go. Returns it.
+    pub(crate) fn push(
+        &mut self,
+        caller: &CompactString,
+        urgency: Urgency,
+        element: T,
+        limit: usize,
+        due: time::Instant,
+    ) -> Option<T> {
+        match self {
+            Self::Callers(lanes) => lanes.push(caller, element, limit),
+            Self::Urgency(queue) => queue.push(urgency, element, limit, due),
+        }
+    }
+
+    pub(crate) fn pop(&mut self, due: time::Instant) -> Option<T> {
+        match self {
+            Self::Callers(lanes) => lanes.pop(),
+            Self::Urgency(queue) => queue.pop(due),
+        }
+    }
+
+    /// Elements that go before one of this urgency.
+    pub(crate) fn ahead(&self, urgency: &Urgency, due: time::Instant) -> usize {
+        match self {
+            Self::Callers(lanes) => lanes.len(),
+            Self::Urgency(queue) => queue.ahead(urgency, due),
+        }
+    }
+
+    pub(crate) fn retain(&mut self, wanted: impl Fn(&T) -> bool) {
+        match self {
+            Self::Callers(lanes) => lanes.retain(wanted),
+            Self::Urgency(queue) => queue.retain(wanted),
+        }
+    }
+}
--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -27,7 +27,11 @@
         caller: "c".into(),
         service: "menus".into(),
         version: "v1".into(),
-        deadline: Instant::now() + left,
+        urgency: admission::Urgency {
+            priority: 0,
+            target: Instant::now() + left,
+            deadline: Instant::now() + left,
+        },
         alone,
     }
 }
--- /dev/null
+++ b/components/admission/tests/urgency.rs
@@ -0,0 +1,151 @@
+//! What callers get of a queue at an owner whose slots are not enough, in simulated time.
+
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+use admission::{Queue, Urgency};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const SLOTS: usize = 16;
+const WORK_MS: f64 = 90.0;
+const TARGET: Duration = Duration::from_millis(300);
+const DEADLINE: Duration = Duration::from_millis(1_200);
+const LIMIT: usize = 64;
+
+/// Part of the requests that were answered by their target, at `load` of what the slots can run.
+fn serve(load: f64, seed: u64, first_come: bool) -> f64 {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let mut queue: Queue<Urgency> = Queue::default();
+    // Ends of the requests that run, the earliest first.
+    let mut running: BinaryHeap<std::cmp::Reverse<Instant>> = BinaryHeap::new();
+    let rate = load * SLOTS as f64 / WORK_MS;
+    let (mut now, mut total, mut in_time) = (start, 0_u32, 0_u32);
+    for _ in 0..20_000 {
+        let gap = -rng.random::<f64>().max(1e-9).ln() / rate;
+        let arrival = now + Duration::from_secs_f64(gap / 1_000.0);
+        loop {
+            let free = match running.peek() {
+                Some(end) if end.0 <= arrival => end.0,
+                _ => break,
+            };
+            running.pop();
+            let latency = Duration::from_secs_f64(WORK_MS / 1_000.0);
+            let due = if first_come {
+                free
+            } else {
+                Queue::<Urgency>::due(free, latency)
+            };
+            if let Some(next) = queue.pop(due) {
+                in_time += run(&next, free, &mut running, &mut rng);
+            }
+        }
+        now = arrival;
+        total += 1;
+        let target = if first_come {
+            now + DEADLINE
+        } else {
+            now + TARGET
+        };
+        let asked = Urgency {
+            priority: 0,
+            target,
+            deadline: now + DEADLINE,
+        };
+        if running.len() < SLOTS {
+            in_time += run(&asked, now, &mut running, &mut rng);
+        } else {
+            let _ = queue.push(asked, asked, LIMIT, now);
+        }
+    }
+    f64::from(in_time) / f64::from(total)
+}
+
+/// Runs a request from `at`; 1 when it is answered by the target.
+fn run(
+    asked: &Urgency,
+    at: Instant,
+    running: &mut BinaryHeap<std::cmp::Reverse<Instant>>,
+    rng: &mut StdRng,
+) -> u32 {
+    if at > asked.deadline {
+        return 0;
+    }
+    let work = WORK_MS * rng.random_range(0.3..1.7);
+    let end = at + Duration::from_secs_f64(work / 1_000.0);
+    running.push(std::cmp::Reverse(end));
+    // The baseline's urgency names the deadline as its target.
+    let arrived = asked.deadline - DEADLINE;
+    u32::from(end <= arrived + TARGET)
+}
+
+#[test]
+fn overload_in_time() {
+    for load in [0.8_f64, 1.2, 1.6] {
+        // Nine tenths of what the slots can run.
+        let least = 0.9 * (1.0 / load).min(1.0);
+        for seed in 0..5 {
+            let urgent = serve(load, seed, false);
+            let first_come = serve(load, seed, true);
+            assert!(
+                urgent >= least,
+                "load {load}, seed {seed}: {urgent} in time"
+            );
+            assert!(
+                urgent >= first_come - 0.01,
+                "load {load}, seed {seed}: {urgent} in time, first come first served {first_come}"
+            );
+        }
+    }
+}
+
+#[test]
+fn order_cases() {
+    let now = Instant::now();
+    let at = |millis| now + Duration::from_millis(millis);
+    let urgency = |priority, target, deadline| Urgency {
+        priority,
+        target: at(target),
+        deadline: at(deadline),
+    };
+    let cases = [
+        (
+            "lower priority number",
+            urgency(0, 500, 900),
+            urgency(1, 300, 900),
+        ),
+        ("earlier target", urgency(1, 300, 900), urgency(1, 500, 900)),
+        ("still in time", urgency(2, 300, 900), urgency(0, 50, 900)),
+        (
+            "late, earlier deadline",
+            urgency(1, 50, 400),
+            urgency(1, 40, 900),
+        ),
+    ];
+    for (name, first, second) in cases {
+        for pair in [[first, second], [second, first]] {
+            let mut queue = Queue::default();
+            for one in pair {
+                assert_eq!(queue.push(one, one, 10, at(100)), None);
+            }
+            assert_eq!(queue.pop(at(100)), Some(first), "{name}");
+        }
+    }
+}
+
+#[test]
+fn full_drops_the_least_urgent() {
+    let now = Instant::now();
+    let at = |millis| now + Duration::from_millis(millis);
+    let mut queue = Queue::default();
+    for (name, target) in [("a", 300), ("late", 10), ("b", 400)] {
+        let urgency = Urgency {
+            priority: 0,
+            target: at(target),
+            deadline: at(900),
+        };
+        let dropped = queue.push(urgency, name, 2, at(100));
+        assert_eq!(dropped, (name == "b").then_some("late"));
+    }
+}
--- a/components/moves/src/canary/service.rs
+++ b/components/moves/src/canary/service.rs
@@ -1,5 +1,6 @@
 //! The service that follows orders.
 
+use std::cell;
 use std::rc;
 use std::time;
 
@@ -55,6 +56,8 @@
     pub source: O,
     /// The other nodes.
     pub members: membership::Reader,
+    /// Tells when the other nodes are known.
+    pub monitor: membership::Monitor,
     /// Where the shares are put.
     pub splits: routing::Splits,
     /// Where bad versions are put.
@@ -74,6 +77,10 @@
     recorder: Recorder,
     /// Number of this start of the node.
     life: u64,
+    /// When the orders were read first.
+    listed: cell::Cell<Option<time::Instant>>,
+    /// When the other nodes were known first.
+    joined: cell::Cell<Option<time::Instant>>,
 }
 
 impl<S: Store, L: peer::Link, O: Source> Canary<S, L, O> {
@@ -84,6 +91,8 @@
             parts,
             recorder: Recorder::default(),
             life: rand::random(),
+            listed: cell::Cell::new(None),
+            joined: cell::Cell::new(None),
         };
         Self {
             shared: rc::Rc::new(shared),
@@ -123,6 +132,10 @@
     const RETRY_MOST: time::Duration = time::Duration::from_millis(800);
     /// Time within which a judge answers a report.
     const ANSWER_LIMIT: time::Duration = time::Duration::from_millis(500);
+    /// Time after joining until the other nodes are in the view that requests are routed by.
+    const VIEW_WAIT: time::Duration = time::Duration::from_millis(400);
+    /// Longest wait for the other nodes once the orders are known.
+    const JOIN_LIMIT: time::Duration = time::Duration::from_secs(2);
     /// Nodes that are told of a bad version at a time.
     const TELL_AT_ONCE: usize = 32;
 
@@ -146,7 +159,9 @@
         for object in &listing.objects {
             self.take_object(object);
         }
-        self.parts.splits.set_known();
+        if self.listed.get().is_none() {
+            self.listed.set(Some(time::Instant::now()));
+        }
         backoff.reset();
         let mut from = listing.revision;
         loop {
@@ -226,6 +241,7 @@
     async fn run_ticks(self: rc::Rc<Self>, stop: kernel::Stop) {
         let period = self.parts.settings.period.0;
         while stop.sleep(period).await {
+            self.settle();
             let running: Vec<_> = {
                 let trials = self.recorder.trials.borrow();
                 let running = trials.iter().filter(|trial| !trial.order.phase.is_end());
@@ -237,6 +253,23 @@
         }
     }
 
+    /// Lets requests go to versions that are there, once the orders and the other nodes are known: a
+    /// node that knows only the backend server beside it would take a version on trial for the one
+    /// in use.
+    fn settle(&self) {
+        let Some(listed) = self.listed.get() else {
+            return;
+        };
+        if self.parts.monitor.is_joined() && self.joined.get().is_none() {
+            self.joined.set(Some(time::Instant::now()));
+        }
+        let joined = self.joined.get();
+        let seen = joined.is_some_and(|joined| joined.elapsed() >= Self::VIEW_WAIT);
+        if seen || listed.elapsed() >= Self::JOIN_LIMIT {
+            self.parts.splits.set_known();
+        }
+    }
+
     /// Runs `work` on the trial of `service`.
     fn with<T>(&self, service: &str, work: impl FnOnce(&mut Trial) -> T) -> Option<T> {
         let mut trials = self.recorder.trials.borrow_mut();
--- a/components/moves/src/canary/trial.rs
+++ b/components/moves/src/canary/trial.rs
@@ -50,6 +50,8 @@
 impl Trial {
     /// A request is slow when it takes this many times the usual latency.
     const SLOW: f64 = 4.0;
+    /// Milliseconds beyond that: below them a difference says more about the VM than the version.
+    const SLOW_LEAST_MS: f64 = 20.0;
     /// Requests after which the usual latency is known.
     const USUAL_LEAST: u32 = 5;
 
@@ -100,7 +102,8 @@
             let known = usual.requests >= Self::USUAL_LEAST;
             route.requests += 1;
             route.failures += u64::from(sample.failed);
-            route.slow += u64::from(known && millis > usual.millis * Self::SLOW);
+            route.slow +=
+                u64::from(known && millis > usual.millis * Self::SLOW + Self::SLOW_LEAST_MS);
         } else {
             const PART: f64 = 0.1;
             route.base_requests += 1;
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -7,7 +7,8 @@
 
 use crate::{Endpoint, Group, Placing, Policy, Verdict, soonest};
 
-/// Chooses a backend server of `group`, other than those `tried` where there is one.
+/// Chooses a backend server of `group`, other than those `tried` where there is one, for a request
+/// that moves about `bytes` with its answer.
 ///
 /// Two random choices, of which the one with the lower cost is taken (M. Mitzenmacher, "The Power
 /// of Two Choices in Randomized Load Balancing", 2001). This node's data centre goes first; another
@@ -16,12 +17,13 @@
 pub fn choose(
     group: &Group,
     tried: &[units::Node],
+    bytes: f64,
     policy: &Policy,
     now: time::Instant,
     rng: &mut impl Rng,
 ) -> Option<rc::Rc<Endpoint>> {
     if policy.placing == Placing::Soonest {
-        let soonest = soonest::choose(group, tried, policy, now, rng);
+        let soonest = soonest::choose(group, tried, bytes, policy, now, rng);
         return soonest.or_else(|| last_resort(group, tried, rng));
     }
     let home = pick(&group.local, tried, policy, now, rng);
--- a/components/routing/src/policy.rs
+++ b/components/routing/src/policy.rs
@@ -25,6 +25,8 @@
         /// Cost of another data centre as a multiple of the own one's, where the answer that is due
         /// soonest decides.
         pub away_cost: f64,
+        /// What each KiB of a request and its answer adds to that cost.
+        pub away_cost_kib: f64,
         /// Time over which a new backend server grows to its full share.
         pub slow_start: units::Period,
         /// Failures in a row after which a backend server is ejected.
@@ -51,6 +53,7 @@
         Self {
             placing: Placing::default(),
             away_cost: 1.25,
+            away_cost_kib: 0.1,
             slow_start: units::Period::from_secs(10),
             eject_failures: 5,
             eject_base: units::Period::from_millis(1_000),
--- a/components/routing/src/soonest.rs
+++ b/components/routing/src/soonest.rs
@@ -8,7 +8,8 @@
 use crate::choice::sample;
 use crate::{Endpoint, Group, Policy, Verdict};
 
-/// Chooses the backend server of `group` whose answer is due soonest, other than those `tried`.
+/// Chooses the backend server of `group` whose answer is due soonest, other than those `tried`, for a
+/// request that moves `bytes` with its answer.
 ///
 /// The load that it answers: backend servers of different speeds, near saturation, with figures of
 /// their load that are some milliseconds old. Two random candidates of the own data centre and two
@@ -17,14 +18,19 @@
 pub(crate) fn choose(
     group: &Group,
     tried: &[units::Node],
+    bytes: f64,
     policy: &Policy,
     now: time::Instant,
     rng: &mut impl Rng,
 ) -> Option<rc::Rc<Endpoint>> {
+    let away_cost = policy.away_cost + policy.away_cost_kib * bytes / 1_024.0;
     let home = two(&group.local, tried, now, rng);
     let away = two(&group.remote, tried, now, rng);
     let candidates = home.into_iter().chain(away).flatten();
-    let costed = candidates.map(|one| (cost(one, policy, now), one));
+    let costed = candidates.map(|one| {
+        let distance = if one.local { 1.0 } else { away_cost };
+        (distance * cost(one, policy, now), one)
+    });
     let best = costed.min_by(|one, other| one.0.total_cmp(&other.0));
     best.map(|(_, endpoint)| endpoint.clone())
 }
@@ -56,12 +62,7 @@
     let load = endpoint.expected_load(now, policy);
     let waiting = (load - 1.0).max(0.0);
     let crowding = CROWDING * load.min(1.0).powi(4);
-    let distance = if endpoint.local {
-        1.0
-    } else {
-        policy.away_cost
-    };
     let busy = if endpoint.is_busy(now) { BUSY } else { 0.0 };
     let warmth = endpoint.warmth(now, policy);
-    endpoint.slowness() * distance * (1.0 + waiting + crowding) / warmth + busy
+    endpoint.slowness() * (1.0 + waiting + crowding) / warmth + busy
 }
--- a/components/routing/src/usual.rs
+++ b/components/routing/src/usual.rs
@@ -11,6 +11,8 @@
 pub struct Usual {
     /// In milliseconds; zero before the first answer.
     millis: cell::Cell<f64>,
+    /// Bytes of a request and its answer.
+    bytes: cell::Cell<f64>,
 }
 
 impl Usual {
@@ -19,6 +21,26 @@
     /// Largest ratio that one answer counts for, so that a single one does not condemn its server.
     const RATIO_MOST: f64 = 5.0;
 
+    /// Takes the bytes of a request and its answer, as far as they are known.
+    pub fn weigh(&self, bytes: u64) {
+        // Sizes of messages.
+        #[allow(clippy::cast_precision_loss)]
+        let bytes = bytes as f64;
+        let held = self.bytes.get();
+        let usual = if held == 0.0 {
+            bytes
+        } else {
+            held + (bytes - held) * Self::PART
+        };
+        self.bytes.set(usual);
+    }
+
+    /// Usual bytes of a request and its answer; zero before the first answer.
+    #[must_use]
+    pub fn bytes(&self) -> f64 {
+        self.bytes.get()
+    }
+
     /// Takes the latency of an answer; returns its ratio to the usual one before.
     pub fn compare(&self, latency: time::Duration) -> f64 {
         let millis = (latency.as_secs_f64() * 1_000.0).max(0.1);
--- a/components/routing/tests/choice.rs
+++ b/components/routing/tests/choice.rs
@@ -77,7 +77,7 @@
         let group = self.group();
         let mut counts: Vec<_> = group.all().map(|one| (one.node.to_string(), 0)).collect();
         for _ in 0..1_000 {
-            let chosen = choose(&group, &[], &self.policy, self.now, &mut self.rng);
+            let chosen = choose(&group, &[], 0.0, &self.policy, self.now, &mut self.rng);
             let chosen = chosen.expect("a choice").node.to_string();
             let count = counts.iter_mut().find(|count| count.0 == chosen);
             count.expect("a known node").1 += 1;
--- a/components/settings/tests/load.rs
+++ b/components/settings/tests/load.rs
@@ -63,8 +63,9 @@
         let text = format!(r#"{{"part": {{"count": {count}}}}}"#);
         let parsed = settings::parse::<Bounded>(&text);
         assert_eq!(parsed.is_ok(), right, "{count}");
-        if let Err(findings) = parsed {
-            assert_eq!(findings.as_slice()[0].place, "/part/count");
+        match parsed {
+            Ok(bounded) => assert_eq!(bounded.part.count, count),
+            Err(findings) => assert_eq!(findings.as_slice()[0].place, "/part/count"),
         }
     }
 }
--- a/node/src/call/arrival.rs
+++ b/node/src/call/arrival.rs
@@ -24,6 +24,8 @@
     /// The service that runs it, one of the route's.
     pub(crate) service: CompactString,
     pub(crate) deadline: time::Instant,
+    /// When an answer is wanted; the deadline where the route names no target.
+    pub(crate) target: time::Instant,
     /// Calls above this one.
     pub(crate) depth: u32,
     /// Number of the attempt of the call above that this one belongs to.
@@ -77,6 +79,7 @@
         let body = web::Body::arriving(body, head.version, Some(limit));
         let started = time::Instant::now();
         let patience = asked.patience.unwrap_or(time::Duration::MAX);
+        let deadline = started + patience.min(route.timeout.0);
         let idempotent = is_idempotent(&head.method, route.idempotency);
         let key = asked.key.filter(|_| !idempotent);
         let above = asked.above;
@@ -89,7 +92,11 @@
             method: head.method,
             uri: head.uri,
             headers,
-            deadline: started + patience.min(route.timeout.0),
+            deadline,
+            target: match route.target.0 {
+                time::Duration::ZERO => deadline,
+                target => deadline.min(started + target),
+            },
             depth: above.map_or(0, |above| above.saturating_add(1)),
             attempt: attempt.unwrap_or(1).max(1),
             caller,
@@ -112,6 +119,14 @@
         parts
     }
 
+    /// Notes the bytes of the request and of its answer, as far as their headers tell them.
+    pub(crate) fn weigh(&self, answer: &http::response::Parts) {
+        let length = |headers| Headers::number(headers, &header::CONTENT_LENGTH);
+        let bytes = length(&self.headers).unwrap_or_default();
+        let answered = length(&answer.headers).unwrap_or_default();
+        self.usual.weigh(bytes.saturating_add(answered));
+    }
+
     /// Time left until the deadline.
     pub(crate) fn left(&self) -> time::Duration {
         self.deadline
--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -13,6 +13,10 @@
         pub request: CompactString,
         /// When the answer has to be whole.
         pub deadline: time::Instant,
+        /// When an answer is wanted; one that comes later is worth little.
+        pub target: time::Instant,
+        /// Rank of its route among those of the service; zero is the most urgent.
+        pub priority: u32,
         /// Number of the attempt, from 1; those of nodes above count.
         pub attempt: u32,
         /// Calls above this one.
@@ -80,6 +84,9 @@
         Headers::set(headers, Headers::SERVICE, &self.service);
         Headers::set(headers, Headers::VERSION, &self.version);
         Headers::set(headers, Headers::CALLER, &self.caller);
+        let wanted = self.target.saturating_duration_since(now);
+        Headers::set_number(headers, Headers::TARGET_MS, millis(wanted));
+        Headers::set_number(headers, Headers::PRIORITY, self.priority.into());
         if self.suspect {
             Headers::set(headers, Headers::SUSPECT, "1");
         }
@@ -130,9 +137,14 @@
                 note: Headers::number(headers, &Headers::KEY_NOTE),
             })
         });
+        let deadline = now + time::Duration::from_millis(left).min(Self::DEADLINE_LIMIT);
+        let wanted = Headers::number(headers, &Headers::TARGET_MS);
+        let wanted = wanted.map(|wanted| now + time::Duration::from_millis(wanted.min(left)));
         Ok(Self {
             request: text(Headers::REQUEST)?,
-            deadline: now + time::Duration::from_millis(left).min(Self::DEADLINE_LIMIT),
+            deadline,
+            target: wanted.unwrap_or(deadline),
+            priority: small(Headers::PRIORITY).unwrap_or_default(),
             attempt: small(Headers::ATTEMPT).ok_or_else(missing)?,
             depth: small(Headers::DEPTH).ok_or_else(missing)?,
             service: text(Headers::SERVICE)?,
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -32,6 +32,10 @@
     pub const VERSION: HeaderName = HeaderName::from_static("radishgap-version");
     /// Between nodes: who sends the request.
     pub const CALLER: HeaderName = HeaderName::from_static("radishgap-caller");
+    /// Between nodes: time left until an answer is wanted, in milliseconds.
+    pub const TARGET_MS: HeaderName = HeaderName::from_static("radishgap-target-ms");
+    /// Between nodes: rank of the request's route.
+    pub const PRIORITY: HeaderName = HeaderName::from_static("radishgap-priority");
     /// Between nodes: only the recorded end of the key's request is wanted.
     pub const KEY_RECALL: HeaderName = HeaderName::from_static("radishgap-key-recall");
     /// Between nodes: time that the records have to cover, in milliseconds.
@@ -46,7 +50,9 @@
     pub const LOAD: HeaderName = HeaderName::from_static("radishgap-load");
 
     /// Headers of ours that only nodes exchange.
-    const INTERNAL: [HeaderName; 8] = [
+    const INTERNAL: [HeaderName; 10] = [
+        Self::TARGET_MS,
+        Self::PRIORITY,
         Self::SERVICE,
         Self::VERSION,
         Self::CALLER,
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -356,6 +356,8 @@
                 .deadline
                 .checked_sub(margin)
                 .unwrap_or(arrival.deadline),
+            target: arrival.target,
+            priority: arrival.route.priority,
             attempt: arrival.attempt.saturating_add(attempts - 1),
             depth: arrival.depth,
             service: endpoint.service.clone(),
@@ -392,6 +394,7 @@
             Ok((parts, source, owner)) => {
                 journey.answer();
                 attempt.answer(parts.status);
+                arrival.weigh(&parts);
                 let passage = Passage {
                     ingress: self.clone(),
                     attempt,
--- a/node/src/call/ingress/selection.rs
+++ b/node/src/call/ingress/selection.rs
@@ -49,10 +49,11 @@
         let now = time::Instant::now();
         let group = self.draw_group(arrival, rand::random(), closed)?;
         let policy = &self.shared.context.settings.choice;
-        let endpoint = routing::choose(&group, tried, policy, now, &mut rand::rng());
+        let bytes = arrival.usual.bytes();
+        let endpoint = routing::choose(&group, tried, bytes, policy, now, &mut rand::rng());
         // With every backend server tried, the first one may be better by now.
         let endpoint =
-            endpoint.or_else(|| routing::choose(&group, &[], policy, now, &mut rand::rng()));
+            endpoint.or_else(|| routing::choose(&group, &[], bytes, policy, now, &mut rand::rng()));
         let endpoint = endpoint.ok_or_else(none_left)?;
         Ok(Target {
             endpoint,
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -273,7 +273,11 @@
             caller: job.envelope.caller.clone(),
             service: job.envelope.service.clone(),
             version: job.envelope.version.clone(),
-            deadline: job.envelope.deadline,
+            urgency: admission::Urgency {
+                priority: job.envelope.priority,
+                target: job.envelope.target,
+                deadline: job.envelope.deadline,
+            },
             alone,
         };
         Ok(Some(self.shared.gate.admit(&ask).await?))
