--- /dev/null
+++ b/components/routing/tests/splits.rs
@@ -0,0 +1,81 @@
+//! Versions of services whose versions the configuration does not list.
+
+use compact_str::CompactString;
+use routing::{Drawn, Splits, Trial};
+
+fn versions(names: &[&str]) -> Vec<CompactString> {
+    names
+        .iter()
+        .map(|name| CompactString::from(*name))
+        .collect()
+}
+
+fn known() -> Splits {
+    let splits = Splits::default();
+    splits.set_known();
+    splits
+}
+
+fn trial(share: f64) -> Trial {
+    Trial {
+        version: "v2".into(),
+        share,
+    }
+}
+
+#[test]
+fn draw_before_moves_are_known() {
+    let splits = Splits::default();
+    splits.observe("menus", &versions(&["v1"]), |_| true);
+    assert_eq!(splits.draw("menus", 0.5), Drawn::Unknown);
+    splits.set_known();
+    splits.observe("menus", &versions(&["v1"]), |_| true);
+    let drawn = splits.draw("menus", 0.5);
+    assert_eq!(drawn, Drawn::Established(versions(&["v1"])));
+}
+
+#[test]
+fn draw_version_without_a_move() {
+    let splits = known();
+    splits.observe("menus", &versions(&["v1"]), |_| true);
+    splits.observe("menus", &versions(&["v1", "v2"]), |_| true);
+    let drawn = splits.draw("menus", 0.0);
+    assert_eq!(drawn, Drawn::Established(versions(&["v1"])));
+    // All of the old ones have gone, and no move has spoken against the new one.
+    splits.observe("menus", &versions(&["v2"]), |_| true);
+    let drawn = splits.draw("menus", 0.0);
+    assert_eq!(drawn, Drawn::Established(versions(&["v2"])));
+}
+
+#[test]
+fn draw_version_that_was_taken_back() {
+    let splits = known();
+    splits.observe("menus", &versions(&["v1"]), |_| true);
+    splits.observe("menus", &versions(&["v2"]), |version| version != "v2");
+    let drawn = splits.draw("menus", 0.0);
+    assert_eq!(drawn, Drawn::Established(versions(&["v1"])));
+}
+
+#[test]
+fn draw_during_a_move() {
+    let splits = known();
+    splits.observe("menus", &versions(&["v1"]), |_| true);
+    for (share, point, takes_over) in [(0.1, 0.2, false), (0.1, 0.05, false), (0.6, 0.7, true)] {
+        splits.set_trial("menus", Some(trial(share)));
+        let expected = if point < share {
+            Drawn::Trial("v2".into())
+        } else {
+            Drawn::Others {
+                trial: "v2".into(),
+                takes_over,
+            }
+        };
+        assert_eq!(splits.draw("menus", point), expected, "{share} {point}");
+    }
+    splits.set_trial("menus", None);
+    let drawn = splits.draw("menus", 0.0);
+    assert_eq!(drawn, Drawn::Established(versions(&["v1"])));
+    splits.establish("menus", "v2");
+    let drawn = splits.draw("menus", 0.0);
+    assert_eq!(drawn, Drawn::Established(versions(&["v2"])));
+}
--- a/components/upstream/src/lines.rs
+++ b/components/upstream/src/lines.rs
@@ -42,6 +42,13 @@
         }
     }
 
+    /// Closes the connection in place of giving it back.
+    pub(crate) fn retire(mut self) {
+        self.line = None;
+        let retired = &self.shared.retired;
+        retired.set(retired.get() + 1);
+    }
+
     pub(crate) fn is_closed(&self) -> bool {
         self.line
             .as_ref()
--- a/components/upstream/src/reply.rs
+++ b/components/upstream/src/reply.rs
@@ -48,6 +48,14 @@
         Self { place }
     }
 
+    /// Takes the connection out of use, where it carries one request at a time: what came on it
+    /// belongs to another request.
+    pub fn retire(self) {
+        if let Place::Line(busy) = self.place {
+            busy.retire();
+        }
+    }
+
     /// Whether the connection is closed.
     #[must_use]
     pub fn is_closed(&self) -> bool {
--- a/components/web/tests/pipeline.rs
+++ b/components/web/tests/pipeline.rs
@@ -12,10 +12,13 @@
 use hyper::body::Incoming;
 use web::Body;
 
+/// What a request to a path waits for.
+type Gate = (&'static str, oneshot::Receiver<()>);
+
 /// Answers with its path and body; a path with a gate waits for that first.
 #[derive(Clone, Default)]
 struct Gated {
-    gates: rc::Rc<cell::RefCell<Vec<(&'static str, oneshot::Receiver<()>)>>>,
+    gates: rc::Rc<cell::RefCell<Vec<Gate>>>,
     entered: rc::Rc<cell::RefCell<Vec<String>>>,
     cancelled: rc::Rc<cell::Cell<u32>>,
 }
--- a/node/src/call/owner/serving.rs
+++ b/node/src/call/owner/serving.rs
@@ -31,6 +31,7 @@
         let dialect = &self.owner.shared.context.dialect;
         if !dialect.is_match(sent, &parts) {
             self.owner.count(|counts| counts.mismatched += 1);
+            source.retire();
             return Err(Problem::unknown(Reason::Mismatched));
         }
         if dialect.is_unexecuted(&parts, envelope) {
--- a/node/src/call/source.rs
+++ b/node/src/call/source.rs
@@ -32,6 +32,13 @@
         (parts, Self::Connection(body, reply.lease))
     }
 
+    /// Drops it, and does not use its connection again where that carries one request at a time.
+    pub(crate) fn retire(self) {
+        if let Self::Connection(_, lease) = self {
+            lease.retire();
+        }
+    }
+
     pub(crate) fn poll_frame(
         &mut self,
         context: &mut task::Context<'_>,
