--- a/components/program/src/lib.rs
+++ b/components/program/src/lib.rs
@@ -64,7 +64,9 @@
             return process::ExitCode::from(FAILURE);
         }
     };
-    match runtime.block_on(work) {
+    let ended = runtime.block_on(work);
+    log::logger().flush();
+    match ended {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -2,6 +2,10 @@
 
 mod logs;
 mod metrics;
+mod quota;
+mod sink;
 
 pub use logs::{Level, start_logs};
 pub use metrics::{Error, Metrics};
+pub use quota::Quota;
+pub use sink::Sink;
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -1,13 +1,16 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines on standard output.
 
 use std::io;
-use std::io::Write;
+use std::sync::Mutex;
+use std::time;
 
 use compact_str::CompactString;
 use log::kv;
 use serde::{Deserialize, Serialize};
 use simplelog::{LevelFilter, SharedLogger};
 
+use crate::{Quota, Sink};
+
 /// Least severe level that is written.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, schemars::JsonSchema,
@@ -42,11 +45,18 @@
     }
 }
 
+/// Lines that may wait for the writer.
+const WAITING_LINES: usize = 2_048;
+/// Lines a second of one process; errors are written beyond that.
+const LINES_A_SECOND: u32 = 200;
+
 /// Starts logging for `process`; a second call changes nothing.
 pub fn start_logs(process: &str, level: Level) {
     let lines = Lines {
         process: process.into(),
         level: level.into(),
+        sink: Sink::start(io::stdout(), WAITING_LINES),
+        quota: Mutex::new(Quota::new(LINES_A_SECOND, time::Instant::now())),
     };
     // Fails only where a logger is set already.
     let _ = simplelog::CombinedLogger::init(vec![Box::new(lines)]);
@@ -56,6 +66,8 @@
 struct Lines {
     process: CompactString,
     level: LevelFilter,
+    sink: Sink,
+    quota: Mutex<Quota>,
 }
 
 #[derive(Serialize)]
@@ -78,6 +90,9 @@
         if !self.enabled(record.metadata()) {
             return;
         }
+        if !self.is_due(record.level()) {
+            return;
+        }
         let mut fields = Fields::default();
         // The visitor of this file accepts every pair.
         let _ = record.key_values().visit(&mut fields);
@@ -91,13 +106,32 @@
         };
         if let Ok(mut text) = serde_json::to_vec(&line) {
             text.push(b'\n');
-            // A closed standard error leaves nowhere to report to.
-            let _ = io::stderr().lock().write_all(&text);
+            self.sink.offer(text);
         }
     }
 
     fn flush(&self) {
-        let _ = io::stderr().lock().flush();
+        self.sink.flush();
+    }
+}
+
+impl Lines {
+    /// Whether a line is within the quota; says how many were left out before.
+    fn is_due(&self, level: log::Level) -> bool {
+        let now = time::Instant::now();
+        // A panic while the lock is held leaves only counts behind.
+        let mut quota = self.quota.lock().unwrap_or_else(|held| held.into_inner());
+        let left_out = quota.take_left_out(now);
+        let due = quota.take(now) || level == log::Level::Error;
+        drop(quota);
+        if left_out > 0 {
+            let process = &self.process;
+            let told = format!(
+                "{{\"event\":\"log-lines-left-out\",\"process\":\"{process}\",\"count\":{left_out}}}\n"
+            );
+            self.sink.offer(told.into_bytes());
+        }
+        due
     }
 }
 
--- /dev/null
+++ b/node/src/call/event.rs
@@ -0,0 +1,72 @@
+//! Decisions about a request, as log lines.
+
+use std::time;
+
+use compact_str::CompactString;
+
+use super::Problem;
+
+/// A decision about a request; each is one line with its stable name under `event`.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Event<'e> {
+    /// The ingress sends a request again.
+    Retried {
+        /// The node that had it.
+        node: &'e units::Node,
+        /// What became of the attempt.
+        problem: Option<&'e Problem>,
+    },
+    /// The ingress answers a request itself.
+    Ended(&'e Problem),
+    /// The owner answers a request itself.
+    Refused(&'e Problem),
+}
+
+/// What is known of a request when a decision about it is taken.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Inputs<'e> {
+    /// Its id.
+    pub(crate) request: &'e str,
+    /// The service that runs it; empty where none was found.
+    pub(crate) service: &'e CompactString,
+    /// Version of the configuration that the decision was taken by.
+    pub(crate) configuration: units::Version,
+    /// Attempts so far.
+    pub(crate) attempts: u32,
+    /// Time left until its deadline.
+    pub(crate) left: time::Duration,
+}
+
+impl Event<'_> {
+    /// Writes the line.
+    pub(crate) fn log(self, inputs: &Inputs<'_>) {
+        let left_ms = u64::try_from(inputs.left.as_millis()).unwrap_or(u64::MAX);
+        let (request, service) = (inputs.request, inputs.service.as_str());
+        let (configuration, attempts) = (inputs.configuration.0, inputs.attempts);
+        match self {
+            Self::Retried { node, problem } => {
+                let reason = problem.map_or("backend-server-failed", |one| one.reason.as_str());
+                log::info!(event = "request-retried", request = request, service = service,
+                    configuration = configuration, attempts = attempts, left_ms = left_ms,
+                    node:% = node, reason = reason; "request sent again");
+            }
+            Self::Ended(problem) => {
+                log::info!(event = "request-ended", request = request, service = service,
+                    configuration = configuration, attempts = attempts, left_ms = left_ms,
+                    reason = problem.reason.as_str(), outcome:% = problem.outcome,
+                    retry_after_ms = retry_after_ms(problem); "request answered by the system");
+            }
+            Self::Refused(problem) => {
+                log::info!(event = "request-refused", request = request, service = service,
+                    configuration = configuration, attempts = attempts, left_ms = left_ms,
+                    reason = problem.reason.as_str(), outcome:% = problem.outcome,
+                    retry_after_ms = retry_after_ms(problem); "request refused by the owner");
+            }
+        }
+    }
+}
+
+fn retry_after_ms(problem: &Problem) -> u64 {
+    let wait = problem.retry_after.unwrap_or_default();
+    u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)
+}
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -19,6 +19,7 @@
 
 use super::arrival::Arrival;
 use super::counts::Ingress as Counts;
+use super::event::{Event, Inputs};
 use super::owner::{Job, Serving, broken_body, build, respond};
 use super::{
     Asked, Attempt, Context, Decision, Dialect, Download, Envelope, Headers, Key, Native, Owner,
@@ -254,6 +255,9 @@
                     }
                     self.observe(&answer.passage.attempt, &arrival.route.name, true);
                     journey.end(Problem::unknown(Reason::Failure));
+                    let node = &endpoint.node;
+                    let problem = None;
+                    Event::Retried { node, problem }.log(&self.inputs(arrival, attempts));
                     trail.tried.push(endpoint.node.clone());
                     continue;
                 }
@@ -278,10 +282,26 @@
                 return Err(problem);
             }
             trail.suspect |= crashed;
+            let retried = Event::Retried {
+                node: &endpoint.node,
+                problem: Some(&problem),
+            };
+            retried.log(&self.inputs(arrival, attempts));
             trail.tried.push(endpoint.node.clone());
         }
     }
 
+    /// What is known of a request, for a log line.
+    fn inputs<'e>(&self, arrival: &'e Arrival, attempts: u32) -> Inputs<'e> {
+        Inputs {
+            request: &arrival.id,
+            service: &arrival.service,
+            configuration: self.shared.context.holder.get().version(),
+            attempts,
+            left: arrival.left(),
+        }
+    }
+
     fn may_retry(&self, arrival: &Arrival, trail: &Trail, outcome: Outcome, attempts: u32) -> bool {
         let decision = Decision {
             outcome,
@@ -573,6 +593,9 @@
                 let deadline = arrival.deadline;
                 let served = self.serve(&arrival).await;
                 gone.payload = None;
+                if let Err(problem) = &served {
+                    Event::Ended(problem).log(&self.inputs(&arrival, 0));
+                }
                 served.map(|answer| (answer, deadline))
             }
             Err(problem) => Err(problem),
--- a/node/src/call/mod.rs
+++ b/node/src/call/mod.rs
@@ -7,6 +7,7 @@
 mod dialect;
 mod download;
 mod envelope;
+mod event;
 mod headers;
 mod ingress;
 mod keyed;
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -14,6 +14,7 @@
 use upstream::{Dialer, Payload, Server};
 
 use super::counts::Owner as Counts;
+use super::event::{Event, Inputs};
 use super::pools::Pools;
 use super::{
     Context, Dialect, Download, Envelope, Headers, Native, Problem, Reason, Source, Watch,
@@ -211,6 +212,7 @@
     pub async fn serve(&self, job: Job) -> Result<Served<L, D>, Problem> {
         self.count(|counts| counts.requests += 1);
         let payload = job.payload.clone();
+        let envelope = job.envelope.clone();
         let served = if job.envelope.key.is_some() && !self.shared.context.settings.baseline {
             self.serve_keyed(job).await
         } else {
@@ -221,6 +223,16 @@
         };
         if let Err(problem) = &served {
             let not_run = problem.outcome == upstream::Outcome::NotRun;
+            let inputs = Inputs {
+                request: &envelope.request,
+                service: &envelope.service,
+                configuration: self.shared.context.holder.get().version(),
+                attempts: envelope.attempt,
+                left: envelope
+                    .deadline
+                    .saturating_duration_since(time::Instant::now()),
+            };
+            Event::Refused(problem).log(&inputs);
             self.count(|counts| {
                 counts.refused += u64::from(not_run);
                 counts.unknown += u64::from(!not_run);
