--- a/components/membership/src/join.rs
+++ b/components/membership/src/join.rs
@@ -27,8 +27,9 @@
     const RETRY_MAX: time::Duration = time::Duration::from_secs(10);
     /// Time between two looks at whether this node has to join again.
     const JOIN_POLL: time::Duration = time::Duration::from_secs(1);
-    /// The first check of the seed object comes this soon after a join, on average.
-    const FIRST_CHECK: time::Duration = time::Duration::from_secs(10);
+    /// The first check of the seed objects comes this soon after a join, on average: where all nodes
+    /// start again together, each joins whom it meets first, and the parts have to find each other.
+    const FIRST_CHECK: time::Duration = time::Duration::from_millis(700);
     /// The first check comes this soon where no seed was found: others may start at the same time.
     const FOUNDER_CHECK: time::Duration = time::Duration::from_millis(500);
 
--- a/components/membership/tests/mesh.rs
+++ b/components/membership/tests/mesh.rs
@@ -566,3 +566,37 @@
     mesh.wait("gone", |node| phase(node, 4).is_none()).await;
     assert_eq!(mesh.nodes[4].monitor.counts().lapsed_leases, 1);
 }
+
+/// All members lose power and start again together; what is written of them names each other.
+#[compio::test]
+async fn restarted_all_merge_soon() {
+    // Members have to be known within two heartbeats of 1.5 s after a start.
+    const BOUND: time::Duration = time::Duration::from_secs(3);
+    let settings = Settings {
+        seed_period: Settings::default().seed_period,
+        ..quick()
+    };
+    let mut mesh = Mesh {
+        network: fakes::Network::new(7),
+        store: fakes::Store::default(),
+        settings,
+        centres: 4,
+        nodes: Vec::new(),
+    };
+    for number in 0..12 {
+        mesh.add_with(number, Vec::new());
+    }
+    mesh.wait_all_alive().await;
+    pass(time::Duration::from_secs(2)).await;
+    for number in 0..12 {
+        mesh.crash(number).await;
+    }
+    mesh.nodes.clear();
+    for number in 0..12 {
+        mesh.add_with(number, Vec::new());
+    }
+    let started = time::Instant::now();
+    mesh.wait_all_alive().await;
+    let took = started.elapsed();
+    assert!(took <= BOUND, "it took {took:?}");
+}
