--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -241,8 +241,26 @@
         Ok(Entered::Later(receiver))
     }
 
+    /// Refuses those who wait in vain because enough others wait that can still be in time.
+    fn shed_late(&self) {
+        let mut state = self.shared.state.borrow_mut();
+        let due = state.due(time::Instant::now());
+        let enough = state.limit.current();
+        let shed = state.waiting.shed_late(due, enough);
+        state.counts.refused_late += shed.len() as u64;
+        let refusals: Vec<_> = shed
+            .into_iter()
+            .map(|waiter| (waiter, Refusal::new(Reason::Late, state.retry_after())))
+            .collect();
+        drop(state);
+        for (waiter, refusal) in refusals {
+            let _ = waiter.sender.send(Err(refusal));
+        }
+    }
+
     /// Lets waiting requests through as long as there is room.
     fn pump(&self) {
+        self.shed_late();
         loop {
             let next = self.shared.state.borrow_mut().next();
             let Some((waiter, alone)) = next else {
--- a/components/admission/src/urgency.rs
+++ b/components/admission/src/urgency.rs
@@ -82,6 +82,18 @@
         Some(self.entries.remove(place).1)
     }
 
+    /// Takes out what cannot be in time any more, where `enough` elements wait that can: it would
+    /// only wait longer for its refusal.
+    pub fn shed_late(&mut self, due: time::Instant, enough: usize) -> Vec<T> {
+        let is_late = |entry: &(Urgency, T)| due > entry.0.target;
+        let late = self.entries.iter().filter(|entry| is_late(entry)).count();
+        if late == 0 || self.entries.len() - late < enough {
+            return Vec::new();
+        }
+        let shed = self.entries.extract_if(.., |entry| is_late(entry));
+        shed.map(|entry| entry.1).collect()
+    }
+
     /// Elements that go before one of this urgency.
     #[must_use]
     pub fn ahead(&self, urgency: &Urgency, due: time::Instant) -> usize {
--- a/components/admission/src/waiting.rs
+++ b/components/admission/src/waiting.rs
@@ -68,6 +68,14 @@
         }
     }
 
+    /// Takes out what would only wait longer for its refusal.
+    pub(crate) fn shed_late(&mut self, due: time::Instant, enough: usize) -> Vec<T> {
+        match self {
+            Self::Callers(_) => Vec::new(),
+            Self::Urgency(queue) => queue.shed_late(due, enough),
+        }
+    }
+
     /// Elements that go before one of this urgency.
     pub(crate) fn ahead(&self, urgency: &Urgency, due: time::Instant) -> usize {
         match self {
--- a/components/admission/tests/urgency.rs
+++ b/components/admission/tests/urgency.rs
@@ -149,3 +149,21 @@
         assert_eq!(dropped, (name == "b").then_some("late"));
     }
 }
+
+#[test]
+fn late_ones_leave_when_enough_others_wait() {
+    let now = Instant::now();
+    let at = |millis| now + Duration::from_millis(millis);
+    for (enough, shed) in [(2, vec!["late"]), (3, vec![])] {
+        let mut queue = Queue::default();
+        for (name, target) in [("a", 300), ("late", 10), ("b", 400)] {
+            let urgency = Urgency {
+                priority: 0,
+                target: at(target),
+                deadline: at(900),
+            };
+            assert_eq!(queue.push(urgency, name, 10, at(100)), None);
+        }
+        assert_eq!(queue.shed_late(at(100), enough), shed);
+    }
+}
--- a/components/upstream/src/lines.rs
+++ b/components/upstream/src/lines.rs
@@ -106,6 +106,25 @@
         }
     }
 
+    /// Whether the server is still there after one of its connections broke: a crash ends all of
+    /// them, and lets no new one in.
+    pub async fn is_up(&self) -> bool {
+        /// Time in which the ends of the other connections are seen.
+        const SETTLE: time::Duration = time::Duration::from_millis(5);
+        compio::time::sleep(SETTLE).await;
+        if self.shared.open.get() > 0 {
+            return true;
+        }
+        let limit = self.shared.settings.connect_timeout.0;
+        let opening = Line::open(self.shared.address, self.shared.open.clone());
+        let Ok(Ok(line)) = compio::time::timeout(limit, opening).await else {
+            return false;
+        };
+        self.shared.opened.set(self.shared.opened.get() + 1);
+        self.shared.idle.borrow_mut().push(line);
+        true
+    }
+
     /// Closes the connections that the server may close soon.
     pub fn close_stale(&self, now: time::Instant) {
         self.shared.close_stale(now);
--- a/components/upstream/src/server.rs
+++ b/components/upstream/src/server.rs
@@ -64,6 +64,16 @@
         }
     }
 
+    /// Whether the server is there after one of its connections broke.
+    ///
+    /// On HTTP/2 all requests share a connection, so that its end is the best sign of a crash.
+    pub async fn is_up(&self) -> bool {
+        match self {
+            Self::Http1(lines) => lines.is_up().await,
+            Self::Http2(_) => false,
+        }
+    }
+
     /// Sends one request; dropping the future cancels it.
     ///
     /// # Errors
--- a/components/upstream/tests/lines.rs
+++ b/components/upstream/tests/lines.rs
@@ -164,3 +164,14 @@
     assert!(sent.is_err(), "it was answered");
     assert!(closed.is_ok(), "the connection is still open");
 }
+
+#[compio::test]
+async fn server_up_after_a_broken_connection() {
+    let address = serve(vec![vec![""], vec![OK]]).await;
+    let lines = lines(address);
+    assert_eq!(exchange(&lines).await, Err(Cause::Broken));
+    assert!(lines.is_up().await, "it takes connections");
+    assert_eq!(exchange(&lines).await, Ok(Some("menu".into())));
+    let gone = self::lines("127.0.0.1:9".parse().expect("an address"));
+    assert!(!gone.is_up().await, "nobody listens");
+}
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -266,7 +266,7 @@
         let deadline = job.envelope.deadline;
         match compio::time::timeout_at(deadline, beside.server.send(request)).await {
             Ok(Ok(reply)) => serving.answer(reply, &sent, &job.envelope),
-            Ok(Err(failure)) => Err(serving.fail(failure, beside.instance)),
+            Ok(Err(failure)) => Err(serving.fail(failure, &beside).await),
             Err(_) => {
                 job.payload.abandon();
                 serving.expire();
--- a/node/src/call/owner/serving.rs
+++ b/node/src/call/owner/serving.rs
@@ -6,7 +6,7 @@
 use upstream::{Cause, Failure};
 
 use super::fingerprint::Fingerprint;
-use super::{Owner, Served, broken_body};
+use super::{Beside, Owner, Served, broken_body};
 use crate::call::{Dialect, Ended, Envelope, Headers, Problem, Reason, Source, Watch};
 
 /// A request that runs at the backend server.
@@ -64,7 +64,9 @@
     }
 
     /// The backend server did not answer.
-    pub(super) fn fail(&mut self, failure: Failure, instance: u64) -> Problem {
+    ///
+    /// A connection that broke has only lost the answer when the backend server is still there.
+    pub(super) async fn fail(&mut self, failure: Failure, beside: &Beside) -> Problem {
         let payload = &self.fingerprint.payload;
         if payload.fault().is_some() {
             return broken_body(payload, failure.outcome());
@@ -78,8 +80,10 @@
                 }
                 Problem::later(Reason::Shed)
             }
+            Cause::Broken if beside.server.is_up().await => failure.into(),
             Cause::Broken => {
-                self.owner.accuse(self.fingerprint.value(), instance, alone);
+                let fingerprint = self.fingerprint.value();
+                self.owner.accuse(fingerprint, beside.instance, alone);
                 Problem::unknown(Reason::Crashed)
             }
             _ => failure.into(),
