ctl: `explain` tells what became of a request, from the log lines of all processes

Cause: on-call engineers have only lines and metrics; the cause of the slow recovery had to be found with grep and sort.

Change: `radishgapctl explain ID [FILES]` orders the lines of one request over its ingress, owners and repeats, with what these processes believed just before.

Ruled out: a search by the id of an attempt between nodes; it extends the id of the request, so that one name finds both.

--- a/ctl/src/cli.rs
+++ b/ctl/src/cli.rs
@@ -33,6 +33,7 @@
             read(),
             dump(),
             moves(),
+            explain(),
         ])
 }
 
@@ -200,6 +201,19 @@
         .arg(operation_option())
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells what became of a request, from the log lines of all processes")
+        .arg(id())
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .num_args(0..)
+                .value_parser(value_parser!(path::PathBuf))
+                .help("Files of log lines; without any the standard input is read"),
+        )
+}
+
 fn file() -> Arg {
     Arg::new("file")
         .value_name("FILE")
--- a/ctl/src/cmd/mod.rs
+++ b/ctl/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod diff;
 mod dump;
+mod explain;
 mod moves;
 mod operation;
 mod read;
@@ -34,6 +35,9 @@
         return Err(usage("a command is missing"));
     };
     let globals = innermost(arguments);
+    if name == "explain" {
+        return explain::run(console(globals)?, arguments);
+    }
     let token = token(globals)?;
     let document = match name {
         "apply" | "diff" => Some(Document::load(one::<path::PathBuf>(arguments, "file")?)?),
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod document;
 mod exit;
 mod failure;
+pub mod story;
 pub mod view;
 
 pub use client::Client;
