admission: how long a request runs is known by route; a store that is lost is one line

Cause: the owner judged every request by one mean of all that it runs.

Change: `Runtimes` by route, the route's hash in the envelope; `Urgency` carries the expected time. Lost and regained watches are one line each.

Test: `admit_short_request_among_long_ones`, refused by the mean before.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -9,8 +9,9 @@
 use membership::Phase;
 use serde::Serialize;
 
+use crate::runtimes::Runtimes;
 use crate::waiting::Waiting;
-use crate::{Announced, Limit, Permit, Queue, Reason, Refusal, Settings, Urgency};
+use crate::{Announced, Limit, Permit, Reason, Refusal, Settings, Urgency};
 
 /// Decides when a request may run at the backend server; clones share the state.
 #[derive(Clone)]
@@ -26,6 +27,7 @@
 struct State {
     announced: Option<Announced>,
     limit: Limit,
+    runtimes: Runtimes,
     running: usize,
     /// A request runs alone, or waits for the others to end so that it can.
     alone: bool,
@@ -37,6 +39,8 @@
 }
 
 struct Waiter {
+    /// Hash of the route's name.
+    route: u64,
     sender: oneshot::Sender<Result<Permit, Refusal>>,
 }
 
@@ -49,8 +53,14 @@
     pub service: CompactString,
     /// Version that it is meant for.
     pub version: CompactString,
-    /// How urgent it is.
-    pub urgency: Urgency,
+    /// Hash of its route's name.
+    pub route: u64,
+    /// Rank of its route; zero goes first.
+    pub priority: u32,
+    /// When an answer is wanted.
+    pub target: time::Instant,
+    /// When it has to be finished.
+    pub deadline: time::Instant,
     /// Whether nothing may run beside it.
     pub alone: bool,
 }
@@ -112,6 +122,7 @@
         let state = State {
             announced: None,
             limit,
+            runtimes: Runtimes::default(),
             running: 0,
             alone: false,
             waiting: Waiting::new(settings.order),
@@ -204,10 +215,7 @@
             Entered::Now(permit) => return Ok(permit),
             Entered::Later(receiver) => receiver,
         };
-        let left = ask
-            .urgency
-            .deadline
-            .saturating_duration_since(time::Instant::now());
+        let left = ask.deadline.saturating_duration_since(time::Instant::now());
         let wait = left.min(self.shared.settings.queue_wait.0);
         match compio::time::timeout(wait, receiver).await {
             Ok(Ok(admitted)) => admitted,
@@ -227,11 +235,24 @@
         state.check_time(ask, now)?;
         if state.has_room(ask.alone) {
             state.take(ask.alone);
-            return Ok(Entered::Now(Permit::new(self.clone(), ask.alone, now)));
+            return Ok(Entered::Now(Permit::new(
+                self.clone(),
+                ask.route,
+                ask.alone,
+                now,
+            )));
         }
         state.limit.reach();
         let (sender, receiver) = oneshot::channel();
-        let evicted = state.enqueue(ask, Waiter { sender }, &self.shared.settings, now);
+        let evicted = state.enqueue(
+            ask,
+            Waiter {
+                route: ask.route,
+                sender,
+            },
+            &self.shared.settings,
+            now,
+        );
         let retry_after = state.retry_after();
         drop(state);
         if let Some(evicted) = evicted {
@@ -244,9 +265,8 @@
     /// Refuses those who wait in vain because enough others wait that can still be in time.
     fn shed_late(&self) {
         let mut state = self.shared.state.borrow_mut();
-        let due = state.due(time::Instant::now());
         let enough = state.limit.current();
-        let shed = state.waiting.shed_late(due, enough);
+        let shed = state.waiting.shed_late(time::Instant::now(), enough);
         state.counts.refused_late += shed.len() as u64;
         let refusals: Vec<_> = shed
             .into_iter()
@@ -266,14 +286,16 @@
             let Some((waiter, alone)) = next else {
                 return;
             };
-            let permit = Permit::new(self.clone(), alone, time::Instant::now());
+            let permit = Permit::new(self.clone(), waiter.route, alone, time::Instant::now());
             // A waiter that has gone gives its permit back, which lets the next one through.
             let _ = waiter.sender.send(Ok(permit));
         }
     }
 
-    pub(crate) fn answered(&self, latency: time::Duration) {
-        self.shared.state.borrow_mut().limit.answer(latency);
+    pub(crate) fn answered(&self, route: u64, latency: time::Duration) {
+        let mut state = self.shared.state.borrow_mut();
+        state.limit.answer(latency);
+        state.runtimes.add(route, latency);
     }
 
     pub(crate) fn shed(&self) {
@@ -312,14 +334,14 @@
 
     /// Refuses what cannot be finished by its deadline.
     fn check_time(&mut self, ask: &Ask, now: time::Instant) -> Result<(), Refusal> {
-        let left = ask.urgency.deadline.saturating_duration_since(now);
+        let left = ask.deadline.saturating_duration_since(now);
         let wait = if self.has_room(ask.alone) {
             time::Duration::ZERO
         } else {
-            self.expected_wait(&ask.urgency, now)
+            self.expected_wait(&self.urgency(ask), now)
         };
-        // Half of the usual latency: a refusal should be right far more often than not.
-        let needed = wait + self.limit.latency() / 2;
+        // Half of the usual time: a refusal should be right far more often than not.
+        let needed = wait + self.runtimes.expected(ask.route) / 2;
         if left.is_zero() || needed > left {
             self.counts.refused_late += 1;
             return Err(Refusal::new(Reason::Late, self.retry_after()));
@@ -327,14 +349,18 @@
         Ok(())
     }
 
-    /// When a request that starts now would be answered.
-    fn due(&self, now: time::Instant) -> time::Instant {
-        Queue::<Waiter>::due(now, self.limit.latency())
+    fn urgency(&self, ask: &Ask) -> Urgency {
+        Urgency {
+            priority: ask.priority,
+            target: ask.target,
+            deadline: ask.deadline,
+            expected: self.runtimes.expected(ask.route),
+        }
     }
 
     /// Wait of a request of this urgency.
     fn expected_wait(&self, urgency: &Urgency, now: time::Instant) -> time::Duration {
-        self.wait_behind(self.waiting.ahead(urgency, self.due(now)))
+        self.wait_behind(self.waiting.ahead(urgency, now))
     }
 
     /// Time until room is expected for one that comes back behind all who wait, spread so that those
@@ -400,9 +426,8 @@
                 .as_ref()
                 .map_or(1, |one| one.backend.slots.max(1));
             let limit = slots.saturating_mul(settings.queue_slots.max(1)) as usize;
-            let due = self.due(now);
-            self.waiting
-                .push(&ask.caller, ask.urgency, waiter, limit, due)
+            let urgency = self.urgency(ask);
+            self.waiting.push(&ask.caller, urgency, waiter, limit, now)
         };
         self.counts.queued += 1;
         self.counts.refused_full += u64::from(evicted.is_some());
@@ -448,8 +473,7 @@
             return None;
         }
         loop {
-            let due = self.due(time::Instant::now());
-            let waiter = self.waiting.pop(due)?;
+            let waiter = self.waiting.pop(time::Instant::now())?;
             if !waiter.sender.is_canceled() {
                 self.take(false);
                 return Some((waiter, false));
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -11,6 +11,7 @@
 mod reason;
 mod records;
 mod refusal;
+mod runtimes;
 mod settings;
 mod sharing;
 mod suspects;
--- a/components/admission/src/permit.rs
+++ b/components/admission/src/permit.rs
@@ -8,14 +8,17 @@
 #[must_use]
 pub struct Permit {
     gate: Gate,
+    /// Hash of the route's name.
+    route: u64,
     alone: bool,
     started: time::Instant,
 }
 
 impl Permit {
-    pub(crate) fn new(gate: Gate, alone: bool, started: time::Instant) -> Self {
+    pub(crate) fn new(gate: Gate, route: u64, alone: bool, started: time::Instant) -> Self {
         Self {
             gate,
+            route,
             alone,
             started,
         }
@@ -30,7 +33,7 @@
     /// The backend server answered whole.
     pub fn finish(self, now: time::Instant) {
         let latency = now.saturating_duration_since(self.started);
-        self.gate.answered(latency);
+        self.gate.answered(self.route, latency);
     }
 
     /// The backend server refused it.
--- a/components/admission/src/urgency.rs
+++ b/components/admission/src/urgency.rs
@@ -12,6 +12,20 @@
         pub target: time::Instant,
         /// When it has to be finished.
         pub deadline: time::Instant,
+        /// Time that requests of its route usually run.
+        pub expected: time::Duration,
+    }
+}
+
+impl Urgency {
+    /// Usual times within which an answer is counted on: with one, half of those that are let
+    /// through at the last moment would be late.
+    const TIMES: u32 = 2;
+
+    /// Whether it can no longer be counted on to meet its target when it starts at `now`.
+    #[must_use]
+    pub fn is_late(&self, now: time::Instant) -> bool {
+        now + self.expected * Self::TIMES > self.target
     }
 }
 
@@ -34,16 +48,6 @@
 }
 
 impl<T> Queue<T> {
-    /// Mean latencies within which an answer is counted on: with one, half of those that are let
-    /// through at the last moment would be late.
-    const LATENCIES: u32 = 2;
-
-    /// When a request that starts at `start` is certain enough to be answered.
-    #[must_use]
-    pub fn due(start: time::Instant, latency: time::Duration) -> time::Instant {
-        start + latency * Self::LATENCIES
-    }
-
     /// Number of waiting elements.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -62,30 +66,30 @@
         urgency: Urgency,
         element: T,
         limit: usize,
-        due: time::Instant,
+        now: time::Instant,
     ) -> Option<T> {
         self.entries.push((urgency, element));
         if self.entries.len() <= limit {
             return None;
         }
         let ranked = self.entries.iter().enumerate();
-        let last = ranked.max_by_key(|(_, entry)| rank(&entry.0, due));
+        let last = ranked.max_by_key(|(_, entry)| rank(&entry.0, now));
         let place = last.map(|(place, _)| place)?;
         Some(self.entries.remove(place).1)
     }
 
-    /// Takes the most urgent element; `due` is when it would be answered.
-    pub fn pop(&mut self, due: time::Instant) -> Option<T> {
+    /// Takes the most urgent element.
+    pub fn pop(&mut self, now: time::Instant) -> Option<T> {
         let ranked = self.entries.iter().enumerate();
-        let first = ranked.min_by_key(|(_, entry)| rank(&entry.0, due));
+        let first = ranked.min_by_key(|(_, entry)| rank(&entry.0, now));
         let place = first.map(|(place, _)| place)?;
         Some(self.entries.remove(place).1)
     }
 
     /// Takes out what cannot be in time any more, where `enough` elements wait that can: it would
     /// only wait longer for its refusal.
-    pub fn shed_late(&mut self, due: time::Instant, enough: usize) -> Vec<T> {
-        let is_late = |entry: &(Urgency, T)| due > entry.0.target;
+    pub fn shed_late(&mut self, now: time::Instant, enough: usize) -> Vec<T> {
+        let is_late = |entry: &(Urgency, T)| entry.0.is_late(now);
         let late = self.entries.iter().filter(|entry| is_late(entry)).count();
         if late == 0 || self.entries.len() - late < enough {
             return Vec::new();
@@ -96,9 +100,9 @@
 
     /// Elements that go before one of this urgency.
     #[must_use]
-    pub fn ahead(&self, urgency: &Urgency, due: time::Instant) -> usize {
-        let own = rank(urgency, due);
-        let ranks = self.entries.iter().map(|entry| rank(&entry.0, due));
+    pub fn ahead(&self, urgency: &Urgency, now: time::Instant) -> usize {
+        let own = rank(urgency, now);
+        let ranks = self.entries.iter().map(|entry| rank(&entry.0, now));
         ranks.filter(|rank| *rank <= own).count()
     }
 
@@ -109,8 +113,8 @@
 }
 
 /// Rank in the queue, the lowest first: those in time, by priority, by when they are due.
-fn rank(urgency: &Urgency, due: time::Instant) -> (bool, u32, time::Instant) {
-    let late = due > urgency.target;
+fn rank(urgency: &Urgency, now: time::Instant) -> (bool, u32, time::Instant) {
+    let late = urgency.is_late(now);
     let by = if late {
         urgency.deadline
     } else {
--- a/components/admission/src/waiting.rs
+++ b/components/admission/src/waiting.rs
@@ -53,34 +53,34 @@
         urgency: Urgency,
         element: T,
         limit: usize,
-        due: time::Instant,
+        now: time::Instant,
     ) -> Option<T> {
         match self {
             Self::Callers(lanes) => lanes.push(caller, element, limit),
-            Self::Urgency(queue) => queue.push(urgency, element, limit, due),
+            Self::Urgency(queue) => queue.push(urgency, element, limit, now),
         }
     }
 
-    pub(crate) fn pop(&mut self, due: time::Instant) -> Option<T> {
+    pub(crate) fn pop(&mut self, now: time::Instant) -> Option<T> {
         match self {
             Self::Callers(lanes) => lanes.pop(),
-            Self::Urgency(queue) => queue.pop(due),
+            Self::Urgency(queue) => queue.pop(now),
         }
     }
 
     /// Takes out what would only wait longer for its refusal.
-    pub(crate) fn shed_late(&mut self, due: time::Instant, enough: usize) -> Vec<T> {
+    pub(crate) fn shed_late(&mut self, now: time::Instant, enough: usize) -> Vec<T> {
         match self {
             Self::Callers(_) => Vec::new(),
-            Self::Urgency(queue) => queue.shed_late(due, enough),
+            Self::Urgency(queue) => queue.shed_late(now, enough),
         }
     }
 
     /// Elements that go before one of this urgency.
-    pub(crate) fn ahead(&self, urgency: &Urgency, due: time::Instant) -> usize {
+    pub(crate) fn ahead(&self, urgency: &Urgency, now: time::Instant) -> usize {
         match self {
             Self::Callers(lanes) => lanes.len(),
-            Self::Urgency(queue) => queue.ahead(urgency, due),
+            Self::Urgency(queue) => queue.ahead(urgency, now),
         }
     }
 
--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -27,11 +27,10 @@
         caller: "c".into(),
         service: "menus".into(),
         version: "v1".into(),
-        urgency: admission::Urgency {
-            priority: 0,
-            target: Instant::now() + left,
-            deadline: Instant::now() + left,
-        },
+        route: 1,
+        priority: 0,
+        target: Instant::now() + left,
+        deadline: Instant::now() + left,
         alone,
     }
 }
@@ -205,3 +204,21 @@
     drop((other, slow, more));
     assert_eq!(quota.total(), 0);
 }
+
+#[compio::test]
+async fn admit_short_request_among_long_ones() {
+    let gate = gate(4);
+    gate.announce(Some(&announced(Phase::Ready, "v1", 4)));
+    let long = Duration::from_millis(200);
+    for _ in 0..20 {
+        let permit = gate.admit(&ask(false, LONG)).await.expect("there is room");
+        permit.finish(Instant::now() + long);
+    }
+    // Half of the time that the long ones take is left, and far more than the short ones take.
+    let short = Ask {
+        route: 2,
+        ..ask(false, long / 4)
+    };
+    let admitted = gate.admit(&short).await;
+    assert!(admitted.is_ok(), "{:?}", admitted.err());
+}
--- a/components/admission/tests/urgency.rs
+++ b/components/admission/tests/urgency.rs
@@ -31,13 +31,7 @@
                 _ => break,
             };
             running.pop();
-            let latency = Duration::from_secs_f64(WORK_MS / 1_000.0);
-            let due = if first_come {
-                free
-            } else {
-                Queue::<Urgency>::due(free, latency)
-            };
-            if let Some(next) = queue.pop(due) {
+            if let Some(next) = queue.pop(free) {
                 in_time += run(&next, free, &mut running, &mut rng);
             }
         }
@@ -52,6 +46,11 @@
             priority: 0,
             target,
             deadline: now + DEADLINE,
+            expected: if first_come {
+                Duration::ZERO
+            } else {
+                Duration::from_secs_f64(WORK_MS / 1_000.0)
+            },
         };
         if running.len() < SLOTS {
             in_time += run(&asked, now, &mut running, &mut rng);
@@ -108,6 +107,7 @@
         priority,
         target: at(target),
         deadline: at(deadline),
+        expected: Duration::from_millis(50),
     };
     let cases = [
         (
@@ -127,9 +127,9 @@
         for pair in [[first, second], [second, first]] {
             let mut queue = Queue::default();
             for one in pair {
-                assert_eq!(queue.push(one, one, 10, at(100)), None);
+                assert_eq!(queue.push(one, one, 10, now), None);
             }
-            assert_eq!(queue.pop(at(100)), Some(first), "{name}");
+            assert_eq!(queue.pop(now), Some(first), "{name}");
         }
     }
 }
@@ -144,8 +144,9 @@
             priority: 0,
             target: at(target),
             deadline: at(900),
+            expected: Duration::from_millis(50),
         };
-        let dropped = queue.push(urgency, name, 2, at(100));
+        let dropped = queue.push(urgency, name, 2, now);
         assert_eq!(dropped, (name == "b").then_some("late"));
     }
 }
@@ -161,9 +162,10 @@
                 priority: 0,
                 target: at(target),
                 deadline: at(900),
+                expected: Duration::from_millis(50),
             };
-            assert_eq!(queue.push(urgency, name, 10, at(100)), None);
+            assert_eq!(queue.push(urgency, name, 10, now), None);
         }
-        assert_eq!(queue.shed_late(at(100), enough), shed);
+        assert_eq!(queue.shed_late(now, enough), shed);
     }
 }
--- a/components/distribution/src/mirror.rs
+++ b/components/distribution/src/mirror.rs
@@ -57,6 +57,8 @@
     holder: Holder,
     settings: Settings,
     counts: Handle,
+    /// Since when the object cannot be watched.
+    lost: cell::Cell<Option<time::Instant>>,
 }
 
 /// Figures of a mirror; clones read the same.
@@ -103,6 +105,7 @@
             holder,
             settings,
             counts: Handle::default(),
+            lost: cell::Cell::new(None),
         }
     }
 
@@ -122,6 +125,10 @@
     async fn follow(&self, backoff: &mut Backoff) -> Result<(), Error> {
         let mut from = self.read().await?;
         backoff.reset();
+        if let Some(lost) = self.lost.take() {
+            let gone = u64::try_from(lost.elapsed().as_millis()).unwrap_or(u64::MAX);
+            log::info!(event = "store-regained", reader = "mirror", gone_ms = gone; "the configuration is watched again");
+        }
         loop {
             let wait = self.settings.watch_wait.0;
             let events = self.store.watch(self.prefix(), from, wait).await?;
@@ -170,15 +177,14 @@
     async fn run(self, stop: kernel::Stop) {
         let (least, most) = (self.settings.retry_least.0, self.settings.retry_most.0);
         let mut backoff = Backoff::new(least, most);
-        let mut failed_at: Option<time::Instant> = None;
         while let Some(ended) = stop.guard(self.follow(&mut backoff)).await {
             let Err(error) = ended else {
                 continue;
             };
             self.counts.count(|counts| counts.failed += 1);
-            if !matches!(error, Error::Gone) {
-                log::warn!(error:% = error, known = failed_at.is_some(); "the configuration cannot be watched");
-                failed_at.get_or_insert_with(time::Instant::now);
+            if error != Error::Gone && self.lost.get().is_none() {
+                self.lost.set(Some(time::Instant::now()));
+                log::warn!(event = "store-lost", reader = "mirror", error:% = error; "the configuration cannot be watched");
             }
             let least = match error {
                 Error::Throttled(least) => least.min(most),
--- a/components/moves/src/canary/service.rs
+++ b/components/moves/src/canary/service.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use super::trial::Trial;
+use super::trial::{Trial, millis};
 use super::{Order, Phase, Recorder, Source};
 
 /// Name under which nodes exchange reports.
@@ -77,6 +77,8 @@
     recorder: Recorder,
     /// Number of this start of the node.
     life: u64,
+    /// Since when the orders cannot be watched.
+    lost: cell::Cell<Option<time::Instant>>,
     /// When the orders were read first.
     listed: cell::Cell<Option<time::Instant>>,
     /// When the other nodes were known first.
@@ -91,6 +93,7 @@
             parts,
             recorder: Recorder::default(),
             life: rand::random(),
+            lost: cell::Cell::new(None),
             listed: cell::Cell::new(None),
             joined: cell::Cell::new(None),
         };
@@ -144,8 +147,10 @@
         while let Some(ended) = stop.guard(self.follow(&mut backoff)).await {
             if let Err(error) = ended
                 && error != Error::Gone
+                && self.lost.get().is_none()
             {
-                log::warn!(error:% = error; "the orders cannot be watched");
+                self.lost.set(Some(time::Instant::now()));
+                log::warn!(event = "store-lost", reader = NAME, error:% = error; "the orders cannot be watched");
             }
             if !stop.sleep(backoff.next_wait(&mut rand::rng())).await {
                 return;
@@ -163,6 +168,9 @@
             self.listed.set(Some(time::Instant::now()));
         }
         backoff.reset();
+        if let Some(lost) = self.lost.take() {
+            log::info!(event = "store-regained", reader = NAME, gone_ms = millis(lost.elapsed()); "the orders are watched again");
+        }
         let mut from = listing.revision;
         loop {
             let wait = self.parts.settings.watch_wait.0;
--- a/components/moves/src/canary/trial.rs
+++ b/components/moves/src/canary/trial.rs
@@ -193,7 +193,8 @@
     }
 }
 
-fn millis(duration: time::Duration) -> u64 {
+/// Whole milliseconds.
+pub(super) fn millis(duration: time::Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -13,6 +13,8 @@
         pub request: CompactString,
         /// When the answer has to be whole.
         pub deadline: time::Instant,
+        /// Hash of its route's name.
+        pub route: u64,
         /// When an answer is wanted; one that comes later is worth little.
         pub target: time::Instant,
         /// Rank of its route among those of the service; zero is the most urgent.
@@ -86,6 +88,7 @@
         Headers::set(headers, Headers::CALLER, &self.caller);
         let wanted = self.target.saturating_duration_since(now);
         Headers::set_number(headers, Headers::TARGET_MS, millis(wanted));
+        Headers::set_number(headers, Headers::ROUTE, self.route);
         Headers::set_number(headers, Headers::PRIORITY, self.priority.into());
         if self.suspect {
             Headers::set(headers, Headers::SUSPECT, "1");
@@ -144,6 +147,7 @@
             request: text(Headers::REQUEST)?,
             deadline,
             target: wanted.unwrap_or(deadline),
+            route: Headers::number(headers, &Headers::ROUTE).unwrap_or_default(),
             priority: small(Headers::PRIORITY).unwrap_or_default(),
             attempt: small(Headers::ATTEMPT).ok_or_else(missing)?,
             depth: small(Headers::DEPTH).ok_or_else(missing)?,
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -34,6 +34,8 @@
     pub const CALLER: HeaderName = HeaderName::from_static("radishgap-caller");
     /// Between nodes: time left until an answer is wanted, in milliseconds.
     pub const TARGET_MS: HeaderName = HeaderName::from_static("radishgap-target-ms");
+    /// Between nodes: hash of the name of the request's route.
+    pub const ROUTE: HeaderName = HeaderName::from_static("radishgap-route");
     /// Between nodes: rank of the request's route.
     pub const PRIORITY: HeaderName = HeaderName::from_static("radishgap-priority");
     /// Between nodes: only the recorded end of the key's request is wanted.
@@ -50,7 +52,8 @@
     pub const LOAD: HeaderName = HeaderName::from_static("radishgap-load");
 
     /// Headers of ours that only nodes exchange.
-    const INTERNAL: [HeaderName; 10] = [
+    const INTERNAL: [HeaderName; 11] = [
+        Self::ROUTE,
         Self::TARGET_MS,
         Self::PRIORITY,
         Self::SERVICE,
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -376,6 +376,7 @@
                 .deadline
                 .checked_sub(margin)
                 .unwrap_or(arrival.deadline),
+            route: hash_key(&arrival.route.name),
             target: arrival.target,
             priority: arrival.route.priority,
             attempt: arrival.attempt.saturating_add(attempts - 1),
@@ -627,7 +628,7 @@
     response
 }
 
-/// Hash of an idempotency key.
+/// Hash of an idempotency key or of a route's name.
 fn hash_key(key: &str) -> u64 {
     xxh3::xxh3_64(key.as_bytes())
 }
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -285,11 +285,10 @@
             caller: job.envelope.caller.clone(),
             service: job.envelope.service.clone(),
             version: job.envelope.version.clone(),
-            urgency: admission::Urgency {
-                priority: job.envelope.priority,
-                target: job.envelope.target,
-                deadline: job.envelope.deadline,
-            },
+            route: job.envelope.route,
+            priority: job.envelope.priority,
+            target: job.envelope.target,
+            deadline: job.envelope.deadline,
             alone,
         };
         Ok(Some(self.shared.gate.admit(&ask).await?))
