call: an owner that has refused a request at once is not asked again for it

Change: it goes back only to an owner where the request has waited, or after a failure that was no refusal.

Ruled out: coming back never; `drain_gives_nothing_new` needs it after a wait.

Test: `refusal_is_not_asked_for_twice`, three attempts before.

--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -243,7 +243,7 @@
         let mut trail = Trail::default();
         self.earn(arrival);
         loop {
-            let target = self.choose(arrival, &trail.tried, trail.closed.as_ref())?;
+            let target = self.choose(arrival, &trail)?;
             let attempts = trail.attempts() + 1;
             let envelope = self.envelope(arrival, &target.endpoint, attempts, trail.suspect, None);
             let endpoint = target.endpoint.clone();
@@ -265,6 +265,7 @@
                 Err(problem) => problem,
             };
             trail.reached += u32::from(problem.reason.is_from_backend());
+            trail.last = Some(problem);
             let withheld = problem.reason.is(Reason::Withheld);
             if withheld && trail.closed.is_none() && arrival.payload.is_replayable() {
                 // Sent elsewhere once, which is no retry: nothing has run or failed.
--- a/node/src/call/ingress/selection.rs
+++ b/node/src/call/ingress/selection.rs
@@ -7,6 +7,7 @@
 use config::Service;
 use routing::{Endpoint, Group, Observer};
 
+use super::trail::Trail;
 use super::{Arrival, Dialect, Ingress, Problem, Reason, State, Target, hash_key};
 
 /// The owner that runs a request with a key, and the owners that may have run it before.
@@ -38,23 +39,21 @@
 }
 
 impl<L: peer::Link, O: Observer, D: Dialect> Ingress<L, O, D> {
-    /// Chooses where the next attempt goes; not to a node of `tried` where there is another, and
-    /// never to the version `closed`, which its owner has refused as withheld.
-    pub(super) fn choose(
-        &self,
-        arrival: &Arrival,
-        tried: &[units::Node],
-        closed: Option<&CompactString>,
-    ) -> Result<Target, Problem> {
+    /// Chooses where the next attempt goes; not to a node that had it where there is another, and
+    /// never to a version that its owner has refused as withheld.
+    pub(super) fn choose(&self, arrival: &Arrival, trail: &Trail) -> Result<Target, Problem> {
         let now = time::Instant::now();
-        let group = self.draw_group(arrival, rand::random(), closed)?;
+        let group = self.draw_group(arrival, rand::random(), trail.closed.as_ref())?;
         let policy = &self.shared.context.settings.choice;
         let bytes = arrival.usual.bytes();
-        let endpoint = routing::choose(&group, tried, bytes, policy, now, &mut rand::rng());
-        // With every backend server tried, the first one may be better by now.
-        let endpoint =
-            endpoint.or_else(|| routing::choose(&group, &[], bytes, policy, now, &mut rand::rng()));
-        let endpoint = endpoint.ok_or_else(none_left)?;
+        let among = |tried| routing::choose(&group, tried, bytes, policy, now, &mut rand::rng());
+        let fresh = among(&trail.tried).filter(|one| !trail.tried.contains(&one.node));
+        let endpoint = match fresh {
+            Some(endpoint) => endpoint,
+            // With every backend server tried, the first one may be better by now.
+            None if trail.may_come_back() => among(&[]).ok_or_else(none_left)?,
+            None => return Err(trail.last.unwrap_or_else(none_left)),
+        };
         Ok(Target {
             endpoint,
             group: Some(group),
--- a/node/src/call/ingress/trail.rs
+++ b/node/src/call/ingress/trail.rs
@@ -2,6 +2,8 @@
 
 use compact_str::CompactString;
 
+use crate::call::{Problem, Reason};
+
 /// Where a request has been sent so far.
 #[derive(Default)]
 pub(super) struct Trail {
@@ -9,6 +11,8 @@
     pub(super) tried: Vec<units::Node>,
     /// Attempts that reached a backend server.
     pub(super) reached: u32,
+    /// How the last attempt ended, where that was without an answer.
+    pub(super) last: Option<Problem>,
     /// It was on a backend server that crashed.
     pub(super) suspect: bool,
     /// A version whose owner has refused it as withheld.
@@ -16,6 +20,14 @@
 }
 
 impl Trail {
+    /// Whether a node may get it once more when all have had it: an owner that is well and has
+    /// refused it at once would refuse it again; one where it has waited may have room by now.
+    pub(super) fn may_come_back(&self) -> bool {
+        let waited = Reason::Refused(admission::Reason::Waited);
+        self.last
+            .is_none_or(|problem| !problem.reason.is_refusal() || problem.reason.is(waited))
+    }
+
     /// Attempts made so far.
     pub(super) fn attempts(&self) -> u32 {
         u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
--- a/node/tests/call/limits.rs
+++ b/node/tests/call/limits.rs
@@ -143,3 +143,18 @@
     }
     assert_eq!((old.total(), bad.total()), (24, 0));
 }
+
+/// An owner that has refused a request at once is not asked again for it.
+#[compio::test]
+async fn refusal_is_not_asked_for_twice() {
+    let backend = Backend::default();
+    let (address, _stop) = backend.start().await;
+    let mut fleet = Fleet::start(&[address]).await;
+    let ingress = fleet.add_ingress().await;
+    // The owner stops, and the ingress has not heard of it.
+    fleet.nodes[0].owner.stop();
+    let caller = Caller::open(fleet.nodes[ingress].callers).await;
+    let got = caller.send("GET", "/menu").await;
+    assert_eq!((got.status, got.outcome.as_str()), (503, "not-run"));
+    assert_eq!(fleet.nodes[ingress].ingress.counts().attempts, 1);
+}
