--- /dev/null
+++ b/node/src/call/ingress/handling.rs
@@ -0,0 +1,87 @@
+//! Answers the requests of callers.
+
+use std::time;
+
+use compact_str::format_compact;
+use hyper::body::Incoming;
+use routing::Observer;
+use upstream::{Outcome, Payload};
+
+use super::passage::Passage;
+use super::{Answer, Dialect, Ingress, Problem};
+use crate::call::Download;
+use crate::call::event::Event;
+use crate::call::owner::respond;
+
+/// Counts a request whose caller goes away before its answer.
+struct Gone<'i, L: peer::Link, O: Observer, D: Dialect> {
+    ingress: &'i Ingress<L, O, D>,
+    payload: Option<Payload>,
+}
+
+impl<L: peer::Link, O: Observer, D: Dialect> Drop for Gone<'_, L, O, D> {
+    fn drop(&mut self) {
+        if let Some(payload) = self.payload.take() {
+            self.ingress.count(|counts| counts.cancelled += 1);
+            payload.abandon();
+        }
+    }
+}
+
+impl<L: peer::Link, O: Observer, D: Dialect> web::Handler for Ingress<L, O, D> {
+    type Body = Download<Passage<L, O, D>>;
+
+    async fn handle(self, request: http::Request<Incoming>) -> http::Response<Self::Body> {
+        self.count(|counts| counts.requests += 1);
+        let dialect = self.shared.context.dialect.clone();
+        let (head, body) = request.into_parts();
+        let asked = dialect.read(&head);
+        let given = asked.as_ref().ok().and_then(|asked| asked.id.clone());
+        let id = given
+            .unwrap_or_else(|| format_compact!("{:x}-{:x}", self.shared.origin, self.next_id()));
+        let request = http::Request::from_parts(head, body);
+        let arrived = asked.map_err(Problem::refused);
+        let arrived = arrived.and_then(|asked| self.arrive(request, &id, asked));
+        let answer = match arrived {
+            Ok(arrival) => {
+                let payload = Some(arrival.payload.clone());
+                let mut gone = Gone {
+                    ingress: &self,
+                    payload,
+                };
+                let deadline = arrival.deadline;
+                let served = self.serve(&arrival).await;
+                gone.payload = None;
+                if let Err(problem) = &served {
+                    Event::Ended(problem).log(&self.inputs(&arrival, 0));
+                }
+                served.map(|answer| (answer, deadline))
+            }
+            Err(problem) => Err(problem),
+        };
+        match answer {
+            Ok((answer, deadline)) => complete(&dialect, answer, deadline, &id),
+            Err(problem) => {
+                self.count(|counts| match problem.outcome {
+                    Outcome::NotRun => counts.not_run += 1,
+                    Outcome::Unknown | Outcome::Ran => counts.unknown += 1,
+                });
+                respond(dialect.answer(&problem, &id))
+            }
+        }
+    }
+}
+
+/// The answer as its caller gets it.
+fn complete<L: peer::Link, O: Observer, D: Dialect>(
+    dialect: &D,
+    answer: Answer<L, O, D>,
+    deadline: time::Instant,
+    id: &str,
+) -> http::Response<Download<Passage<L, O, D>>> {
+    let download = Download::new(answer.source, Some(answer.passage), deadline);
+    let mut response = http::Response::from_parts(answer.parts, download);
+    *response.version_mut() = http::Version::HTTP_11;
+    dialect.finish(response.headers_mut(), id);
+    response
+}
--- /dev/null
+++ b/node/src/call/ingress/state.rs
@@ -0,0 +1,51 @@
+//! What an ingress holds and knows.
+
+use std::rc;
+
+use compact_str::CompactString;
+use routing::{Directory, Rotation, Table, Usual};
+use upstream::Budget;
+
+use crate::call::Retry;
+
+/// What an ingress holds and knows.
+pub(super) struct State {
+    pub(super) table: rc::Rc<Table>,
+    pub(super) directory: Directory,
+    pub(super) rotation: Rotation,
+    /// The versions of the last view were taken over with all moves known.
+    pub(super) settled: bool,
+    /// Sorted by service.
+    pub(super) budgets: Vec<(CompactString, Budget)>,
+    /// Usual latencies, sorted by route.
+    pub(super) usual: Vec<(CompactString, rc::Rc<Usual>)>,
+}
+
+impl State {
+    /// The usual latency of the route called `name`.
+    pub(super) fn usual(&mut self, name: &CompactString) -> rc::Rc<Usual> {
+        match self.usual.binary_search_by(|one| one.0.cmp(name)) {
+            Ok(place) => self.usual[place].1.clone(),
+            Err(place) => {
+                let usual = rc::Rc::new(Usual::default());
+                self.usual.insert(place, (name.clone(), usual.clone()));
+                usual
+            }
+        }
+    }
+
+    /// Forgets the usual latencies of routes that are gone.
+    pub(super) fn forget_routes(&mut self, snapshot: &config::Snapshot) {
+        self.usual.retain(|one| snapshot.route(&one.0).is_some());
+    }
+
+    pub(super) fn budget(&mut self, service: &CompactString, retry: &Retry) -> &mut Budget {
+        let place = self.budgets.binary_search_by(|one| one.0.cmp(service));
+        let place = place.unwrap_or_else(|place| {
+            let budget = Budget::new(retry.ratio, retry.saved);
+            self.budgets.insert(place, (service.clone(), budget));
+            place
+        });
+        &mut self.budgets[place].1
+    }
+}
