--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -48,7 +48,7 @@
 /// Lines that may wait for the writer.
 const WAITING_LINES: usize = 2_048;
 /// Lines a second of one process; errors are written beyond that.
-const LINES_A_SECOND: u32 = 200;
+const LINES_A_SECOND: u32 = 50;
 
 /// Starts logging for `process`; a second call changes nothing.
 pub fn start_logs(process: &str, level: Level) {
--- a/components/telemetry/src/sink.rs
+++ b/components/telemetry/src/sink.rs
@@ -64,16 +64,29 @@
     }
 }
 
+/// Bytes that are written at once.
+const BATCH_BYTES: usize = 64 * 1024;
+/// Pause between two writes, in which lines gather: waking up for each line costs more than the line.
+const PAUSE: time::Duration = time::Duration::from_millis(20);
+
 fn write(mut output: impl io::Write, lines: &mpsc::Receiver<Vec<u8>>, shared: &Shared) {
-    while let Ok(line) = lines.recv() {
+    while let Ok(mut batch) = lines.recv() {
+        let mut taken = 1;
+        while batch.len() < BATCH_BYTES
+            && let Ok(line) = lines.try_recv()
+        {
+            batch.extend_from_slice(&line);
+            taken += 1;
+        }
         // A closed output leaves nowhere to report to.
-        let _ = output.write_all(&line);
+        let _ = output.write_all(&batch);
         let dropped = shared.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
             let told = format!("{{\"event\":\"log-lines-dropped\",\"count\":{dropped}}}\n");
             let _ = output.write_all(told.as_bytes());
         }
         let _ = output.flush();
-        shared.waiting.fetch_sub(1, Ordering::Relaxed);
+        shared.waiting.fetch_sub(taken, Ordering::Relaxed);
+        thread::sleep(PAUSE);
     }
 }
