telemetry: lines about requests have a quota of their own

Cause of the red soak_short: the soak reads from each node's log which version it has in force. Under load the lines about refused requests took the whole quota of 50 lines a second, and the line "configuration in force" was left out, so that the soak held the node to be behind. The nodes were not. Lines that say what a process believes must not be pushed out by lines about single requests.

Test first: quotas_flooded_by_requests failed with one quota for both.

Ruled out: processor time.

--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -3,9 +3,11 @@
 mod logs;
 mod metrics;
 mod quota;
+mod quotas;
 mod sink;
 
 pub use logs::{Level, start_logs};
 pub use metrics::{Error, Metrics};
 pub use quota::Quota;
+pub use quotas::{Quotas, REQUESTS};
 pub use sink::Sink;
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use simplelog::{LevelFilter, SharedLogger};
 
-use crate::{Quota, Sink};
+use crate::{Quotas, Sink};
 
 /// Least severe level that is written.
 #[derive(
@@ -47,8 +47,6 @@
 
 /// Lines that may wait for the writer.
 const WAITING_LINES: usize = 2_048;
-/// Lines a second of one process; errors are written beyond that.
-const LINES_A_SECOND: u32 = 50;
 
 /// Starts logging for `process`; a second call changes nothing.
 pub fn start_logs(process: &str, level: Level) {
@@ -56,7 +54,7 @@
         process: process.into(),
         level: level.into(),
         sink: Sink::start(io::stdout(), WAITING_LINES),
-        quota: Mutex::new(Quota::new(LINES_A_SECOND, time::Instant::now())),
+        quotas: Mutex::new(Quotas::new(time::Instant::now())),
     };
     // Fails only where a logger is set already.
     let _ = simplelog::CombinedLogger::init(vec![Box::new(lines)]);
@@ -67,7 +65,7 @@
     process: CompactString,
     level: LevelFilter,
     sink: Sink,
-    quota: Mutex<Quota>,
+    quotas: Mutex<Quotas>,
 }
 
 #[derive(Serialize)]
@@ -90,7 +88,7 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        if !self.is_due(record.level()) {
+        if !self.is_due(record) {
             return;
         }
         let mut fields = Fields::default();
@@ -116,14 +114,14 @@
 }
 
 impl Lines {
-    /// Whether a line is within the quota; says how many were left out before.
-    fn is_due(&self, level: log::Level) -> bool {
+    /// Whether a line is within its quota; says how many were left out before. Errors always are.
+    fn is_due(&self, record: &log::Record<'_>) -> bool {
         let now = time::Instant::now();
         // A panic while the lock is held leaves only counts behind.
-        let mut quota = self.quota.lock().unwrap_or_else(|held| held.into_inner());
-        let left_out = quota.take_left_out(now);
-        let due = quota.take(now) || level == log::Level::Error;
-        drop(quota);
+        let mut quotas = self.quotas.lock().unwrap_or_else(|held| held.into_inner());
+        let left_out = quotas.take_left_out(now);
+        let due = quotas.take(record.target(), now) || record.level() == log::Level::Error;
+        drop(quotas);
         if left_out > 0 {
             let process = &self.process;
             let told = format!(
--- a/components/telemetry/tests/sink.rs
+++ b/components/telemetry/tests/sink.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use telemetry::{Quota, Sink};
+use telemetry::{Quota, Quotas, REQUESTS, Sink};
 
 /// Writes nothing until it is let.
 struct Stopped {
@@ -75,3 +75,20 @@
     assert!(quota.take(later));
     assert_eq!(quota.take_left_out(later), 0);
 }
+
+#[test]
+fn quotas_flooded_by_requests() {
+    const CHANGES: usize = 40;
+    let start = Instant::now();
+    let mut quotas = Quotas::new(start);
+    let requests = (0..10_000).filter(|_| quotas.take(REQUESTS, start));
+    let requests = requests.count();
+    let changes = (0..CHANGES).filter(|_| quotas.take("distribution::mirror", start));
+    assert_eq!(changes.count(), CHANGES, "changes of belief are pushed out");
+    assert!(
+        requests < 100,
+        "{requests} lines about requests in a second"
+    );
+    let later = start + Duration::from_secs(1);
+    assert_eq!(quotas.take_left_out(later), 10_000 - requests as u64);
+}
--- a/node/src/call/event.rs
+++ b/node/src/call/event.rs
@@ -46,18 +46,18 @@
         match self {
             Self::Retried { node, problem } => {
                 let reason = problem.map_or("backend-server-failed", |one| one.reason.as_str());
-                log::info!(event = "request-retried", request = request, service = service,
+                log::info!(target: telemetry::REQUESTS, event = "request-retried", request = request, service = service,
                     configuration = configuration, attempts = attempts, left_ms = left_ms,
                     node:% = node, reason = reason; "request sent again");
             }
             Self::Ended(problem) => {
-                log::info!(event = "request-ended", request = request, service = service,
+                log::info!(target: telemetry::REQUESTS, event = "request-ended", request = request, service = service,
                     configuration = configuration, attempts = attempts, left_ms = left_ms,
                     reason = problem.reason.as_str(), outcome:% = problem.outcome,
                     retry_after_ms = retry_after_ms(problem); "request answered by the system");
             }
             Self::Refused(problem) => {
-                log::info!(event = "request-refused", request = request, service = service,
+                log::info!(target: telemetry::REQUESTS, event = "request-refused", request = request, service = service,
                     configuration = configuration, attempts = attempts, left_ms = left_ms,
                     reason = problem.reason.as_str(), outcome:% = problem.outcome,
                     retry_after_ms = retry_after_ms(problem); "request refused by the owner");
