store: one piece follows a prefix; nodes tell each other of newer versions

Change: messages between nodes carry the version of the configuration that the sender holds, and answers to reports of a move say that it has ended; whoever hears of something newer gives its watch 250 ms and then reads again. Watches wait 10 s.

Tests: watch_silent_and_version_heard, version_heard_just_before_the_watch (failed first: a request to read again was kept although the watch had told of the change).

--- a/components/distribution/src/holder.rs
+++ b/components/distribution/src/holder.rs
@@ -4,12 +4,15 @@
 use std::rc;
 
 use config::Snapshot;
+use platform::Nudge;
 
 /// The snapshot that a node holds, swapped whole; clones share it.
-#[derive(Debug, Clone, Default)]
+#[derive(Clone, Default)]
 pub struct Holder {
     current: rc::Rc<cell::RefCell<rc::Rc<Snapshot>>>,
     violations: rc::Rc<cell::Cell<u64>>,
+    /// Whom to tell of newer versions elsewhere.
+    nudge: rc::Rc<cell::RefCell<Option<Nudge>>>,
 }
 
 impl Holder {
@@ -19,6 +22,21 @@
         self.current.borrow().clone()
     }
 
+    /// Rings `nudge` when another node is heard to hold a newer version.
+    pub(crate) fn on_newer(&self, nudge: Nudge) {
+        self.nudge.replace(Some(nudge));
+    }
+
+    /// Another node holds `version`.
+    pub fn hear(&self, version: units::Version) {
+        if version <= self.current.borrow().version() {
+            return;
+        }
+        if let Some(nudge) = &*self.nudge.borrow() {
+            nudge.ring();
+        }
+    }
+
     /// Puts `snapshot` in force, unless its version is not higher than the one held.
     ///
     /// Returns whether it was put in force.
--- a/components/distribution/src/mirror.rs
+++ b/components/distribution/src/mirror.rs
@@ -2,10 +2,9 @@
 
 use std::cell;
 use std::rc;
-use std::time;
 
 use config::{Findings, Snapshot};
-use platform::{Backoff, Error, Event, Key, Object, Revision, Store};
+use platform::{Error, Follow, Follower, Key, Object, Pace, Store};
 use serde::{Deserialize, Serialize};
 
 use crate::Holder;
@@ -15,7 +14,8 @@
     #[derive(Serialize, Deserialize, schemars::JsonSchema)]
     #[serde(deny_unknown_fields, default)]
     pub struct Settings {
-        /// Longest time that one watch waits; a watch that has gone silent is noticed after it.
+        /// Longest time that one watch waits; a watch that has gone silent is noticed after it, or when
+        /// another node tells of a newer configuration.
         pub watch_wait: units::Period,
         /// Pause after a change, which bounds the calls of a burst of changes.
         pub watch_pause: units::Period,
@@ -29,7 +29,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            watch_wait: units::Period::from_secs(3),
+            watch_wait: units::Period::from_secs(10),
             watch_pause: units::Period::from_millis(400),
             retry_least: units::Period::from_millis(100),
             retry_most: units::Period::from_millis(800),
@@ -51,14 +51,16 @@
 /// The store's answer is the acceptance, so that there is no log of changes. A configuration that
 /// does not check is not put in force, and the one before it stays.
 pub struct Mirror<S, D> {
-    store: S,
+    follower: Follower<S>,
+    reader: Reader<D>,
+}
+
+/// Puts what the follower reads in force.
+struct Reader<D> {
     key: Key,
     decode: D,
     holder: Holder,
-    settings: Settings,
     counts: Handle,
-    /// Since when the object cannot be watched.
-    lost: cell::Cell<Option<time::Instant>>,
 }
 
 /// Figures of a mirror; clones read the same.
@@ -95,25 +97,36 @@
 }
 
 impl<S: Store, D: Decode> Mirror<S, D> {
-    /// Puts what `store` has at `key` in force in `holder`.
+    /// Puts what `store` has at `key` in force in `holder`, and reads again when the holder hears of a
+    /// newer version.
     #[must_use]
     pub fn new(store: S, key: Key, decode: D, holder: Holder, settings: Settings) -> Self {
-        Self {
-            store,
+        let pace = Pace {
+            wait: settings.watch_wait.0,
+            pause: settings.watch_pause.0,
+            retry_least: settings.retry_least.0,
+            retry_most: settings.retry_most.0,
+        };
+        let (follower, nudge) = Follower::new(store, pace);
+        holder.on_newer(nudge);
+        let reader = Reader {
             key,
             decode,
             holder,
-            settings,
             counts: Handle::default(),
-            lost: cell::Cell::new(None),
-        }
+        };
+        Self { follower, reader }
     }
 
     /// Reads the figures, also while the mirror runs.
     #[must_use]
     pub fn handle(&self) -> Handle {
-        self.counts.clone()
+        self.reader.counts.clone()
     }
+}
+
+impl<D: Decode> Follow for Reader<D> {
+    const NAME: &'static str = "mirror";
 
     /// Keys below which the object stands, up to the last slash.
     fn prefix(&self) -> &str {
@@ -121,38 +134,19 @@
         key.rfind('/').map_or("", |place| &key[..=place])
     }
 
-    /// Reads the object, then watches it until a call fails.
-    async fn follow(&self, backoff: &mut Backoff) -> Result<(), Error> {
-        let mut from = self.read().await?;
-        backoff.reset();
-        if let Some(lost) = self.lost.take() {
-            let gone = u64::try_from(lost.elapsed().as_millis()).unwrap_or(u64::MAX);
-            log::info!(event = "store-regained", reader = "mirror", gone_ms = gone; "the configuration is watched again");
-        }
-        loop {
-            let wait = self.settings.watch_wait.0;
-            let events = self.store.watch(self.prefix(), from, wait).await?;
-            from = events.revision.max(from);
-            let changed = events.events.iter().rev().find_map(|event| match event {
-                Event::Put(object) if object.key == self.key => Some(object),
-                _ => None,
-            });
-            if let Some(object) = changed {
-                self.adopt(object);
-                compio::time::sleep(self.settings.watch_pause.0).await;
-            }
+    fn take(&self, objects: Vec<Object>) {
+        let newest = objects.iter().rev().find(|object| object.key == self.key);
+        if let Some(object) = newest {
+            self.adopt(object);
         }
     }
 
-    async fn read(&self) -> Result<Revision, Error> {
-        let listing = self.store.list(self.prefix()).await?;
-        let mut objects = listing.objects.iter();
-        if let Some(object) = objects.find(|object| object.key == self.key) {
-            self.adopt(object);
-        }
-        Ok(listing.revision)
+    fn failed(&self, _error: &Error) {
+        self.counts.count(|counts| counts.failed += 1);
     }
+}
 
+impl<D: Decode> Reader<D> {
     fn adopt(&self, object: &Object) {
         match self.decode.decode(&object.value) {
             Ok(snapshot) => {
@@ -175,27 +169,6 @@
     const NAME: &'static str = "mirror";
 
     async fn run(self, stop: kernel::Stop) {
-        let (least, most) = (self.settings.retry_least.0, self.settings.retry_most.0);
-        let mut backoff = Backoff::new(least, most);
-        while let Some(ended) = stop.guard(self.follow(&mut backoff)).await {
-            let Err(error) = ended else {
-                continue;
-            };
-            self.counts.count(|counts| counts.failed += 1);
-            if error != Error::Gone && self.lost.get().is_none() {
-                self.lost.set(Some(time::Instant::now()));
-                log::warn!(event = "store-lost", reader = "mirror", error:% = error; "the configuration cannot be watched");
-            }
-            let least = match error {
-                Error::Throttled(least) => least.min(most),
-                _ => time::Duration::ZERO,
-            };
-            if !stop
-                .sleep(least + backoff.next_wait(&mut rand::rng()))
-                .await
-            {
-                return;
-            }
-        }
+        self.follower.run(self.reader, stop).await;
     }
 }
--- a/components/distribution/tests/mirror.rs
+++ b/components/distribution/tests/mirror.rs
@@ -37,11 +37,16 @@
 
 impl Bench {
     fn open(version: &str) -> Self {
+        Self::open_waiting(version, units::Period::from_millis(300))
+    }
+
+    /// A mirror whose watches wait for `watch_wait`.
+    fn open_waiting(version: &str, watch_wait: units::Period) -> Self {
         let store = Store::default();
         store.plant(&key(), version.into());
         let holder = Holder::default();
         let settings = Settings {
-            watch_wait: units::Period::from_millis(300),
+            watch_wait,
             watch_pause: units::Period::from_millis(50),
             ..Settings::default()
         };
@@ -134,3 +139,37 @@
         "{calls} watches for 50 changes in half a second"
     );
 }
+
+#[compio::test]
+async fn watch_silent_and_version_heard() {
+    let bench = Bench::open_waiting("7", units::Period::from_secs(60));
+    bench.until(7).await;
+    let silent = Faults {
+        silent_watches: true,
+        ..Faults::default()
+    };
+    bench.store.set_faults(silent);
+    bench.store.plant(&key(), "9".into());
+    compio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(bench.holder.get().version(), units::Version(7));
+    bench.holder.hear(units::Version(9));
+    assert!(bench.until(9).await < APPLY);
+}
+
+#[compio::test]
+async fn version_heard_just_before_the_watch() {
+    let bench = Bench::open_waiting("7", units::Period::from_secs(60));
+    bench.until(7).await;
+    let lists = bench.store.counts().lists;
+    for version in 8..12 {
+        bench.holder.hear(units::Version(version));
+        bench.store.plant(&key(), version.to_string().into());
+        bench.until(version).await;
+    }
+    compio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(
+        bench.store.counts().lists,
+        lists,
+        "the watch was not waited for"
+    );
+}
--- a/components/moves/src/canary/mod.rs
+++ b/components/moves/src/canary/mod.rs
@@ -5,8 +5,11 @@
 //! the new version bad tells all nodes, which withhold it at once, with the store down too. The end
 //! is written to the order's status on the condition of its revision, so that it is written once.
 
+mod ending;
 mod judge;
 mod order;
+mod orders;
+mod reports;
 mod schedule;
 mod service;
 mod sight;
--- a/components/moves/src/canary/trial.rs
+++ b/components/moves/src/canary/trial.rs
@@ -189,6 +189,7 @@
         wire::CanaryAnswer {
             elapsed_ms: millis(self.elapsed()),
             bad: self.bad.as_deref().unwrap_or_default().to_owned(),
+            ended: self.order.phase.is_end(),
         }
     }
 }
--- /dev/null
+++ b/components/platform/src/follower.rs
@@ -0,0 +1,160 @@
+//! Follows the objects below a prefix.
+
+use std::pin;
+use std::time;
+
+use futures_util::FutureExt;
+use futures_util::future::{self, Either};
+
+use crate::{Backoff, Error, Event, Nudge, Object, Revision, Store};
+
+/// Takes what a [`Follower`] reads.
+pub trait Follow {
+    /// Who follows, in log lines.
+    const NAME: &'static str;
+
+    /// Prefix of the keys that are followed.
+    fn prefix(&self) -> &str;
+
+    /// Takes objects as they are now, oldest change first.
+    fn take(&self, objects: Vec<Object>);
+
+    /// Everything below the prefix has been read.
+    fn listed(&self) {}
+
+    /// A call has failed.
+    fn failed(&self, _error: &Error) {}
+}
+
+units::record! { eq:
+    /// Times of a [`Follower`].
+    #[derive(Copy)]
+    pub struct Pace {
+        /// Longest time that one watch waits.
+        pub wait: time::Duration,
+        /// Pause after a change, which bounds the calls of a burst of changes.
+        pub pause: time::Duration,
+        /// First wait after a failed call; it doubles up to the longest.
+        pub retry_least: time::Duration,
+        /// Longest wait after failed calls.
+        pub retry_most: time::Duration,
+    }
+}
+
+/// Follows the objects below a prefix: reads them, then watches them, and starts over when a call fails.
+pub struct Follower<S> {
+    store: S,
+    pace: Pace,
+    asked: kernel::Inbox<()>,
+    /// Since when the objects cannot be watched.
+    lost: Option<time::Instant>,
+}
+
+impl<S: Store> Follower<S> {
+    /// Time that a watch has, once another node is known to have seen a newer change, to tell of it
+    /// as well: a watch is usually only some milliseconds behind.
+    const PATIENCE: time::Duration = time::Duration::from_millis(250);
+
+    /// Follows objects of `store`; the nudge makes it read again.
+    #[must_use]
+    pub fn new(store: S, pace: Pace) -> (Self, Nudge) {
+        let (mailbox, asked) = kernel::mailbox(1);
+        let follower = Self {
+            store,
+            pace,
+            asked,
+            lost: None,
+        };
+        (follower, Nudge::new(mailbox))
+    }
+
+    /// Follows for `reader` until the stop.
+    pub async fn run(mut self, reader: impl Follow, stop: kernel::Stop) {
+        let (least, most) = (self.pace.retry_least, self.pace.retry_most);
+        let mut backoff = Backoff::new(least, most);
+        while let Some(ended) = stop.guard(self.follow(&reader, &mut backoff)).await {
+            let Err(error) = ended else {
+                continue;
+            };
+            self.lose(&reader, &error);
+            let least = match error {
+                Error::Throttled(least) => least.min(most),
+                _ => time::Duration::ZERO,
+            };
+            let wait = least + backoff.next_wait(&mut rand::rng());
+            if !stop.sleep(wait).await {
+                return;
+            }
+        }
+    }
+
+    /// Reads the objects, then watches them until a call fails or it is asked to read again.
+    async fn follow<F: Follow>(&mut self, reader: &F, backoff: &mut Backoff) -> Result<(), Error> {
+        let listing = self.store.list(reader.prefix()).await?;
+        reader.take(listing.objects);
+        reader.listed();
+        backoff.reset();
+        self.forget_asked();
+        self.regain(F::NAME);
+        let mut from = listing.revision;
+        while let Some(next) = self.watch(reader, from).await? {
+            from = next;
+        }
+        Ok(())
+    }
+
+    /// Waits for changes after `from`; `None` when it was asked to read again.
+    async fn watch<F: Follow>(
+        &mut self,
+        reader: &F,
+        from: Revision,
+    ) -> Result<Option<Revision>, Error> {
+        let watched = self.store.watch(reader.prefix(), from, self.pace.wait);
+        let asked = async {
+            if self.asked.receive().await.is_none() {
+                // Nobody is left who could ask.
+                future::pending::<()>().await;
+            }
+            compio::time::sleep(Self::PATIENCE).await;
+        };
+        let events = match future::select(pin::pin!(watched), pin::pin!(asked)).await {
+            Either::Left((events, _)) => events?,
+            Either::Right(_) => {
+                log::info!(event = "watch-behind", reader = F::NAME; "another node is ahead of the watch");
+                return Ok(None);
+            }
+        };
+        let puts = events.events.into_iter().filter_map(|event| match event {
+            Event::Put(object) => Some(object),
+            Event::Removed(..) => None,
+        });
+        let puts: Vec<_> = puts.collect();
+        if !puts.is_empty() {
+            reader.take(puts);
+            compio::time::sleep(self.pace.pause).await;
+            // What was heard of before is there; a change that is not is heard of again.
+            self.forget_asked();
+        }
+        Ok(Some(events.revision.max(from)))
+    }
+
+    fn forget_asked(&mut self) {
+        while let Some(Some(())) = self.asked.receive().now_or_never() {}
+    }
+
+    fn lose<F: Follow>(&mut self, reader: &F, error: &Error) {
+        reader.failed(error);
+        // History that is gone says nothing about the store.
+        if *error != Error::Gone && self.lost.is_none() {
+            self.lost = Some(time::Instant::now());
+            log::warn!(event = "store-lost", reader = F::NAME, error:% = error; "the store cannot be watched");
+        }
+    }
+
+    fn regain(&mut self, name: &str) {
+        if let Some(lost) = self.lost.take() {
+            let gone = u64::try_from(lost.elapsed().as_millis()).unwrap_or(u64::MAX);
+            log::info!(event = "store-regained", reader = name, gone_ms = gone; "the store is watched again");
+        }
+    }
+}
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -1,7 +1,7 @@
 //! The platform's object API: versioned objects, conditional updates and watches.
 //!
 //! [`Store`] is the interface, [`Client`] speaks it over HTTP in the [`Form`] of a store, and [`Lease`] builds leases with
-//! fencing tokens on it.
+//! fencing tokens on it, and [`Follower`] keeps up with the objects below a prefix.
 
 mod backoff;
 mod breaker;
@@ -9,9 +9,11 @@
 mod client;
 mod counts;
 mod error;
+mod follower;
 mod form;
 mod lease;
 mod native;
+mod nudge;
 mod object;
 mod settings;
 mod store;
@@ -23,9 +25,11 @@
 pub use client::Client;
 pub use counts::Counts;
 pub use error::Error;
+pub use follower::{Follow, Follower, Pace};
 pub use form::{Answer, Ask, Form, Page};
 pub use lease::{Lease, Observed, Record};
 pub use native::Native;
+pub use nudge::Nudge;
 pub use object::{Event, Events, Key, Listing, Object, Revision};
 pub use settings::Settings;
 pub use store::Store;
--- a/node/src/call/context.rs
+++ b/node/src/call/context.rs
@@ -2,7 +2,7 @@
 
 use std::rc;
 
-use super::{Native, Settings};
+use super::{Headers, Native, Settings};
 
 /// What the request path reads from other services; clones share it.
 #[derive(Clone)]
@@ -26,3 +26,18 @@
     /// Settings of the request path.
     pub settings: rc::Rc<Settings>,
 }
+
+impl<D> Context<D> {
+    /// Says on a message to another node which configuration this node holds.
+    pub(crate) fn tell_configuration(&self, headers: &mut http::HeaderMap) {
+        let version = self.holder.get().version();
+        Headers::set_number(headers, Headers::CONFIGURATION, version.0);
+    }
+
+    /// Takes what another node says of the configuration that it holds.
+    pub(crate) fn hear_configuration(&self, headers: &http::HeaderMap) {
+        if let Some(version) = Headers::number(headers, &Headers::CONFIGURATION) {
+            self.holder.hear(units::Version(version));
+        }
+    }
+}
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -50,9 +50,12 @@
     pub const SUSPECT: HeaderName = HeaderName::from_static("radishgap-suspect");
     /// Between nodes: load of the owner in parts per 10,000 of its limit.
     pub const LOAD: HeaderName = HeaderName::from_static("radishgap-load");
+    /// Between nodes: version of the configuration that the sender holds.
+    pub const CONFIGURATION: HeaderName = HeaderName::from_static("radishgap-configuration");
 
     /// Headers of ours that only nodes exchange.
-    const INTERNAL: [HeaderName; 11] = [
+    const INTERNAL: [HeaderName; 12] = [
+        Self::CONFIGURATION,
         Self::ROUTE,
         Self::TARGET_MS,
         Self::PRIORITY,
@@ -66,7 +69,8 @@
         Self::SUSPECT,
     ];
     /// Headers of ours on answers, which a backend server may not set.
-    const ANSWER: [HeaderName; 5] = [
+    const ANSWER: [HeaderName; 6] = [
+        Self::CONFIGURATION,
         Self::OUTCOME,
         Self::REASON,
         Self::RETRY_AFTER_MS,
--- a/node/src/call/ingress/attempting.rs
+++ b/node/src/call/ingress/attempting.rs
@@ -120,6 +120,7 @@
         };
         let mut head = arrival.head();
         envelope.write(&mut head.headers, time::Instant::now());
+        self.shared.context.tell_configuration(&mut head.headers);
         let headers = std::mem::take(&mut head.headers);
         let request = build(&head, headers, endpoint.address, feed)?;
         let pool = self.shared.owner.pools().get(endpoint.address);
@@ -132,6 +133,7 @@
             Err(failure) => return Err(failure.into()),
         };
         let (parts, source) = Source::split(reply);
+        self.shared.context.hear_configuration(&parts.headers);
         self.check_match(&parts.headers, envelope)?;
         let now = time::Instant::now();
         if let Some(load) = Headers::number(&parts.headers, &Headers::LOAD) {
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -482,6 +482,7 @@
 
     async fn handle(self, request: http::Request<Incoming>) -> http::Response<Self::Body> {
         let (head, body) = request.into_parts();
+        self.shared.context.hear_configuration(&head.headers);
         let envelope = Envelope::read(&head.headers, time::Instant::now());
         let deadline = envelope.as_ref().map(|envelope| envelope.deadline);
         let id = envelope.as_ref().map(|envelope| envelope.request.clone());
@@ -513,6 +514,7 @@
         Headers::set(answer.headers_mut(), Headers::REQUEST, &id);
         let load = load_parts(self.shared.gate.load());
         Headers::set_number(answer.headers_mut(), Headers::LOAD, load);
+        self.shared.context.tell_configuration(answer.headers_mut());
         answer
     }
 }
--- a/testing/fakes/src/faults.rs
+++ b/testing/fakes/src/faults.rs
@@ -18,5 +18,7 @@
         pub lost_requests: u32,
         /// Every watch finds its history gone.
         pub gone: bool,
+        /// Every watch that waits stays silent for good.
+        pub silent_watches: bool,
     }
 }
--- a/testing/fakes/src/store.rs
+++ b/testing/fakes/src/store.rs
@@ -178,7 +178,11 @@
                 if state.faults.gone || from < state.floor {
                     return Err(Error::Gone);
                 }
-                let events = state.since(prefix, from);
+                let events = if state.faults.silent_watches {
+                    Vec::new()
+                } else {
+                    state.since(prefix, from)
+                };
                 let left = deadline.saturating_duration_since(time::Instant::now());
                 if !events.is_empty() || left.is_zero() {
                     let revision = state.revision;
