membership: nodes that start together find each other at once; requests wait for the first backend servers

A starting node asked one seed at a time and waited 2 s for each that is gone (backend servers that were scaled in leave their addresses in the seed objects); pairs that met joined as a mesh of two and looked for others 0.7 s later. Meanwhile requests were refused with no-backend-server, and a caller comes back once only.

Change: a joining node asks the next seed after 100 ms; then it meets those seeds that it does not know, from 50 ms on; its view is put in force as soon as it has joined. A request waits for a backend server where its service has none: half of its time at a node in its first 2 s, an eighth of the time until an answer is wanted later (`call::Patience`). A refusal's line now says what stood in the way (running, waiting, limit, expected wait, runtime); the owner no longer copies the envelope of each request for it.

Found on the way: a node that starts beside a backend server of a new version took it for established when it saw old and new at once; move_done failed with the shorter wait. Versions that are ready beside other nodes go first now (draw_at_a_node_that_starts_with_a_new_version). Several such nodes that start together still share the traffic between both until the order comes: open, as before.

Ruled out: bytes between data centres are bodies of uploads whose data centre has lost its only backend server (a tally by route showed it), nothing that placing could save.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -11,7 +11,7 @@
 
 use crate::runtimes::Runtimes;
 use crate::waiting::Waiting;
-use crate::{Announced, Limit, Permit, Reason, Refusal, Settings, Urgency};
+use crate::{Announced, Crowd, Limit, Permit, Reason, Refusal, Settings, Urgency};
 
 /// Decides when a request may run at the backend server; clones share the state.
 #[derive(Clone)]
@@ -223,8 +223,7 @@
                 let mut state = self.shared.state.borrow_mut();
                 state.forget_cancelled();
                 state.counts.refused_waited += 1;
-                let retry_after = state.retry_after();
-                Err(Refusal::new(Reason::Waited, retry_after))
+                Err(state.refuse(Reason::Waited, ask.route, wait))
             }
         }
     }
@@ -253,12 +252,12 @@
             &self.shared.settings,
             now,
         );
-        let retry_after = state.retry_after();
-        drop(state);
         if let Some(evicted) = evicted {
-            let refusal = Refusal::new(Reason::Full, retry_after);
+            let wait = state.wait_behind(state.waiting.len());
+            let refusal = state.refuse(Reason::Full, evicted.route, wait);
             let _ = evicted.sender.send(Err(refusal));
         }
+        drop(state);
         Ok(Entered::Later(receiver))
     }
 
@@ -270,7 +269,11 @@
         state.counts.refused_late += shed.len() as u64;
         let refusals: Vec<_> = shed
             .into_iter()
-            .map(|waiter| (waiter, Refusal::new(Reason::Late, state.retry_after())))
+            .map(|waiter| {
+                let wait = state.wait_behind(state.waiting.len());
+                let refusal = state.refuse(Reason::Late, waiter.route, wait);
+                (waiter, refusal)
+            })
             .collect();
         drop(state);
         for (waiter, refusal) in refusals {
@@ -344,11 +347,23 @@
         let needed = wait + self.runtimes.expected(ask.route) / 2;
         if left.is_zero() || needed > left {
             self.counts.refused_late += 1;
-            return Err(Refusal::new(Reason::Late, self.retry_after()));
+            return Err(self.refuse(Reason::Late, ask.route, wait));
         }
         Ok(())
     }
 
+    /// A refusal of a request of `route` for want of room, for which it would have to `wait`.
+    fn refuse(&self, reason: Reason, route: u64, wait: time::Duration) -> Refusal {
+        let crowd = Crowd {
+            running: self.running,
+            waiting: self.waiting.len() + self.waiting_alone.len(),
+            limit: self.limit.current(),
+            wait,
+            runtime: self.runtimes.expected(route),
+        };
+        Refusal::crowded(reason, self.retry_after(), crowd)
+    }
+
     fn urgency(&self, ask: &Ask) -> Urgency {
         Urgency {
             priority: ask.priority,
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod announced;
 mod crash;
+mod crowd;
 mod finished;
 mod gate;
 mod lanes;
@@ -20,6 +21,7 @@
 
 pub use announced::Announced;
 pub use crash::Crash;
+pub use crowd::Crowd;
 pub use finished::Finished;
 pub use gate::{Ask, Counts, Dump, Gate};
 pub use lanes::Lanes;
--- a/components/admission/src/refusal.rs
+++ b/components/admission/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::Reason;
+use crate::{Crowd, Reason};
 
 /// A request that is refused before any byte of it reached the backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -12,6 +12,8 @@
     pub reason: Reason,
     /// When it is worth coming back.
     pub retry_after: time::Duration,
+    /// What stood in its way, where it was refused for want of room.
+    pub crowd: Option<Crowd>,
 }
 
 impl Refusal {
@@ -21,6 +23,17 @@
         Self {
             reason,
             retry_after,
+            crowd: None,
+        }
+    }
+
+    /// A refusal for want of room.
+    #[must_use]
+    pub const fn crowded(reason: Reason, retry_after: time::Duration, crowd: Crowd) -> Self {
+        Self {
+            reason,
+            retry_after,
+            crowd: Some(crowd),
         }
     }
 }
--- a/components/membership/src/gossip.rs
+++ b/components/membership/src/gossip.rs
@@ -161,15 +161,28 @@
 
     /// Publishes a view when something changed and the last one is old enough.
     pub(crate) fn publish(&self, now: time::Instant) {
-        let table = self.table.borrow();
         let due =
             now.saturating_duration_since(self.published.get()) >= self.settings.view_period.0;
-        if !due || self.reader.get().generation() == table.generation() {
-            return;
+        if due && self.is_whole(now) {
+            self.publish_at_once(now);
         }
-        // A node that joins again after a long pause keeps its old view until it has a new one.
+    }
+
+    /// Whether the table is worth a view: a node that joins again after a long pause keeps its old one
+    /// until it knows as many members, since those that it meets first may join again, too.
+    pub(crate) fn is_whole(&self, now: time::Instant) -> bool {
+        /// Time after which what it has met is all there is.
+        const MEETS_ALL: time::Duration = time::Duration::from_secs(1);
+        let settled = |joined: time::Instant| now.saturating_duration_since(joined) >= MEETS_ALL;
         let known = self.reader.get().members().len();
-        if !self.joined.get() && table.records().len() < known {
+        let joined = self.joined.get() && self.joined_at.get().is_none_or(settled);
+        joined || self.table.borrow().records().len() >= known
+    }
+
+    /// Replaces the view where the table has changed.
+    pub(crate) fn publish_at_once(&self, now: time::Instant) {
+        let table = self.table.borrow();
+        if self.reader.get().generation() == table.generation() {
             return;
         }
         self.published.set(now);
--- a/components/membership/src/join.rs
+++ b/components/membership/src/join.rs
@@ -4,6 +4,9 @@
 use std::time;
 
 use futures_channel::oneshot;
+use futures_util::StreamExt;
+use futures_util::future;
+use futures_util::stream::FuturesUnordered;
 use prost::Message;
 use rand::seq::SliceRandom;
 use schema::membership as wire;
@@ -22,6 +25,17 @@
     const PULL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
     /// Most pages of one view.
     const PAGES: usize = 1000;
+    /// The next seed is asked as well when the ones before have not answered for this long: seeds
+    /// may be gone for good, and a lost message shows in nothing but its time.
+    const ASK_NEXT: time::Duration = time::Duration::from_millis(100);
+    /// First wait until a node that has joined looks for seeds that it has not met; it doubles up to
+    /// the last one. Nodes that start together meet whoever is there first.
+    const MEET_FIRST: time::Duration = time::Duration::from_millis(50);
+    const MEET_LAST: time::Duration = time::Duration::from_millis(800);
+    /// Time within which a seed answers then.
+    const MEET_LIMIT: time::Duration = time::Duration::from_millis(200);
+    /// Seeds that are met at a time.
+    const MEET_AT_ONCE: usize = 8;
     /// First wait before another attempt to join; it doubles up to the longest.
     const RETRY_MIN: time::Duration = time::Duration::from_millis(250);
     const RETRY_MAX: time::Duration = time::Duration::from_secs(10);
@@ -44,6 +58,9 @@
                     Some(Joined::Nobody) => Self::FOUNDER_CHECK.min(longest),
                     None => return,
                 };
+                if stop.guard(self.meet_seeds()).await.is_none() {
+                    return;
+                }
             }
             if !self.wait_for_check(jitter(check), &stop).await {
                 return;
@@ -88,6 +105,11 @@
         };
         self.joined.set(true);
         self.table.borrow_mut().announce();
+        let now = time::Instant::now();
+        self.joined_at.set(Some(now));
+        if self.is_whole(now) {
+            self.publish_at_once(now);
+        }
         log::info!(members = self.table.borrow().records().len(); "joined the mesh");
         joined
     }
@@ -101,6 +123,7 @@
             return attempt;
         }
         let (seeds, complete) = self.find_seeds().await;
+        self.found.borrow_mut().clone_from(&seeds);
         if seeds.is_empty() && self.seeds.is_empty() && complete {
             return Attempt::Joined(Joined::Nobody);
         }
@@ -136,23 +159,57 @@
         listing.ok()?.ok().map(|listing| listing.objects)
     }
 
+    /// Takes the view of one of `seeds`, which are asked one after the other until one answers.
     async fn pull_from_any(&self, seeds: &[units::Address]) -> Attempt {
+        let own = self.identity.peer_address;
+        let mut rest = seeds.iter().copied().filter(|seed| *seed != own);
+        let mut asked = FuturesUnordered::new();
         let mut attempt = Attempt::Failed;
-        let others = seeds
-            .iter()
-            .filter(|seed| **seed != self.identity.peer_address);
-        for seed in others {
-            match self.pull_from(*seed).await {
-                Ok(()) => {
-                    // Gives the seed the record of this node, and takes what it learned meanwhile.
-                    self.compare_with(*seed).await;
-                    return Attempt::Joined(Joined::Members);
+        loop {
+            let next = rest.next();
+            let patience = match next {
+                Some(seed) => {
+                    asked.push(self.pull_and_compare(seed));
+                    Self::ASK_NEXT
                 }
-                Err(peer::Error::Busy(wait)) => attempt = Attempt::Busy(wait),
-                Err(error) => log::debug!(seed:% = seed, error:% = error; "seed gave no view"),
+                None => Self::PULL_TIMEOUT,
+            };
+            match compio::time::timeout(patience, asked.next()).await {
+                Ok(Some(Ok(()))) => return Attempt::Joined(Joined::Members),
+                Ok(Some(Err(peer::Error::Busy(wait)))) => attempt = Attempt::Busy(wait),
+                Ok(Some(Err(error))) => log::debug!(error:% = error; "seed gave no view"),
+                Ok(None) => return attempt,
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Takes the view of `seed`, gives it the record of this node, and takes what it learned meanwhile.
+    async fn pull_and_compare(&self, seed: units::Address) -> Result<(), peer::Error> {
+        self.pull_from(seed).await?;
+        self.compare_with(seed).await;
+        Ok(())
+    }
+
+    /// Meets the seeds that were found and are not known as members, until all are or time is over.
+    async fn meet_seeds(&self) {
+        let mut wait = Self::MEET_FIRST;
+        while wait <= Self::MEET_LAST {
+            let found = self.found.borrow().clone();
+            let mut unknown = self.unknown(&found);
+            unknown.retain(|seed| *seed != self.identity.peer_address);
+            if unknown.is_empty() {
+                return;
             }
+            compio::time::sleep(jitter(wait)).await;
+            unknown.shuffle(&mut rand::rng());
+            unknown.truncate(Self::MEET_AT_ONCE);
+            let meetings = unknown
+                .into_iter()
+                .map(|seed| compio::time::timeout(Self::MEET_LIMIT, self.compare_with(seed)));
+            future::join_all(meetings).await;
+            wait *= 2;
         }
-        attempt
     }
 
     /// Takes the whole view page by page, the first from `seed`.
--- a/components/membership/src/shared.rs
+++ b/components/membership/src/shared.rs
@@ -21,6 +21,8 @@
 pub(crate) struct Shared<S, L> {
     pub(crate) identity: Identity,
     pub(crate) seeds: Vec<units::Address>,
+    /// Addresses in the seed objects when this node joined.
+    pub(crate) found: cell::RefCell<Vec<units::Address>>,
     pub(crate) settings: Settings,
     pub(crate) store: S,
     pub(crate) link: L,
@@ -30,6 +32,8 @@
     pub(crate) counter: Counter,
     pub(crate) health: rc::Rc<cell::Cell<Health>>,
     pub(crate) joined: rc::Rc<cell::Cell<bool>>,
+    /// When this node joined last.
+    pub(crate) joined_at: cell::Cell<Option<time::Instant>>,
     pub(crate) suspicion: Suspicion,
     pub(crate) herd: Herd,
     /// No accusations before this time.
--- a/components/membership/tests/mesh.rs
+++ b/components/membership/tests/mesh.rs
@@ -600,3 +600,40 @@
     let took = started.elapsed();
     assert!(took <= BOUND, "it took {took:?}");
 }
+
+/// Members lose power together, some for good, whose addresses stay in the seed objects; the others
+/// start again one after the other.
+#[compio::test]
+async fn restarted_with_members_gone() {
+    // A quarter of the requests is to be served 15 s on, and each second until then is lost.
+    const BOUND: time::Duration = time::Duration::from_millis(1_000);
+    const LEFT: usize = 9;
+    let settings = Settings {
+        view_period: units::Period::from_millis(100),
+        ..Settings::default()
+    };
+    let mut mesh = Mesh {
+        network: fakes::Network::new(7),
+        store: fakes::Store::default(),
+        settings,
+        centres: 4,
+        nodes: Vec::new(),
+    };
+    for number in 0..14 {
+        mesh.add_with(number, Vec::new());
+    }
+    mesh.wait_all_alive().await;
+    pass(time::Duration::from_secs(4)).await;
+    for number in 0..14 {
+        mesh.crash(number).await;
+    }
+    mesh.nodes.clear();
+    for number in 0..LEFT {
+        mesh.add_with(number, Vec::new());
+        pass(time::Duration::from_millis(15)).await;
+    }
+    let started = time::Instant::now();
+    mesh.wait_all_alive().await;
+    let took = started.elapsed();
+    assert!(took <= BOUND, "it took {took:?}");
+}
--- a/components/moves/src/canary/service.rs
+++ b/components/moves/src/canary/service.rs
@@ -145,7 +145,7 @@
 
 impl<S: Store, L: peer::Link, O: Source> Shared<S, L, O> {
     /// Time after joining until the other nodes are in the view that requests are routed by.
-    const VIEW_WAIT: time::Duration = time::Duration::from_millis(400);
+    const VIEW_WAIT: time::Duration = time::Duration::from_millis(150);
     /// Longest wait for the other nodes once the orders are known.
     const JOIN_LIMIT: time::Duration = time::Duration::from_secs(2);
 
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -254,6 +254,14 @@
         of_service.map(|group| group.version.clone()).collect()
     }
 
+    /// Versions of `service` that have a ready backend server beside another node, sorted.
+    #[must_use]
+    pub fn versions_elsewhere(&self, service: &str) -> Vec<CompactString> {
+        let of_service = self.groups.iter().filter(|group| group.service == service);
+        let elsewhere = of_service.filter(|group| group.all().any(|one| !one.own));
+        elsewhere.map(|group| group.version.clone()).collect()
+    }
+
     /// Versions of `service` that had a ready backend server within the key window.
     #[must_use]
     pub fn versions(&self, service: &str) -> Vec<CompactString> {
--- a/components/routing/src/splits.rs
+++ b/components/routing/src/splits.rs
@@ -89,7 +89,16 @@
 
     /// Takes over which versions of `service` are ready: those are established where none of the
     /// established ones is left, but for one on trial.
-    pub fn observe(&self, service: &str, ready: &[CompactString], open: impl Fn(&str) -> bool) {
+    ///
+    /// At first those that are ready `elsewhere` go before one that only this node has: a backend
+    /// server of a new version and the node beside it start together, before a move names the version.
+    pub fn observe(
+        &self,
+        service: &str,
+        ready: &[CompactString],
+        elsewhere: &[CompactString],
+        open: impl Fn(&str) -> bool,
+    ) {
         let mut state = self.state.borrow_mut();
         if !state.known {
             return;
@@ -105,7 +114,11 @@
         let fresh = ready
             .iter()
             .filter(|version| Some(*version) != trial && open(version));
-        let fresh: Vec<_> = fresh.cloned().collect();
+        let mut fresh: Vec<_> = fresh.cloned().collect();
+        let is_elsewhere = |version: &CompactString| elsewhere.contains(version);
+        if entry.established.is_empty() && fresh.iter().any(is_elsewhere) {
+            fresh.retain(is_elsewhere);
+        }
         if !fresh.is_empty() {
             entry.established = fresh;
         }
--- a/components/routing/tests/splits.rs
+++ b/components/routing/tests/splits.rs
@@ -26,10 +26,10 @@
 #[test]
 fn draw_before_moves_are_known() {
     let splits = Splits::default();
-    splits.observe("menus", &versions(&["v1"]), |_| true);
+    splits.observe("menus", &versions(&["v1"]), &[], |_| true);
     assert_eq!(splits.draw("menus", 0.5), Drawn::Unknown);
     splits.set_known();
-    splits.observe("menus", &versions(&["v1"]), |_| true);
+    splits.observe("menus", &versions(&["v1"]), &[], |_| true);
     let drawn = splits.draw("menus", 0.5);
     assert_eq!(drawn, Drawn::Established(versions(&["v1"])));
 }
@@ -37,12 +37,12 @@
 #[test]
 fn draw_version_without_a_move() {
     let splits = known();
-    splits.observe("menus", &versions(&["v1"]), |_| true);
-    splits.observe("menus", &versions(&["v1", "v2"]), |_| true);
+    splits.observe("menus", &versions(&["v1"]), &[], |_| true);
+    splits.observe("menus", &versions(&["v1", "v2"]), &[], |_| true);
     let drawn = splits.draw("menus", 0.0);
     assert_eq!(drawn, Drawn::Established(versions(&["v1"])));
     // All of the old ones have gone, and no move has spoken against the new one.
-    splits.observe("menus", &versions(&["v2"]), |_| true);
+    splits.observe("menus", &versions(&["v2"]), &[], |_| true);
     let drawn = splits.draw("menus", 0.0);
     assert_eq!(drawn, Drawn::Established(versions(&["v2"])));
 }
@@ -50,8 +50,8 @@
 #[test]
 fn draw_version_that_was_taken_back() {
     let splits = known();
-    splits.observe("menus", &versions(&["v1"]), |_| true);
-    splits.observe("menus", &versions(&["v2"]), |version| version != "v2");
+    splits.observe("menus", &versions(&["v1"]), &[], |_| true);
+    splits.observe("menus", &versions(&["v2"]), &[], |version| version != "v2");
     let drawn = splits.draw("menus", 0.0);
     assert_eq!(drawn, Drawn::Established(versions(&["v1"])));
 }
@@ -59,7 +59,7 @@
 #[test]
 fn draw_during_a_move() {
     let splits = known();
-    splits.observe("menus", &versions(&["v1"]), |_| true);
+    splits.observe("menus", &versions(&["v1"]), &[], |_| true);
     for (share, point, takes_over) in [(0.1, 0.2, false), (0.1, 0.05, false), (0.6, 0.7, true)] {
         splits.set_trial("menus", Some(trial(share)));
         let expected = if point < share {
@@ -79,3 +79,24 @@
     let drawn = splits.draw("menus", 0.0);
     assert_eq!(drawn, Drawn::Established(versions(&["v2"])));
 }
+
+#[test]
+fn draw_at_a_node_that_starts_with_a_new_version() {
+    let cases: [(&[&str], &[&str], &[&str]); 4] = [
+        // Ready, ready elsewhere, established.
+        (&["v1", "v2"], &["v1"], &["v1"]),
+        (&["v1", "v2"], &["v1", "v2"], &["v1", "v2"]),
+        (&["v2"], &[], &["v2"]),
+        (&["v1"], &["v1"], &["v1"]),
+    ];
+    for (ready, elsewhere, established) in cases {
+        let splits = known();
+        splits.observe("menus", &versions(ready), &versions(elsewhere), |_| true);
+        let drawn = splits.draw("menus", 0.0);
+        assert_eq!(
+            drawn,
+            Drawn::Established(versions(established)),
+            "{ready:?}"
+        );
+    }
+}
--- a/node/src/call/event.rs
+++ b/node/src/call/event.rs
@@ -33,6 +33,8 @@
     pub(crate) configuration: units::Version,
     /// Attempts so far.
     pub(crate) attempts: u32,
+    /// Rank of its route; zero goes first.
+    pub(crate) priority: u32,
     /// Time left until its deadline.
     pub(crate) left: time::Duration,
 }
@@ -40,7 +42,7 @@
 impl Event<'_> {
     /// Writes the line.
     pub(crate) fn log(self, inputs: &Inputs<'_>) {
-        let left_ms = u64::try_from(inputs.left.as_millis()).unwrap_or(u64::MAX);
+        let left_ms = millis(inputs.left);
         let (request, service) = (inputs.request, inputs.service.as_str());
         let (configuration, attempts) = (inputs.configuration.0, inputs.attempts);
         match self {
@@ -57,8 +59,11 @@
                     retry_after_ms = retry_after_ms(problem); "request answered by the system");
             }
             Self::Refused(problem) => {
+                let crowd = problem.crowd.unwrap_or_default();
                 log::info!(target: telemetry::REQUESTS, event = "request-refused", request = request, service = service,
                     configuration = configuration, attempts = attempts, left_ms = left_ms,
+                    priority = inputs.priority, running = crowd.running, waiting = crowd.waiting,
+                    limit = crowd.limit, wait_ms = millis(crowd.wait), runtime_ms = millis(crowd.runtime),
                     reason = problem.reason.as_str(), outcome:% = problem.outcome,
                     retry_after_ms = retry_after_ms(problem); "request refused by the owner");
             }
@@ -67,6 +72,9 @@
 }
 
 fn retry_after_ms(problem: &Problem) -> u64 {
-    let wait = problem.retry_after.unwrap_or_default();
-    u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)
+    millis(problem.retry_after.unwrap_or_default())
+}
+
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -22,7 +22,7 @@
 
 use super::arrival::Arrival;
 use super::counts::Ingress as Counts;
-use super::{Asked, Context, Dialect, Key, Native, Owner, Problem, Reason, Source};
+use super::{Asked, Context, Dialect, Key, Native, Owner, Patience, Problem, Reason, Source};
 
 use self::journey::Journey;
 use self::passage::Passage;
@@ -42,6 +42,8 @@
     counts: cell::Cell<Counts>,
     /// Number of the last id that was given.
     sequence: cell::Cell<u64>,
+    /// How long requests wait for a backend server.
+    patience: Patience,
     /// Part of the ids of this process.
     origin: u32,
 }
@@ -92,6 +94,7 @@
             state: cell::RefCell::new(state),
             counts: cell::Cell::default(),
             sequence: cell::Cell::new(0),
+            patience: Patience::new(time::Instant::now()),
             origin: rand::random(),
             context,
         };
@@ -146,8 +149,11 @@
             state.settled = context.splits.is_known();
             for service in snapshot.services() {
                 let ready = state.directory.ready_versions(&service.name);
+                let elsewhere = state.directory.versions_elsewhere(&service.name);
                 let open = |version: &str| !context.withheld.contains(&service.name, version);
-                context.splits.observe(&service.name, &ready, open);
+                context
+                    .splits
+                    .observe(&service.name, &ready, &elsewhere, open);
             }
         }
     }
--- a/node/src/call/ingress/retrying.rs
+++ b/node/src/call/ingress/retrying.rs
@@ -18,7 +18,7 @@
         let mut trail = Trail::default();
         self.earn(arrival);
         loop {
-            let target = self.choose(arrival, &trail)?;
+            let target = self.find_target(arrival, &trail).await?;
             let attempts = trail.attempts() + 1;
             let envelope = self.envelope(arrival, &target.endpoint, attempts, trail.suspect, None);
             let endpoint = target.endpoint.clone();
@@ -74,6 +74,7 @@
             service: &arrival.service,
             configuration: self.shared.context.holder.get().version(),
             attempts,
+            priority: arrival.route.priority,
             left: arrival.left(),
         }
     }
--- a/node/src/call/ingress/selection.rs
+++ b/node/src/call/ingress/selection.rs
@@ -39,6 +39,29 @@
 }
 
 impl<L: peer::Link, O: Observer, D: Dialect> Ingress<L, O, D> {
+    /// Chooses where the next attempt goes, and waits a while for a backend server where there is none.
+    pub(super) async fn find_target(
+        &self,
+        arrival: &Arrival,
+        trail: &Trail,
+    ) -> Result<Target, Problem> {
+        /// Time between two looks.
+        const STEP: time::Duration = time::Duration::from_millis(20);
+        let now = time::Instant::now();
+        let wanted = arrival.target.saturating_duration_since(now);
+        let until = now + self.shared.patience.wait(now, wanted, arrival.left());
+        let none = Reason::Refused(admission::Reason::NoBackend);
+        loop {
+            let chosen = self.choose(arrival, trail);
+            let is_none = |problem: &Problem| problem.reason.is(none) && trail.tried.is_empty();
+            if !chosen.as_ref().is_err_and(is_none) || time::Instant::now() + STEP > until {
+                return chosen;
+            }
+            compio::time::sleep(STEP).await;
+            self.refresh(time::Instant::now());
+        }
+    }
+
     /// Chooses where the next attempt goes; not to a node that had it where there is another, and
     /// never to a version that its owner has refused as withheld.
     pub(super) fn choose(&self, arrival: &Arrival, trail: &Trail) -> Result<Target, Problem> {
--- a/node/src/call/keyed.rs
+++ b/node/src/call/keyed.rs
@@ -1,6 +1,7 @@
 //! Requests with idempotency keys at the owner.
 
 use std::collections::VecDeque;
+use std::rc;
 use std::time;
 
 use admission::{End, First, Start, Stored};
@@ -23,13 +24,13 @@
     const COVER_SLACK: time::Duration = time::Duration::from_millis(1_500);
 
     /// Runs a request with a key, or gives the end of the one that ran.
-    pub(crate) async fn serve_keyed(&self, job: Job) -> Given<L, D> {
+    pub(crate) async fn serve_keyed(&self, job: &rc::Rc<Job>) -> Given<L, D> {
         let Some(key) = job.envelope.key.clone() else {
             return self.run(job).await;
         };
         let now = time::Instant::now();
-        let hash = key_hash(&job, &key);
-        let request = request_hash(&job);
+        let hash = key_hash(job, &key);
+        let request = request_hash(job);
         // Records were lost in a restart, within the time in which the key may have run.
         let lost = self.records().age(now) + Self::COVER_SLACK < key.cover;
         if let Some(by) = key.note {
@@ -50,8 +51,8 @@
             other => other?,
         };
         match start {
-            Start::Run(first) => self.run_first(job, first, lost).await,
-            Start::Join(receiver) => self.join(&job, receiver).await,
+            Start::Run(first) => self.run_first(job.clone(), first, lost).await,
+            Start::Join(receiver) => self.join(job, receiver).await,
             Start::Ended(end) => self.give(end),
         }
     }
@@ -108,12 +109,12 @@
     }
 
     /// Runs the first request with its key to its end, even when its caller goes away.
-    async fn run_first(&self, job: Job, first: First, lost: bool) -> Given<L, D> {
+    async fn run_first(&self, job: rc::Rc<Job>, first: First, lost: bool) -> Given<L, D> {
         let (sender, receiver) = oneshot::channel();
         let owner = self.clone();
         let payload = job.payload.clone();
         compio::runtime::spawn(async move {
-            let given = owner.run_recorded(job, first, lost).await;
+            let given = owner.run_recorded(&job, first, lost).await;
             let _ = sender.send(given);
         })
         .detach();
@@ -124,10 +125,10 @@
         given.unwrap_or(Err(Problem::unknown(Reason::KeyUnknown)))
     }
 
-    async fn run_recorded(&self, job: Job, first: First, lost: bool) -> Given<L, D> {
+    async fn run_recorded(&self, job: &Job, first: First, lost: bool) -> Given<L, D> {
         let deadline = job.envelope.deadline;
         let limit = self.key_answer_limit();
-        let told = self.tell_backup(&job, lost, false).await;
+        let told = self.tell_backup(job, lost, false).await;
         let ran = match told {
             Ok(()) => self.run_told(job).await,
             Err(problem) => Err(problem),
@@ -172,16 +173,11 @@
     }
 
     /// Runs a request that the next-ranked owner knows of, and tells it when it was not run.
-    async fn run_told(&self, job: Job) -> Given<L, D> {
-        let told = Job {
-            envelope: job.envelope.clone(),
-            head: job.head.clone(),
-            payload: job.payload.clone(),
-        };
+    async fn run_told(&self, job: &Job) -> Given<L, D> {
         let ran = self.run(job).await;
         let not_run = |problem: &Problem| problem.outcome == Outcome::NotRun;
         if ran.as_ref().is_err_and(not_run)
-            && let Err(problem) = self.tell_backup(&told, false, true).await
+            && let Err(problem) = self.tell_backup(job, false, true).await
         {
             // The note stays, which only makes the key's outcome unknown there.
             log::debug!(reason = problem.reason.as_str(); "a note of a key is not withdrawn");
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -211,28 +211,18 @@
     /// The problem says what became of the request.
     pub async fn serve(&self, job: Job) -> Result<Served<L, D>, Problem> {
         self.count(|counts| counts.requests += 1);
-        let payload = job.payload.clone();
-        let envelope = job.envelope.clone();
+        let job = rc::Rc::new(job);
         let served = if job.envelope.key.is_some() && !self.shared.context.settings.baseline {
-            self.serve_keyed(job).await
+            self.serve_keyed(&job).await
         } else {
-            let guard = Cancel::new(self, payload);
-            let served = self.run(job).await;
+            let guard = Cancel::new(self, job.payload.clone());
+            let served = self.run(&job).await;
             guard.disarm();
             served
         };
         if let Err(problem) = &served {
             let not_run = problem.outcome == upstream::Outcome::NotRun;
-            let inputs = Inputs {
-                request: &envelope.request,
-                service: &envelope.service,
-                configuration: self.shared.context.holder.get().version(),
-                attempts: envelope.attempt,
-                left: envelope
-                    .deadline
-                    .saturating_duration_since(time::Instant::now()),
-            };
-            Event::Refused(problem).log(&inputs);
+            Event::Refused(problem).log(&self.inputs(&job.envelope));
             self.count(|counts| {
                 counts.refused += u64::from(not_run);
                 counts.unknown += u64::from(!not_run);
@@ -241,11 +231,24 @@
         served
     }
 
+    /// What is known of a request, for a log line.
+    fn inputs<'e>(&self, envelope: &'e Envelope) -> Inputs<'e> {
+        let now = time::Instant::now();
+        Inputs {
+            request: &envelope.request,
+            service: &envelope.service,
+            configuration: self.shared.context.holder.get().version(),
+            attempts: envelope.attempt,
+            priority: envelope.priority,
+            left: envelope.deadline.saturating_duration_since(now),
+        }
+    }
+
     /// Runs one request at the backend server.
-    pub(crate) async fn run(&self, job: Job) -> Result<Served<L, D>, Problem> {
+    pub(crate) async fn run(&self, job: &Job) -> Result<Served<L, D>, Problem> {
         self.check_withheld(&job.envelope)?;
         let fingerprint = Fingerprint::new(&job.head, job.payload.clone());
-        let permit = self.admit(&job, &fingerprint).await?;
+        let permit = self.admit(job, &fingerprint).await?;
         let beside = self.shared.backend.borrow().clone();
         let Some(beside) = beside else {
             return Err(Problem::later(Reason::Refused(
@@ -255,7 +258,7 @@
         let Some(feed) = job.payload.feed() else {
             return Err(broken_body(&job.payload, upstream::Outcome::NotRun));
         };
-        let request = self.request(&job, &beside, feed)?;
+        let request = self.request(job, &beside, feed)?;
         let sent = request.headers().clone();
         self.count(|counts| counts.sent += 1);
         let mut serving = Serving {
--- a/node/src/call/problem.rs
+++ b/node/src/call/problem.rs
@@ -18,6 +18,8 @@
     pub outcome: Outcome,
     /// When it is worth coming back; `None` when it is not.
     pub retry_after: Option<time::Duration>,
+    /// What stood in its way, where this node refused it for want of room.
+    pub crowd: Option<admission::Crowd>,
 }
 
 impl Problem {
@@ -33,6 +35,7 @@
             reason,
             outcome: Outcome::NotRun,
             retry_after: None,
+            crowd: None,
         }
     }
 
@@ -43,6 +46,7 @@
             reason,
             outcome: Outcome::NotRun,
             retry_after: Some(Self::WAIT),
+            crowd: None,
         }
     }
 
@@ -53,6 +57,7 @@
             reason,
             outcome: Outcome::Unknown,
             retry_after: Some(Self::WAIT),
+            crowd: None,
         }
     }
 
@@ -100,6 +105,7 @@
             reason: Reason::remote(reason.as_deref().unwrap_or_default()),
             outcome,
             retry_after: wait.map(|wait| wait.min(Self::WAIT_LIMIT)),
+            crowd: None,
         })
     }
 }
@@ -110,6 +116,7 @@
             reason: Reason::Refused(refusal.reason),
             outcome: Outcome::NotRun,
             retry_after: Some(refusal.retry_after.max(time::Duration::from_millis(1))),
+            crowd: refusal.crowd,
         }
     }
 }
@@ -120,6 +127,7 @@
             reason: Reason::Failed(failure.cause),
             outcome: failure.outcome(),
             retry_after: Some(Self::WAIT),
+            crowd: None,
         }
     }
 }
--- a/node/tests/call/limits.rs
+++ b/node/tests/call/limits.rs
@@ -158,3 +158,23 @@
     assert_eq!((got.status, got.outcome.as_str()), (503, "not-run"));
     assert_eq!(fleet.nodes[ingress].ingress.counts().attempts, 1);
 }
+
+#[test]
+fn patience_by_age_of_node() {
+    use std::time::{Duration, Instant};
+    let started = Instant::now();
+    let patience = node::call::Patience::new(started);
+    let ms = Duration::from_millis;
+    let cases = [
+        // Time since the start, time until an answer is wanted, time left, wait.
+        (0, 300, 1_200, 600),
+        (1_900, 300, 1_200, 600),
+        (2_100, 400, 1_500, 50),
+        (60_000, 400, 200, 25),
+        (100, 0, 0, 0),
+    ];
+    for (age, wanted, left, wait) in cases {
+        let waits = patience.wait(started + ms(age), ms(wanted), ms(left));
+        assert_eq!(waits, ms(wait), "{age} ms after the start");
+    }
+}
