--- a/components/moves/src/canary/service.rs
+++ b/components/moves/src/canary/service.rs
@@ -73,6 +73,7 @@
     incoming: kernel::Inbox<peer::Incoming>,
 }
 
+/// What the tasks of the service share.
 pub(super) struct Shared<S, L, O> {
     pub(super) parts: Parts<S, L, O>,
     pub(super) recorder: Recorder,
--- a/components/platform/src/follower.rs
+++ b/components/platform/src/follower.rs
@@ -42,6 +42,8 @@
 }
 
 /// Follows the objects below a prefix: reads them, then watches them, and starts over when a call fails.
+///
+/// Objects that are removed are not told of: what is followed here outlives its object.
 pub struct Follower<S> {
     store: S,
     pace: Pace,
