node, membership, upstream: read once more; state that could be derived, work on the hot path, small twins

Found by reading the whole change since: - Each request of radishgap-node walked all services and groups: the versions that moves leave open were observed for as long as the moves are not known, which is for ever where no moves of seconds are followed. `Splits::observe` did nothing then, so only the work goes. - `Directory::ready_versions` and `versions_elsewhere` read all groups; `whole` knew how to find those of one service. `groups_of` serves all three. - `joined` and `joined_at` of membership said the same thing twice; one cell holds when, if at all. - `Lines` opened and retired connections in two places each; `Shared::dial` and `Busy::retire` do it now. - `Gate` wrote the wait behind all who wait three times. - The two tests of a common restart shared their set-up word for word: `Mesh::lose_power`.

Behaviour stays as it is, but for one more debug line when a look whether a server is up cannot connect. Tests of membership, admission, upstream, routing, node and sidecar pass; no assertion changed.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -253,8 +253,7 @@
             now,
         );
         if let Some(evicted) = evicted {
-            let wait = state.wait_behind(state.waiting.len());
-            let refusal = state.refuse(Reason::Full, evicted.route, wait);
+            let refusal = state.turn_away(Reason::Full, evicted.route);
             let _ = evicted.sender.send(Err(refusal));
         }
         drop(state);
@@ -270,8 +269,7 @@
         let refusals: Vec<_> = shed
             .into_iter()
             .map(|waiter| {
-                let wait = state.wait_behind(state.waiting.len());
-                let refusal = state.refuse(Reason::Late, waiter.route, wait);
+                let refusal = state.turn_away(Reason::Late, waiter.route);
                 (waiter, refusal)
             })
             .collect();
@@ -364,6 +362,11 @@
         Refusal::crowded(reason, self.retry_after(), crowd)
     }
 
+    /// A refusal of a waiting request of `route`, which would now have to wait behind all others.
+    fn turn_away(&self, reason: Reason, route: u64) -> Refusal {
+        self.refuse(reason, route, self.wait_behind_all())
+    }
+
     fn urgency(&self, ask: &Ask) -> Urgency {
         Urgency {
             priority: ask.priority,
@@ -383,7 +386,11 @@
     fn retry_after(&self) -> time::Duration {
         const SPREAD: std::ops::Range<f64> = 0.5..1.5;
         let spread = rand::random_range(SPREAD);
-        self.wait_behind(self.waiting.len()).mul_f64(spread)
+        self.wait_behind_all().mul_f64(spread)
+    }
+
+    fn wait_behind_all(&self) -> time::Duration {
+        self.wait_behind(self.waiting.len())
     }
 
     fn wait_behind(&self, ahead: usize) -> time::Duration {
--- a/components/membership/src/gossip.rs
+++ b/components/membership/src/gossip.rs
@@ -175,8 +175,7 @@
         const MEETS_ALL: time::Duration = time::Duration::from_secs(1);
         let settled = |joined: time::Instant| now.saturating_duration_since(joined) >= MEETS_ALL;
         let known = self.reader.get().members().len();
-        let joined = self.joined.get() && self.joined_at.get().is_none_or(settled);
-        joined || self.table.borrow().records().len() >= known
+        self.joined.get().is_some_and(settled) || self.table.borrow().records().len() >= known
     }
 
     /// Replaces the view where the table has changed.
--- a/components/membership/src/join.rs
+++ b/components/membership/src/join.rs
@@ -52,7 +52,7 @@
         let longest = self.settings.seed_period.0;
         let mut check = longest;
         loop {
-            if !self.joined.get() {
+            if !self.is_joined() {
                 check = match stop.guard(self.join()).await {
                     Some(Joined::Members) => Self::FIRST_CHECK.min(longest),
                     Some(Joined::Nobody) => Self::FOUNDER_CHECK.min(longest),
@@ -66,7 +66,7 @@
                 return;
             }
             check = (check * 2).min(longest);
-            if self.joined.get() {
+            if self.is_joined() {
                 stop.guard(self.check_seeds()).await;
             }
         }
@@ -75,7 +75,7 @@
     /// Waits for `period`, or until this node has to join again; `false` when the service stops.
     async fn wait_for_check(&self, period: time::Duration, stop: &kernel::Stop) -> bool {
         let until = time::Instant::now() + period;
-        while self.joined.get() && time::Instant::now() < until {
+        while self.is_joined() && time::Instant::now() < until {
             let left = until.saturating_duration_since(time::Instant::now());
             if !stop.sleep(left.min(Self::JOIN_POLL)).await {
                 return false;
@@ -84,10 +84,14 @@
         true
     }
 
+    fn is_joined(&self) -> bool {
+        self.joined.get().is_some()
+    }
+
     /// Forgets all members and joins again.
     pub(crate) fn rejoin(&self) {
         self.table.borrow_mut().forget();
-        self.joined.set(false);
+        self.joined.set(None);
     }
 
     /// Tries seeds until one has given its whole view, or there is certainly no other node.
@@ -103,10 +107,9 @@
                 }
             }
         };
-        self.joined.set(true);
-        self.table.borrow_mut().announce();
         let now = time::Instant::now();
-        self.joined_at.set(Some(now));
+        self.joined.set(Some(now));
+        self.table.borrow_mut().announce();
         if self.is_whole(now) {
             self.publish_at_once(now);
         }
--- a/components/membership/src/members.rs
+++ b/components/membership/src/members.rs
@@ -59,7 +59,6 @@
             counter: Counter::default(),
             health: rc::Rc::default(),
             joined: rc::Rc::default(),
-            joined_at: cell::Cell::new(None),
             grace: cell::Cell::new(now),
             lease: cell::Cell::new(None),
             draining: cell::Cell::new(false),
--- a/components/membership/src/monitor.rs
+++ b/components/membership/src/monitor.rs
@@ -2,6 +2,7 @@
 
 use std::cell;
 use std::rc;
+use std::time;
 
 use serde::Serialize;
 
@@ -14,7 +15,7 @@
     pub(crate) counter: Counter,
     pub(crate) table: rc::Rc<cell::RefCell<Table>>,
     pub(crate) health: rc::Rc<cell::Cell<Health>>,
-    pub(crate) joined: rc::Rc<cell::Cell<bool>>,
+    pub(crate) joined: rc::Rc<cell::Cell<Option<time::Instant>>>,
 }
 
 units::record! {
@@ -58,7 +59,7 @@
     /// Whether this node has taken the view of another node, or knows that there is none.
     #[must_use]
     pub fn is_joined(&self) -> bool {
-        self.joined.get()
+        self.joined.get().is_some()
     }
 
     /// The whole state.
@@ -73,7 +74,7 @@
             doubted: record.doubted,
         };
         Dump {
-            joined: self.joined.get(),
+            joined: self.is_joined(),
             health: self.health.get().score(),
             rumors,
             counts: self.counter.get(),
--- a/components/membership/src/shared.rs
+++ b/components/membership/src/shared.rs
@@ -31,9 +31,8 @@
     pub(crate) scope: cell::RefCell<rc::Rc<Scope>>,
     pub(crate) counter: Counter,
     pub(crate) health: rc::Rc<cell::Cell<Health>>,
-    pub(crate) joined: rc::Rc<cell::Cell<bool>>,
-    /// When this node joined last.
-    pub(crate) joined_at: cell::Cell<Option<time::Instant>>,
+    /// When this node joined; `None` while it has to.
+    pub(crate) joined: rc::Rc<cell::Cell<Option<time::Instant>>>,
     pub(crate) suspicion: Suspicion,
     pub(crate) herd: Herd,
     /// No accusations before this time.
--- a/components/membership/tests/mesh.rs
+++ b/components/membership/tests/mesh.rs
@@ -78,6 +78,28 @@
         mesh
     }
 
+    /// Members of four data centres that found each other by the platform, ran for `uptime` and have all
+    /// lost power.
+    async fn lose_power(count: usize, settings: Settings, uptime: time::Duration) -> Self {
+        let mut mesh = Self {
+            network: fakes::Network::new(7),
+            store: fakes::Store::default(),
+            settings,
+            centres: 4,
+            nodes: Vec::new(),
+        };
+        for number in 0..count {
+            mesh.add_with(number, Vec::new());
+        }
+        mesh.wait_all_alive().await;
+        pass(uptime).await;
+        for number in 0..count {
+            mesh.crash(number).await;
+        }
+        mesh.nodes.clear();
+        mesh
+    }
+
     fn add(&mut self, number: usize) {
         let seeds = if number == 0 {
             vec![]
@@ -576,22 +598,7 @@
         seed_period: Settings::default().seed_period,
         ..quick()
     };
-    let mut mesh = Mesh {
-        network: fakes::Network::new(7),
-        store: fakes::Store::default(),
-        settings,
-        centres: 4,
-        nodes: Vec::new(),
-    };
-    for number in 0..12 {
-        mesh.add_with(number, Vec::new());
-    }
-    mesh.wait_all_alive().await;
-    pass(time::Duration::from_secs(2)).await;
-    for number in 0..12 {
-        mesh.crash(number).await;
-    }
-    mesh.nodes.clear();
+    let mut mesh = Mesh::lose_power(12, settings, time::Duration::from_secs(2)).await;
     for number in 0..12 {
         mesh.add_with(number, Vec::new());
     }
@@ -612,22 +619,7 @@
         view_period: units::Period::from_millis(100),
         ..Settings::default()
     };
-    let mut mesh = Mesh {
-        network: fakes::Network::new(7),
-        store: fakes::Store::default(),
-        settings,
-        centres: 4,
-        nodes: Vec::new(),
-    };
-    for number in 0..14 {
-        mesh.add_with(number, Vec::new());
-    }
-    mesh.wait_all_alive().await;
-    pass(time::Duration::from_secs(4)).await;
-    for number in 0..14 {
-        mesh.crash(number).await;
-    }
-    mesh.nodes.clear();
+    let mut mesh = Mesh::lose_power(14, settings, time::Duration::from_secs(4)).await;
     for number in 0..LEFT {
         mesh.add_with(number, Vec::new());
         pass(time::Duration::from_millis(15)).await;
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -188,6 +188,15 @@
         }
     }
 
+    /// The groups of `service`, sorted by version.
+    fn groups_of(&self, service: &str) -> &[rc::Rc<Group>] {
+        let start = self
+            .groups
+            .partition_point(|group| group.service.as_str() < service);
+        let length = self.groups[start..].partition_point(|group| group.service == service);
+        &self.groups[start..start + length]
+    }
+
     fn place(&self, service: &str, version: &str) -> Result<usize, usize> {
         let wanted = (service, version);
         self.groups
@@ -230,12 +239,7 @@
     /// The backend servers of all `open` versions of `service`, if one is ready.
     #[must_use]
     pub fn whole(&self, service: &str, open: impl Fn(&str) -> bool) -> Option<rc::Rc<Group>> {
-        let start = self
-            .groups
-            .partition_point(|group| group.service.as_str() < service);
-        let of_service = self.groups[start..]
-            .iter()
-            .take_while(|group| group.service == service);
+        let of_service = self.groups_of(service).iter();
         let mut groups = of_service.filter(|group| open(&group.version));
         let first = groups.next()?;
         let Some(second) = groups.next() else {
@@ -250,14 +254,14 @@
     /// Versions of `service` that have a ready backend server, sorted.
     #[must_use]
     pub fn ready_versions(&self, service: &str) -> Vec<CompactString> {
-        let of_service = self.groups.iter().filter(|group| group.service == service);
+        let of_service = self.groups_of(service).iter();
         of_service.map(|group| group.version.clone()).collect()
     }
 
     /// Versions of `service` that have a ready backend server beside another node, sorted.
     #[must_use]
     pub fn versions_elsewhere(&self, service: &str) -> Vec<CompactString> {
-        let of_service = self.groups.iter().filter(|group| group.service == service);
+        let of_service = self.groups_of(service).iter();
         let elsewhere = of_service.filter(|group| group.all().any(|one| !one.own));
         elsewhere.map(|group| group.version.clone()).collect()
     }
--- a/components/upstream/src/lines.rs
+++ b/components/upstream/src/lines.rs
@@ -115,12 +115,9 @@
         if self.shared.open.get() > 0 {
             return true;
         }
-        let limit = self.shared.settings.connect_timeout.0;
-        let opening = Line::open(self.shared.address, self.shared.open.clone());
-        let Ok(Ok(line)) = compio::time::timeout(limit, opening).await else {
+        let Some(line) = self.shared.dial().await else {
             return false;
         };
-        self.shared.opened.set(self.shared.opened.get() + 1);
         self.shared.idle.borrow_mut().push(line);
         true
     }
@@ -148,8 +145,7 @@
                     return Ok(Reply { response, lease });
                 }
                 Err(mut error) => {
-                    busy.line = None;
-                    self.shared.retired.set(self.shared.retired.get() + 1);
+                    busy.retire();
                     match error.take_message() {
                         Some(unsent) => request = unsent,
                         None => return Err(Cause::of(error.error()).into()),
@@ -175,23 +171,24 @@
         if !wait.is_zero() {
             compio::time::sleep(wait).await;
         }
-        let limit = shared.settings.connect_timeout.0;
-        let opening = Line::open(shared.address, shared.open.clone());
-        match compio::time::timeout(limit, opening).await {
-            Ok(Ok(line)) => {
-                shared.opened.set(shared.opened.get() + 1);
-                Ok(Busy::new(shared.clone(), line))
-            }
-            Ok(Err(error)) => {
-                log::debug!(address:% = shared.address, error:% = error; "dial failed");
-                Err(Cause::Connect.into())
-            }
-            Err(_) => Err(Cause::Connect.into()),
-        }
+        let line = shared.dial().await.ok_or(Cause::Connect)?;
+        Ok(Busy::new(shared.clone(), line))
     }
 }
 
 impl Shared {
+    /// Opens a connection; `None` where that fails.
+    async fn dial(&self) -> Option<Line> {
+        let opening = Line::open(self.address, self.open.clone());
+        let opened = compio::time::timeout(self.settings.connect_timeout.0, opening).await;
+        let line = opened.ok()?.inspect_err(|error| {
+            log::debug!(address:% = self.address, error:% = error; "dial failed");
+        });
+        let line = line.ok()?;
+        self.opened.set(self.opened.get() + 1);
+        Some(line)
+    }
+
     /// The connection that was used last among those that can take a request.
     fn take_idle(&self, now: time::Instant) -> Option<Line> {
         let mut idle = self.idle.borrow_mut();
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -145,8 +145,12 @@
         }
         let context = &self.shared.context;
         let changed = state.directory.update(&view, &context.settings.choice, now);
+        // Where no moves are followed the versions are listed, and there is nothing to observe.
+        if !context.splits.is_known() {
+            return;
+        }
         if changed || !state.settled {
-            state.settled = context.splits.is_known();
+            state.settled = true;
             for service in snapshot.services() {
                 let ready = state.directory.ready_versions(&service.name);
                 let elsewhere = state.directory.versions_elsewhere(&service.name);
