node: both assemblies share one frame and one foundation

Names of metrics and sections of the dump stay as they were on both sides.

Behaviour stays as it is.

--- a/node/src/assembly/departure.rs
+++ b/node/src/assembly/departure.rs
@@ -13,10 +13,13 @@
 /// Starts the task that is the first to stop: it announces the departure while the node serves.
 pub(super) fn start(builder: &mut Builder) -> Result<(), Report<Error>> {
     let members = builder.find(names::MEMBERSHIP)?;
-    builder.kernel.start_task("departure", |stop| async move {
-        stop.requested().await;
-        announce(&members).await;
-    });
+    builder
+        .frame
+        .kernel
+        .start_task("departure", |stop| async move {
+            stop.requested().await;
+            announce(&members).await;
+        });
     Ok(())
 }
 
--- a/node/src/assembly/distributing.rs
+++ b/node/src/assembly/distributing.rs
@@ -12,7 +12,7 @@
 pub(super) fn start(builder: &mut Builder) -> Result<(), Report<Error>> {
     let (mailbox, commands) = kernel::mailbox(MAILBOX);
     builder.offer(names::DISTRIBUTION, mailbox)?;
-    let incoming = builder.incoming(Distribution::PEER_NAME)?;
+    let incoming = builder.frame.incoming(Distribution::PEER_NAME)?;
     let settings = builder.settings.clone();
     let service = Distribution::new(distribution::Parts {
         node: settings.node.clone(),
@@ -35,6 +35,6 @@
     let counted = handle.clone();
     exporter.add_counts("distribution.violations", move || counted.violations());
     builder.offer(names::HELD, handle)?;
-    builder.kernel.start(service);
+    builder.frame.kernel.start(service);
     Ok(())
 }
--- a/node/src/assembly/listeners.rs
+++ b/node/src/assembly/listeners.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use tonic::service::Routes;
 
 use super::{Builder, Error, Link, names};
@@ -19,16 +19,31 @@
     let settings = builder.settings.clone();
     let limits = web::Limits::default();
     let admin: Admin = builder.find(names::ADMIN)?;
-    listen(builder, "admin", settings.admin, limits, admin).await?;
+    builder
+        .frame
+        .listen("admin", settings.admin, limits, admin)
+        .await?;
     let operator = operator_api(builder)?;
-    listen(builder, "operator", settings.operator, limits, operator).await?;
+    builder
+        .frame
+        .listen("operator", settings.operator, limits, operator)
+        .await?;
     let announce = announce_api(builder)?;
-    listen(builder, "announce", settings.announce, limits, announce).await?;
+    builder
+        .frame
+        .listen("announce", settings.announce, limits, announce)
+        .await?;
     let limits = request_limits(&settings);
     let owner: Owner<Link> = builder.find(names::OWNER)?;
-    listen(builder, "mesh", settings.mesh, limits, owner).await?;
+    builder
+        .frame
+        .listen("mesh", settings.mesh, limits, owner)
+        .await?;
     let ingress: Ingress<Link, moves::Recorder> = builder.find(names::INGRESS)?;
-    listen(builder, "callers", settings.callers, limits, ingress).await
+    builder
+        .frame
+        .listen("callers", settings.callers, limits, ingress)
+        .await
 }
 
 fn operator_api(builder: &Builder) -> Result<web::Grpc, Report<Error>> {
@@ -55,18 +70,3 @@
         ..web::Limits::default()
     }
 }
-
-async fn listen<H: web::Handler>(
-    builder: &mut Builder,
-    name: &'static str,
-    address: units::Address,
-    limits: web::Limits,
-    handler: H,
-) -> Result<(), Report<Error>> {
-    let bound = web::Server::bind(address, limits).await;
-    let server = bound.change_context(Error::Listen(name, address))?;
-    builder
-        .kernel
-        .start_task(name, |stop| server.run(handler, stop));
-    Ok(())
-}
--- a/node/src/assembly/members.rs
+++ b/node/src/assembly/members.rs
@@ -12,7 +12,7 @@
 pub(super) fn start(builder: &mut Builder) -> Result<(), Report<Error>> {
     let (mailbox, commands) = kernel::mailbox(MAILBOX);
     builder.offer(names::MEMBERSHIP, mailbox)?;
-    let requests = builder.incoming(Members::SERVICE)?;
+    let requests = builder.frame.incoming(Members::SERVICE)?;
     let settings = builder.settings.clone();
     let members = Members::new(
         settings.identity(),
@@ -30,6 +30,6 @@
     dump.add("membership", move || shown.dump());
     let exporter: Exporter = builder.find(names::EXPORTER)?;
     exporter.add_counts("membership", move || monitor.counts());
-    builder.kernel.start(members);
+    builder.frame.kernel.start(members);
     Ok(())
 }
--- a/node/src/assembly/mod.rs
+++ b/node/src/assembly/mod.rs
@@ -4,6 +4,7 @@
 mod distributing;
 mod error;
 mod foundation;
+mod frame;
 mod listeners;
 mod members;
 mod moving;
@@ -17,20 +18,21 @@
 use error_stack::{Report, ResultExt};
 
 pub use error::Error;
+pub use foundation::Foundation;
+pub use frame::Frame;
 
 use crate::settings::Settings;
 
 /// The transport of control messages between nodes.
-pub(crate) type Link = peer::Client;
+pub type Link = peer::Client;
 
 /// Messages that may wait for a service.
-const MAILBOX: usize = 1_024;
+pub const MAILBOX: usize = 1_024;
 
 /// What is needed to start services.
 pub(crate) struct Builder {
     settings: rc::Rc<Settings>,
-    kernel: kernel::Kernel,
-    router: peer::Router,
+    frame: Frame,
 }
 
 /// Runs a node until it is asked to stop.
@@ -41,8 +43,7 @@
     telemetry::start_logs(settings.node.as_str(), settings.log_level);
     let mut builder = Builder {
         settings: rc::Rc::new(settings),
-        kernel: kernel::Kernel::new(),
-        router: peer::Router::default(),
+        frame: Frame::default(),
     };
     foundation::offer(&builder)?;
     members::start(&mut builder)?;
@@ -56,7 +57,7 @@
     log::info!(version = env!("CARGO_PKG_VERSION"); "node started");
     let ended = program::terminated().await;
     log::info!("graceful shutdown starts");
-    builder.kernel.close().await;
+    builder.frame.kernel.close().await;
     log::info!("node stopped");
     ended.change_context(Error::Signals)
 }
@@ -68,24 +69,13 @@
         name: &'static str,
         handle: T,
     ) -> Result<(), Report<Error>> {
-        let offered = self.kernel.registry().offer(name, handle);
+        let offered = self.frame.kernel.registry().offer(name, handle);
         offered.change_context(Error::Services)
     }
 
     /// Finds what another service offers as `name`.
     fn find<T: Clone + 'static>(&self, name: &'static str) -> Result<T, Report<Error>> {
-        let found = self.kernel.registry().find(name);
+        let found = self.frame.kernel.registry().find(name);
         found.change_context(Error::Services)
     }
-
-    /// Creates the inbox for requests of other nodes to the service `name`.
-    fn incoming(
-        &mut self,
-        name: &'static str,
-    ) -> Result<kernel::Inbox<peer::Incoming>, Report<Error>> {
-        let (mailbox, inbox) = kernel::mailbox(MAILBOX);
-        let registered = self.router.register(name, mailbox);
-        registered.change_context(Error::Services)?;
-        Ok(inbox)
-    }
 }
--- a/node/src/assembly/moving.rs
+++ b/node/src/assembly/moving.rs
@@ -12,7 +12,7 @@
 pub(super) fn start(builder: &mut Builder) -> Result<(), Report<Error>> {
     let (mailbox, commands) = kernel::mailbox(MAILBOX);
     builder.offer(names::MOVES, mailbox)?;
-    let incoming = builder.incoming(moves::NAME)?;
+    let incoming = builder.frame.incoming(moves::NAME)?;
     let settings = builder.settings.clone();
     let parts = moves::Parts {
         node: settings.node.clone(),
@@ -34,6 +34,6 @@
     let exporter: Exporter = builder.find(names::EXPORTER)?;
     exporter.add_counts("moves", move || reader.counts());
     builder.offer(names::RECORDER, service.recorder())?;
-    builder.kernel.start(service);
+    builder.frame.kernel.start(service);
     Ok(())
 }
--- a/node/src/assembly/operators.rs
+++ b/node/src/assembly/operators.rs
@@ -13,7 +13,10 @@
     builder.offer(names::DESK, mailbox)?;
     let dump: Dump = builder.find(names::DUMP)?;
     let holder = builder.find(names::CONFIGURATION)?;
-    builder.kernel.start(Desk::new(inbox, holder, dump.clone()));
+    builder
+        .frame
+        .kernel
+        .start(Desk::new(inbox, holder, dump.clone()));
     let exporter = builder.find(names::EXPORTER)?;
     let held: distribution::Handle = builder.find(names::HELD)?;
     let admin = Admin::new(dump, exporter, move || held.ready());
--- a/node/src/assembly/requests.rs
+++ b/node/src/assembly/requests.rs
@@ -1,7 +1,6 @@
 //! The request path.
 
 use std::rc;
-use std::time;
 
 use error_stack::Report;
 
@@ -11,9 +10,6 @@
 use crate::dump::Dump;
 use crate::metrics::Exporter;
 
-/// Time between two rounds of housekeeping on the request path.
-const MAINTENANCE: time::Duration = time::Duration::from_millis(500);
-
 /// Starts what takes requests and announcements.
 pub(super) fn start(builder: &mut Builder) -> Result<(), Report<Error>> {
     let settings = builder.settings.clone();
@@ -31,43 +27,24 @@
     let link: Link = builder.find(names::LINK)?;
     let owner = Owner::new(context.clone(), link);
     let ingress = Ingress::new(context, builder.find(names::RECORDER)?, owner.clone());
-    start_suspects(builder, owner.clone())?;
+    builder.frame.start_suspects(owner.clone())?;
     start_announcements(builder, owner.clone())?;
-    start_maintenance(builder, ingress.clone());
+    builder.frame.start_maintenance(ingress.clone());
     show(builder, &owner, &ingress)?;
     builder.offer(names::OWNER, owner)?;
     builder.offer(names::INGRESS, ingress)
 }
 
-/// Hands notices of other owners about requests that crash backend servers to `owner`.
-fn start_suspects(builder: &mut Builder, owner: Owner<Link>) -> Result<(), Report<Error>> {
-    let mut inbox = builder.incoming(admission::SERVICE)?;
-    builder.kernel.start_task("suspects", |stop| async move {
-        while let Some(Some(incoming)) = stop.guard(inbox.receive()).await {
-            owner.sharing().take(incoming, time::Instant::now());
-        }
-    });
-    Ok(())
-}
-
 fn start_announcements(builder: &mut Builder, owner: Owner<Link>) -> Result<(), Report<Error>> {
     let (mailbox, inbox) = kernel::mailbox(MAILBOX);
     builder.offer(names::ANNOUNCEMENTS, mailbox)?;
     let members = builder.find(names::MEMBERSHIP)?;
     let lease = builder.settings.membership.lease.0;
     let desk = announce::Desk::new(inbox, owner, members, lease);
-    builder.kernel.start(desk);
+    builder.frame.kernel.start(desk);
     Ok(())
 }
 
-fn start_maintenance(builder: &mut Builder, ingress: Ingress<Link, moves::Recorder>) {
-    builder.kernel.start_task("maintenance", |stop| async move {
-        while stop.sleep(MAINTENANCE).await {
-            ingress.maintain(time::Instant::now());
-        }
-    });
-}
-
 fn show(
     builder: &Builder,
     owner: &Owner<Link>,
