node, admission: owners count what arrives beyond the first of each request, and which calls repeated runs may have made

An ingress now says with each attempt whether a backend server may have had the request, and for requests from its own VM which part of the runs at its backend server are repeats; owners sum both over the window of the budget and write them as `arrivals`. Numbers with a fraction are numbers in log lines now.

--- /dev/null
+++ b/components/admission/src/arrivals.rs
@@ -0,0 +1,122 @@
+//! What arrives at a backend server beyond the first arrival of each request.
+
+use std::time;
+
+use serde::Serialize;
+use units::Share;
+
+/// Arrivals at a backend server in a sliding window.
+#[derive(Debug, Clone)]
+pub struct Arrivals {
+    /// Length of one slot.
+    step: time::Duration,
+    started: time::Instant,
+    /// Number of the newest slot since the start.
+    newest: u64,
+    slots: [Sum; Self::SLOTS],
+}
+
+/// Sums of arrivals.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Sum {
+    /// First arrivals of requests.
+    pub first: u64,
+    /// Arrivals of requests that a backend server may have had before.
+    pub resent: u64,
+    /// Calls of runs that were repeats, as far as that can be told, in parts per 10,000.
+    pub called_again_parts: u64,
+}
+
+/// What is known of a request with regard to repeats.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Repeat {
+    /// Whether a backend server may have had it before.
+    pub resent: bool,
+    /// Part of the runs, among those that may have made this call, that were repeats.
+    pub called_again: Share,
+}
+
+impl Sum {
+    /// Arrivals beyond the first of each request; users count calls of repeated runs among them.
+    #[must_use]
+    pub fn repeats(&self) -> f64 {
+        // Counts of one window are far below 2^52.
+        #[allow(clippy::cast_precision_loss)]
+        let resent = self.resent as f64;
+        resent + self.called_again()
+    }
+
+    /// Calls of runs that were repeats, as far as that can be told.
+    #[must_use]
+    pub fn called_again(&self) -> f64 {
+        // Counts of one window are far below 2^52.
+        #[allow(clippy::cast_precision_loss)]
+        let parts = self.called_again_parts as f64;
+        parts / f64::from(Share::WHOLE.parts())
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.first += other.first;
+        self.resent += other.resent;
+        self.called_again_parts += other.called_again_parts;
+    }
+}
+
+impl Arrivals {
+    /// Slots of a window; a window that slides by whole slots is up to one slot shorter.
+    const SLOTS: usize = 41;
+
+    /// No arrivals, counted over `window` from `now` on.
+    #[must_use]
+    pub fn new(window: time::Duration, now: time::Instant) -> Self {
+        let slots = u32::try_from(Self::SLOTS - 1).unwrap_or(u32::MAX);
+        Self {
+            step: (window / slots).max(time::Duration::from_millis(1)),
+            started: now,
+            newest: 0,
+            slots: [Sum::default(); Self::SLOTS],
+        }
+    }
+
+    /// A request reached the backend server.
+    pub fn add(&mut self, repeat: Repeat, now: time::Instant) {
+        self.slide(now);
+        let slot = &mut self.slots[Self::place(self.newest)];
+        if repeat.resent {
+            slot.resent += 1;
+        } else {
+            slot.first += 1;
+            slot.called_again_parts += u64::from(repeat.called_again.parts());
+        }
+    }
+
+    /// Sums over the window that ends at `now`.
+    pub fn sum(&mut self, now: time::Instant) -> Sum {
+        self.slide(now);
+        let mut sum = Sum::default();
+        for slot in &self.slots {
+            sum.add(slot);
+        }
+        sum
+    }
+
+    /// Empties the slots that the window has left.
+    fn slide(&mut self, now: time::Instant) {
+        let since = now.saturating_duration_since(self.started);
+        let number = since.as_nanos() / self.step.as_nanos();
+        let number = u64::try_from(number).unwrap_or(u64::MAX);
+        let passed = number.saturating_sub(self.newest);
+        let emptied = passed.min(Self::SLOTS as u64);
+        for offset in 1..=emptied {
+            self.slots[Self::place(self.newest + offset)] = Sum::default();
+        }
+        self.newest = self.newest.max(number);
+    }
+
+    fn place(number: u64) -> usize {
+        // Below the number of slots.
+        #[allow(clippy::cast_possible_truncation)]
+        let place = (number % Self::SLOTS as u64) as usize;
+        place
+    }
+}
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -1,6 +1,7 @@
 //! What an owner lets through to its backend server: limits, queue, duplicates and poison.
 
 mod announced;
+mod arrivals;
 mod crash;
 mod crowd;
 mod finished;
@@ -12,6 +13,7 @@
 mod reason;
 mod records;
 mod refusal;
+mod repeats;
 mod runtimes;
 mod settings;
 mod sharing;
@@ -20,6 +22,7 @@
 mod waiting;
 
 pub use announced::Announced;
+pub use arrivals::{Arrivals, Repeat, Sum};
 pub use crash::Crash;
 pub use crowd::Crowd;
 pub use finished::Finished;
@@ -31,6 +34,7 @@
 pub use reason::Reason;
 pub use records::{End, First, Records, Start, Stored};
 pub use refusal::Refusal;
+pub use repeats::{Repeats, Run};
 pub use settings::Settings;
 pub use sharing::{SERVICE, Sharing};
 pub use suspects::{Standing, Suspects};
--- /dev/null
+++ b/components/admission/src/repeats.rs
@@ -0,0 +1,81 @@
+//! Repeats among what a backend server gets and runs.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use units::Share;
+
+use crate::{Arrivals, Repeat, Sum};
+
+/// Repeats among what a backend server gets and runs; clones share the state.
+#[derive(Clone)]
+pub struct Repeats {
+    shared: rc::Rc<Shared>,
+}
+
+struct Shared {
+    arrivals: cell::RefCell<Arrivals>,
+    /// Requests that run.
+    running: cell::Cell<u32>,
+    /// Of these, such as a backend server may have had before.
+    resent: cell::Cell<u32>,
+}
+
+/// A request that runs, until it is dropped.
+#[must_use]
+pub struct Run {
+    shared: rc::Rc<Shared>,
+    resent: bool,
+}
+
+impl Repeats {
+    /// Counts from `now` on, over a sliding `window`.
+    #[must_use]
+    pub fn new(window: time::Duration, now: time::Instant) -> Self {
+        let shared = Shared {
+            arrivals: cell::RefCell::new(Arrivals::new(window, now)),
+            running: cell::Cell::default(),
+            resent: cell::Cell::default(),
+        };
+        Self {
+            shared: rc::Rc::new(shared),
+        }
+    }
+
+    /// A request goes to the backend server.
+    pub fn start(&self, repeat: Repeat, now: time::Instant) -> Run {
+        let shared = self.shared.clone();
+        shared.arrivals.borrow_mut().add(repeat, now);
+        shared.running.set(shared.running.get() + 1);
+        let resent = repeat.resent;
+        shared.resent.set(shared.resent.get() + u32::from(resent));
+        Run { shared, resent }
+    }
+
+    /// Part of the requests that run now which are repeats. A call that the backend server makes
+    /// belongs to one of them.
+    #[must_use]
+    pub fn share(&self) -> Share {
+        let whole = u64::from(Share::WHOLE.parts());
+        let running = u64::from(self.shared.running.get().max(1));
+        let parts = u64::from(self.shared.resent.get()) * whole / running;
+        let parts = u32::try_from(parts).ok();
+        parts.and_then(Share::from_parts).unwrap_or(Share::WHOLE)
+    }
+
+    /// What arrived in the window that ends at `now`.
+    #[must_use]
+    pub fn sum(&self, now: time::Instant) -> Sum {
+        self.shared.arrivals.borrow_mut().sum(now)
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let shared = &self.shared;
+        shared.running.set(shared.running.get() - 1);
+        let resent = shared.resent.get() - u32::from(self.resent);
+        shared.resent.set(resent);
+    }
+}
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -152,9 +152,10 @@
 
 impl<'kvs> kv::VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
-        let value = match (value.to_u64(), value.to_bool()) {
-            (Some(number), _) => number.into(),
-            (_, Some(truth)) => truth.into(),
+        let value = match (value.to_u64(), value.to_bool(), value.to_f64()) {
+            (Some(number), _, _) => number.into(),
+            (_, Some(truth), _) => truth.into(),
+            (_, _, Some(number)) => number.into(),
             _ => value.to_string().into(),
         };
         self.0.insert(key.to_string(), value);
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -56,9 +56,14 @@
     pub linger: time::Duration,
 }
 
-/// Address of the client; the server adds it to the extensions of each request.
+/// The client of a connection; the server adds it to the extensions of each request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Peer(pub units::Address);
+pub struct Peer {
+    /// Its address.
+    pub address: units::Address,
+    /// Whether it is on the machine of the server.
+    pub is_beside: bool,
+}
 
 impl Default for Limits {
     fn default() -> Self {
@@ -153,7 +158,11 @@
                 return;
             }
         };
-        let peer = Peer(units::Address(peer));
+        let here = stream.local_addr().ok();
+        let peer = Peer {
+            address: units::Address(peer),
+            is_beside: here.is_some_and(|here| here.ip() == peer.ip()),
+        };
         let served = serve(stream, peer, handler.clone(), self.limits, stop.clone());
         let guard = Guard::new(open.clone());
         compio::runtime::spawn(async move {
--- a/node/src/call/arrival.rs
+++ b/node/src/call/arrival.rs
@@ -30,6 +30,8 @@
     pub(crate) depth: u32,
     /// Number of the attempt of the call above that this one belongs to.
     pub(crate) attempt: u32,
+    /// How far a repeated run made the call that it is.
+    pub(crate) called_again: units::Share,
     /// Who sends it.
     pub(crate) caller: CompactString,
     /// Whether it may run more than once.
@@ -56,7 +58,8 @@
         host(head).ok_or(Problem::refused(Reason::Malformed))
     }
 
-    /// Takes over a checked request that `route` matches.
+    /// Takes over a checked request that `route` matches; `repeats` are those at the backend
+    /// server beside this node.
     ///
     /// # Errors
     /// [`Reason::BodyTooLong`].
@@ -70,6 +73,7 @@
         service: CompactString,
         caller: CompactString,
         keep: usize,
+        repeats: &admission::Repeats,
     ) -> Result<Self, Problem> {
         let limit = route.max_body.0;
         let length = Headers::number(&head.headers, &header::CONTENT_LENGTH);
@@ -84,6 +88,11 @@
         let key = asked.key.filter(|_| !idempotent);
         let above = asked.above;
         let attempt = asked.attempt.filter(|_| above.is_some());
+        let called_again = match attempt {
+            Some(attempt) if attempt > 1 => units::Share::WHOLE,
+            None if asked.beside => repeats.share(),
+            Some(_) | None => units::Share::NONE,
+        };
         let mut headers = head.headers;
         Headers::strip_hop(&mut headers);
         Headers::strip_internal(&mut headers);
@@ -99,6 +108,7 @@
             },
             depth: above.map_or(0, |above| above.saturating_add(1)),
             attempt: attempt.unwrap_or(1).max(1),
+            called_again,
             caller,
             idempotent,
             key,
--- a/node/src/call/counts.rs
+++ b/node/src/call/counts.rs
@@ -7,6 +7,8 @@
 pub struct Ingress {
     /// Requests from callers.
     pub requests: u64,
+    /// Of these, such as came from the VM of the node.
+    pub beside: u64,
     /// Attempts sent to owners.
     pub attempts: u64,
     /// Attempts after the first one of a request.
@@ -44,6 +46,10 @@
     pub requests: u64,
     /// Requests sent to the backend server.
     pub sent: u64,
+    /// Of these, such as a backend server may have had before.
+    pub resent: u64,
+    /// Of those sent, such as the backend server turned away unexecuted.
+    pub shed: u64,
     /// Answers of the backend server.
     pub answered: u64,
     /// Answers that came whole.
--- a/node/src/call/dialect.rs
+++ b/node/src/call/dialect.rs
@@ -54,6 +54,8 @@
         pub id: Option<CompactString>,
         /// How long it waits.
         pub patience: Option<time::Duration>,
+        /// Whether it comes from the VM of this node, as the calls of its backend server do.
+        pub beside: bool,
         /// Calls above this one, if it is part of a call.
         pub above: Option<u32>,
         /// Number of the attempt of the call above that this one belongs to.
--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -29,6 +29,8 @@
         pub version: CompactString,
         /// Who sends the request.
         pub caller: CompactString,
+        /// Whether it repeats a request, or a run that was a repeat called for it.
+        pub repeat: admission::Repeat,
         /// Whether it was on a backend server that crashed.
         pub suspect: bool,
         /// Idempotency key of a request that is not idempotent by itself.
@@ -90,6 +92,13 @@
         Headers::set_number(headers, Headers::TARGET_MS, millis(wanted));
         Headers::set_number(headers, Headers::ROUTE, self.route);
         Headers::set_number(headers, Headers::PRIORITY, self.priority.into());
+        if self.repeat.resent {
+            Headers::set(headers, Headers::RESENT, "1");
+        }
+        if self.repeat.called_again > units::Share::NONE {
+            let parts = self.repeat.called_again.parts();
+            Headers::set_number(headers, Headers::CALLED_AGAIN, parts.into());
+        }
         if self.suspect {
             Headers::set(headers, Headers::SUSPECT, "1");
         }
@@ -154,6 +163,12 @@
             service: text(Headers::SERVICE)?,
             version: text(Headers::VERSION)?,
             caller: text(Headers::CALLER)?,
+            repeat: admission::Repeat {
+                resent: headers.contains_key(Headers::RESENT),
+                called_again: small(Headers::CALLED_AGAIN)
+                    .and_then(units::Share::from_parts)
+                    .unwrap_or_default(),
+            },
             suspect: headers.contains_key(Headers::SUSPECT),
             key,
         })
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -48,13 +48,17 @@
     pub const KEY_NOTE: HeaderName = HeaderName::from_static("radishgap-key-note");
     /// Between nodes: the request was on a backend server that crashed.
     pub const SUSPECT: HeaderName = HeaderName::from_static("radishgap-suspect");
+    /// Between nodes: a backend server may have had the request before.
+    pub const RESENT: HeaderName = HeaderName::from_static("radishgap-resent");
+    /// Between nodes: how far a repeated run made the call, in parts per 10,000.
+    pub const CALLED_AGAIN: HeaderName = HeaderName::from_static("radishgap-called-again");
     /// Between nodes: load of the owner in parts per 10,000 of its limit.
     pub const LOAD: HeaderName = HeaderName::from_static("radishgap-load");
     /// Between nodes: version of the configuration that the sender holds.
     pub const CONFIGURATION: HeaderName = HeaderName::from_static("radishgap-configuration");
 
     /// Headers of ours that only nodes exchange.
-    const INTERNAL: [HeaderName; 12] = [
+    const INTERNAL: [HeaderName; 14] = [
         Self::CONFIGURATION,
         Self::ROUTE,
         Self::TARGET_MS,
@@ -67,6 +71,8 @@
         Self::KEY_BACKUP,
         Self::KEY_NOTE,
         Self::SUSPECT,
+        Self::RESENT,
+        Self::CALLED_AGAIN,
     ];
     /// Headers of ours on answers, which a backend server may not set.
     const ANSWER: [HeaderName; 6] = [
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -198,6 +198,7 @@
             service,
             caller,
             keep,
+            self.shared.owner.repeats(),
         )
     }
 
--- a/node/src/call/ingress/attempting.rs
+++ b/node/src/call/ingress/attempting.rs
@@ -7,6 +7,7 @@
 use upstream::Outcome;
 
 use super::passage::Passage;
+use super::trail::Trail;
 use super::{Answer, Arrival, Dialect, Ingress, Journey, Key, Problem, Reason, Target, hash_key};
 use crate::call::owner::{Job, Serving, broken_body, build};
 use crate::call::{Attempt, Envelope, Headers, Source};
@@ -17,7 +18,7 @@
         arrival: &Arrival,
         endpoint: &Endpoint,
         attempts: u32,
-        suspect: bool,
+        trail: &Trail,
         key: Option<Key>,
     ) -> Envelope {
         let left = arrival.left();
@@ -36,7 +37,11 @@
             service: endpoint.service.clone(),
             version: endpoint.version.clone(),
             caller: arrival.caller.clone(),
-            suspect,
+            repeat: admission::Repeat {
+                resent: trail.reached > 0,
+                called_again: arrival.called_again,
+            },
+            suspect: trail.suspect,
             key,
         }
     }
--- a/node/src/call/ingress/handling.rs
+++ b/node/src/call/ingress/handling.rs
@@ -37,6 +37,8 @@
         let (head, body) = request.into_parts();
         let asked = dialect.read(&head);
         let given = asked.as_ref().ok().and_then(|asked| asked.id.clone());
+        let beside = asked.as_ref().is_ok_and(|asked| asked.beside);
+        self.count(|counts| counts.beside += u64::from(beside));
         let id = given
             .unwrap_or_else(|| format_compact!("{:x}-{:x}", self.shared.origin, self.next_id()));
         let request = http::Request::from_parts(head, body);
--- a/node/src/call/ingress/keyed.rs
+++ b/node/src/call/ingress/keyed.rs
@@ -77,7 +77,7 @@
                 if unreached
                     && self.may_retry(
                         arrival,
-                        &reached(attempts),
+                        &Trail::reached(attempts),
                         problem.outcome.max(journey.outcome()),
                         attempts,
                     ) =>
@@ -158,19 +158,11 @@
         let cover = key.cover.min(window);
         let key = Some(Key { cover, ..key });
         let target = target.again();
-        let envelope = self.envelope(arrival, &target.endpoint, attempts, false, key);
+        let envelope = self.envelope(arrival, &target.endpoint, attempts, &Trail::default(), key);
         self.attempt(arrival, target, envelope, journey).await
     }
 }
 
-/// A trail of attempts that count as having reached a backend server.
-fn reached(attempts: u32) -> Trail {
-    Trail {
-        reached: attempts,
-        ..Trail::default()
-    }
-}
-
 fn is(problem: &Problem, reason: admission::Reason) -> bool {
     problem.reason.is(Reason::Refused(reason))
 }
--- a/node/src/call/ingress/retrying.rs
+++ b/node/src/call/ingress/retrying.rs
@@ -20,7 +20,7 @@
         loop {
             let target = self.find_target(arrival, &trail).await?;
             let attempts = trail.attempts() + 1;
-            let envelope = self.envelope(arrival, &target.endpoint, attempts, trail.suspect, None);
+            let envelope = self.envelope(arrival, &target.endpoint, attempts, &trail, None);
             let endpoint = target.endpoint.clone();
             let problem = match self.attempt(arrival, target, envelope, journey).await {
                 Ok(answer) if answer.parts.status.is_server_error() => {
@@ -128,9 +128,10 @@
     ) -> Result<Answer<L, O, D>, Problem> {
         let mut attempts = 0;
         loop {
+            let trail = Trail::reached(attempts);
             attempts += 1;
             let target = self.rotate(arrival)?;
-            let envelope = self.envelope(arrival, &target.endpoint, attempts, false, None);
+            let envelope = self.envelope(arrival, &target.endpoint, attempts, &trail, None);
             let ended = self.attempt(arrival, target, envelope, journey).await;
             let failed = match &ended {
                 Ok(answer) => answer.parts.status.is_server_error(),
--- a/node/src/call/ingress/trail.rs
+++ b/node/src/call/ingress/trail.rs
@@ -20,6 +20,14 @@
 }
 
 impl Trail {
+    /// A trail of attempts that count as having reached a backend server.
+    pub(super) fn reached(attempts: u32) -> Self {
+        Self {
+            reached: attempts,
+            ..Self::default()
+        }
+    }
+
     /// Whether a node may get it once more when all have had it: an owner that is well and has
     /// refused it at once would refuse it again; one where it has waited may have room by now.
     pub(super) fn may_come_back(&self) -> bool {
--- a/node/src/call/native.rs
+++ b/node/src/call/native.rs
@@ -61,13 +61,14 @@
             attempt: small(Headers::ATTEMPT),
             key: Headers::text(headers, &Headers::KEY),
             key_attempt: small(Headers::KEY_ATTEMPT),
+            ..Asked::default()
         })
     }
 
     /// The caller's address, with the node where that is local to the node.
     fn caller(&self, node: &units::Node, head: &http::request::Parts) -> CompactString {
         let peer = head.extensions.get::<web::Peer>();
-        let Some(ip) = peer.map(|peer| peer.0.0.ip()) else {
+        let Some(ip) = peer.map(|peer| peer.address.0.ip()) else {
             return CompactString::default();
         };
         if ip.is_loopback() {
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -9,7 +9,7 @@
 use std::rc;
 use std::time;
 
-use admission::{Announced, Ask, Crash, Gate, Permit, Records, Sharing, Standing};
+use admission::{Announced, Ask, Crash, Gate, Permit, Records, Repeats, Sharing, Standing};
 use hyper::body::Incoming;
 use serde::Serialize;
 use upstream::{Dialer, Payload, Server};
@@ -37,6 +37,7 @@
     gate: Gate,
     records: Records,
     sharing: Sharing<L>,
+    repeats: Repeats,
     backend: cell::RefCell<Option<Beside>>,
     /// A crash that is not certain: the backend server may only have lost a connection.
     crashed: cell::RefCell<Option<(Crash, time::Instant)>>,
@@ -111,7 +112,9 @@
     #[must_use]
     pub fn new(context: Context<D>, link: L) -> Self {
         let settings = rc::Rc::new(context.settings.admission.clone());
+        let window = context.settings.retry.window.0;
         let shared = Shared {
+            repeats: Repeats::new(window, time::Instant::now()),
             gate: Gate::new(settings.clone()),
             records: Records::new(settings.clone(), time::Instant::now()),
             sharing: Sharing::new(link, settings),
@@ -153,6 +156,12 @@
         &self.shared.sharing
     }
 
+    /// Repeats among what the backend server gets and runs.
+    #[must_use]
+    pub fn repeats(&self) -> &Repeats {
+        &self.shared.repeats
+    }
+
     /// Figures.
     #[must_use]
     pub fn counts(&self) -> Counts {
@@ -263,10 +272,15 @@
         };
         let request = self.request(job, &beside, feed)?;
         let sent = request.headers().clone();
-        self.count(|counts| counts.sent += 1);
+        let repeat = job.envelope.repeat;
+        self.count(|counts| {
+            counts.sent += 1;
+            counts.resent += u64::from(repeat.resent);
+        });
         let mut serving = Serving {
             owner: self.clone(),
             permit,
+            _run: self.shared.repeats.start(repeat, time::Instant::now()),
             fingerprint,
         };
         let deadline = job.envelope.deadline;
@@ -389,11 +403,26 @@
 
     /// Closes connections that the backend server may close soon.
     pub(crate) fn maintain(&self, now: time::Instant) {
+        self.tell_arrivals(now);
         if let Some(beside) = &*self.shared.backend.borrow() {
             beside.server.maintain(now);
         }
     }
 
+    /// Writes what arrived at the backend server in the window before `now`, where repeats did.
+    fn tell_arrivals(&self, now: time::Instant) {
+        let sum = self.shared.repeats.sum(now);
+        if sum.repeats() <= 0.0 {
+            return;
+        }
+        let Some(announced) = self.shared.gate.announced() else {
+            return;
+        };
+        log::info!(event = "arrivals", service = announced.backend.service.as_str(),
+            first = sum.first, resent = sum.resent, called_again = sum.called_again();
+            "requests at the backend server in the window of the retry budget");
+    }
+
     /// Withdraws a crash when the backend server still announces the same start.
     fn settle_crash(&self, announced: &Announced, now: time::Instant) {
         let crashed = self.shared.crashed.borrow().clone();
--- a/node/src/call/owner/serving.rs
+++ b/node/src/call/owner/serving.rs
@@ -15,6 +15,8 @@
     pub(super) owner: Owner<L, D>,
     /// Its place at the gate, until it has ended.
     pub(super) permit: Option<Permit>,
+    /// Counts it among what runs.
+    pub(super) _run: admission::Run,
     /// What it is known by after a crash.
     pub(super) fingerprint: Fingerprint,
 }
@@ -35,6 +37,7 @@
             return Err(Problem::unknown(Reason::Mismatched));
         }
         if dialect.is_unexecuted(&parts, envelope) {
+            self.owner.count(|counts| counts.shed += 1);
             if let Some(permit) = self.permit.take() {
                 permit.shed();
             }
--- a/node/src/call/retry.rs
+++ b/node/src/call/retry.rs
@@ -19,6 +19,8 @@
         pub ratio: f64,
         /// Most retries that are saved up for one service.
         pub saved: f64,
+        /// Sliding window in which repeats are counted.
+        pub window: units::Period,
         /// Least time left for which a retry is worth while.
         pub least_time: units::Period,
     }
@@ -52,6 +54,7 @@
             failures: false,
             ratio: 0.06,
             saved: 300.0,
+            window: units::Period::from_secs(10),
             least_time: units::Period::from_millis(2),
         }
     }
