admission: owners bound the repeats of their service; nodes no longer save retries up

Each such repeat takes a slot from a first attempt just when answers are lost.

Cause: each node planned with a fixed fifteenth of the slack, whatever the number of nodes; 89 nodes saved up 1,282 retries where 216 are allowed, and each start of a process gave up to 10 again. The class: a bound of all, divided by a constant. Now the owner, which alone sees every arrival at its backend server, counts first arrivals and repeats in the sliding window of the rule and refuses a repeat beyond its part: the ratio of its own first arrivals, and the slack divided by the most owners that the service had in the window. A new process has half of its part of the slack and gains the rest over a window. At size the parts follow the owners of a service (7 on average), not the nodes that call it.

The three tests of the old budget are allow_in_outage, allow_in_deep_call and allow_up_to_slack with their bounds; for the second the default ratio is 0.05 in place of 0.06, since the slack returns with each window. resend_to_working_server runs with a wide allowance: it asks where requests go, and sends more in a moment than a new service of two bears.

--- a/components/admission/src/arrivals.rs
+++ b/components/admission/src/arrivals.rs
@@ -2,7 +2,6 @@
 
 use std::time;
 
-use serde::Serialize;
 use units::Share;
 
 /// Arrivals at a backend server in a sliding window.
@@ -17,14 +16,18 @@
 }
 
 /// Sums of arrivals.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Sum {
     /// First arrivals of requests.
     pub first: u64,
     /// Arrivals of requests that a backend server may have had before.
     pub resent: u64,
+    /// Most owners that the service had.
+    pub owners: u32,
     /// Calls of runs that were repeats, as far as that can be told, in parts per 10,000.
-    pub called_again_parts: u64,
+    called_again_parts: u64,
+    /// First arrivals by the weight of their depth, in parts per 10,000.
+    earned_parts: u64,
 }
 
 /// What is known of a request with regard to repeats.
@@ -37,33 +40,35 @@
 }
 
 impl Sum {
-    /// Arrivals beyond the first of each request; users count calls of repeated runs among them.
+    /// Arrivals beyond the first of each request, calls of repeated runs among them.
     #[must_use]
     pub fn repeats(&self) -> f64 {
-        // Counts of one window are far below 2^52.
-        #[allow(clippy::cast_precision_loss)]
-        let resent = self.resent as f64;
-        resent + self.called_again()
+        count(self.resent) + self.called_again()
     }
 
     /// Calls of runs that were repeats, as far as that can be told.
     #[must_use]
     pub fn called_again(&self) -> f64 {
-        // Counts of one window are far below 2^52.
-        #[allow(clippy::cast_precision_loss)]
-        let parts = self.called_again_parts as f64;
-        parts / f64::from(Share::WHOLE.parts())
+        count(self.called_again_parts) / f64::from(Share::WHOLE.parts())
+    }
+
+    /// First arrivals, each by the weight of its depth.
+    #[must_use]
+    pub fn earned(&self) -> f64 {
+        count(self.earned_parts) / f64::from(Share::WHOLE.parts())
     }
 
     fn add(&mut self, other: &Self) {
         self.first += other.first;
         self.resent += other.resent;
+        self.owners = self.owners.max(other.owners);
         self.called_again_parts += other.called_again_parts;
+        self.earned_parts += other.earned_parts;
     }
 }
 
 impl Arrivals {
-    /// Slots of a window; a window that slides by whole slots is up to one slot shorter.
+    /// Slots of a window; a window that slides by whole slots is up to one slot longer.
     const SLOTS: usize = 41;
 
     /// No arrivals, counted over `window` from `now` on.
@@ -78,16 +83,33 @@
         }
     }
 
-    /// A request reached the backend server.
-    pub fn add(&mut self, repeat: Repeat, now: time::Instant) {
-        self.slide(now);
-        let slot = &mut self.slots[Self::place(self.newest)];
+    /// Time since the first count.
+    #[must_use]
+    pub fn up(&self, now: time::Instant) -> time::Duration {
+        now.saturating_duration_since(self.started)
+    }
+
+    /// A request that is `depth` calls deep reached the backend server.
+    ///
+    /// The weight of a first arrival falls with the square of its depth, so that the repeats of all
+    /// levels of a deep call add up to less than twice those of the first level (the sum of 1/n² is
+    /// below 1.65).
+    pub fn add(&mut self, repeat: Repeat, depth: u32, now: time::Instant) {
+        let slot = self.slot(now);
         if repeat.resent {
             slot.resent += 1;
-        } else {
-            slot.first += 1;
-            slot.called_again_parts += u64::from(repeat.called_again.parts());
+            return;
         }
+        let level = u64::from(depth) + 1;
+        slot.first += 1;
+        slot.earned_parts += u64::from(Share::WHOLE.parts()) / (level * level);
+        slot.called_again_parts += u64::from(repeat.called_again.parts());
+    }
+
+    /// The service has so many `owners`.
+    pub fn note_owners(&mut self, owners: u32, now: time::Instant) {
+        let slot = self.slot(now);
+        slot.owners = slot.owners.max(owners);
     }
 
     /// Sums over the window that ends at `now`.
@@ -100,10 +122,14 @@
         sum
     }
 
+    fn slot(&mut self, now: time::Instant) -> &mut Sum {
+        self.slide(now);
+        &mut self.slots[Self::place(self.newest)]
+    }
+
     /// Empties the slots that the window has left.
     fn slide(&mut self, now: time::Instant) {
-        let since = now.saturating_duration_since(self.started);
-        let number = since.as_nanos() / self.step.as_nanos();
+        let number = self.up(now).as_nanos() / self.step.as_nanos();
         let number = u64::try_from(number).unwrap_or(u64::MAX);
         let passed = number.saturating_sub(self.newest);
         let emptied = passed.min(Self::SLOTS as u64);
@@ -120,3 +146,10 @@
         place
     }
 }
+
+fn count(number: u64) -> f64 {
+    // Counts of one window are far below 2^52.
+    #[allow(clippy::cast_precision_loss)]
+    let count = number as f64;
+    count
+}
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -1,5 +1,6 @@
 //! What an owner lets through to its backend server: limits, queue, duplicates and poison.
 
+mod allowance;
 mod announced;
 mod arrivals;
 mod crash;
@@ -21,6 +22,7 @@
 mod urgency;
 mod waiting;
 
+pub use allowance::Allowance;
 pub use announced::Announced;
 pub use arrivals::{Arrivals, Repeat, Sum};
 pub use crash::Crash;
--- a/components/admission/src/repeats.rs
+++ b/components/admission/src/repeats.rs
@@ -6,7 +6,7 @@
 
 use units::Share;
 
-use crate::{Arrivals, Repeat, Sum};
+use crate::{Allowance, Arrivals, Repeat, Sum};
 
 /// Repeats among what a backend server gets and runs; clones share the state.
 #[derive(Clone)]
@@ -15,6 +15,7 @@
 }
 
 struct Shared {
+    allowance: Allowance,
     arrivals: cell::RefCell<Arrivals>,
     /// Requests that run.
     running: cell::Cell<u32>,
@@ -30,11 +31,12 @@
 }
 
 impl Repeats {
-    /// Counts from `now` on, over a sliding `window`.
+    /// Counts from `now` on.
     #[must_use]
-    pub fn new(window: time::Duration, now: time::Instant) -> Self {
+    pub fn new(allowance: Allowance, now: time::Instant) -> Self {
         let shared = Shared {
-            arrivals: cell::RefCell::new(Arrivals::new(window, now)),
+            arrivals: cell::RefCell::new(Arrivals::new(allowance.window.0, now)),
+            allowance,
             running: cell::Cell::default(),
             resent: cell::Cell::default(),
         };
@@ -43,10 +45,22 @@
         }
     }
 
-    /// A request goes to the backend server.
-    pub fn start(&self, repeat: Repeat, now: time::Instant) -> Run {
+    /// Whether the backend server may get one more repeat; the service has so many `owners`.
+    #[must_use]
+    pub fn allows(&self, owners: u32, now: time::Instant) -> bool {
+        let mut arrivals = self.shared.arrivals.borrow_mut();
+        arrivals.note_owners(owners, now);
+        let sum = arrivals.sum(now);
+        // Numbers of one window are small.
+        #[allow(clippy::cast_precision_loss)]
+        let resent = (sum.resent + 1) as f64;
+        resent <= self.shared.allowance.limit(&sum, arrivals.up(now))
+    }
+
+    /// A request that is `depth` calls deep goes to the backend server.
+    pub fn start(&self, repeat: Repeat, depth: u32, now: time::Instant) -> Run {
         let shared = self.shared.clone();
-        shared.arrivals.borrow_mut().add(repeat, now);
+        shared.arrivals.borrow_mut().add(repeat, depth, now);
         shared.running.set(shared.running.get() + 1);
         let resent = repeat.resent;
         shared.resent.set(shared.resent.get() + u32::from(resent));
--- a/components/admission/src/settings.rs
+++ b/components/admission/src/settings.rs
@@ -21,6 +21,8 @@
         ///
         /// Below it a change of latency says more about the machine than about the backend server.
         pub latency_slack: units::Period,
+        /// Repeats that the service bears.
+        pub repeats: crate::Allowance,
         /// Requests of all services that an ingress has in flight at a time.
         pub ingress_requests: usize,
         /// Time for which a request that was in flight in a crash stays a suspect.
@@ -49,6 +51,7 @@
             adaptive: true,
             latency_tolerance: 2.0,
             latency_slack: units::Period::from_millis(10),
+            repeats: crate::Allowance::default(),
             ingress_requests: 1_024,
             suspect_period: units::Period::from_secs(600),
             quarantine: units::Period::from_secs(600),
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -1,6 +1,5 @@
 //! Requests to one HTTP server: pooled connections, replayable bodies, and the outcome of each request.
 
-mod budget;
 mod cause;
 mod connection;
 mod dialer;
@@ -16,7 +15,6 @@
 mod settings;
 mod watched;
 
-pub use budget::Budget;
 pub use cause::Cause;
 pub use dialer::Dialer;
 pub use failure::Failure;
--- a/node/src/call/counts.rs
+++ b/node/src/call/counts.rs
@@ -48,6 +48,8 @@
     pub sent: u64,
     /// Of these, such as a backend server may have had before.
     pub resent: u64,
+    /// Repeats refused because the service had had as many as it bears.
+    pub over_budget: u64,
     /// Of those sent, such as the backend server turned away unexecuted.
     pub shed: u64,
     /// Answers of the backend server.
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -84,7 +84,6 @@
             directory,
             rotation: Rotation::default(),
             settled: false,
-            budgets: Vec::new(),
             usual: Vec::new(),
         };
         let shared = Shared {
--- a/node/src/call/ingress/keyed.rs
+++ b/node/src/call/ingress/keyed.rs
@@ -33,7 +33,6 @@
         key: &CompactString,
         journey: &Journey,
     ) -> Result<Answer<L, O, D>, Problem> {
-        self.earn(arrival);
         let home = self.home(arrival, key)?;
         let first = arrival.key_attempt == Some(1);
         let mut recall = arrival.key_attempt.is_some_and(|attempt| attempt > 1);
--- a/node/src/call/ingress/retrying.rs
+++ b/node/src/call/ingress/retrying.rs
@@ -16,7 +16,6 @@
         journey: &Journey,
     ) -> Result<Answer<L, O, D>, Problem> {
         let mut trail = Trail::default();
-        self.earn(arrival);
         loop {
             let target = self.find_target(arrival, &trail).await?;
             let attempts = trail.attempts() + 1;
@@ -97,9 +96,7 @@
             left: arrival.left(),
         };
         let retry = &self.shared.context.settings.retry;
-        let mut state = self.shared.state.borrow_mut();
-        let allowed = retry.allows(&decision, state.budget(&arrival.service, retry));
-        drop(state);
+        let allowed = retry.allows(&decision);
         if allowed && !arrival.idempotent && decision.outcome != Outcome::NotRun {
             self.count(|counts| counts.repeated += 1);
             log::error!(request = arrival.id.as_str();
@@ -109,17 +106,6 @@
         allowed
     }
 
-    /// Counts a first attempt in the retry budget.
-    pub(super) fn earn(&self, arrival: &Arrival) {
-        if arrival.attempt > 1 {
-            return;
-        }
-        let retry = &self.shared.context.settings.retry;
-        let mut state = self.shared.state.borrow_mut();
-        let budget = state.budget(&arrival.service, retry);
-        budget.earn(arrival.depth);
-    }
-
     /// The baseline: round robin, and three retries whatever became of the request.
     pub(super) async fn run_blindly(
         &self,
--- a/node/src/call/ingress/state.rs
+++ b/node/src/call/ingress/state.rs
@@ -4,9 +4,6 @@
 
 use compact_str::CompactString;
 use routing::{Directory, Rotation, Table, Usual};
-use upstream::Budget;
-
-use crate::call::Retry;
 
 /// What an ingress holds and knows.
 pub(super) struct State {
@@ -15,8 +12,6 @@
     pub(super) rotation: Rotation,
     /// The versions of the last view were taken over with all moves known.
     pub(super) settled: bool,
-    /// Sorted by service.
-    pub(super) budgets: Vec<(CompactString, Budget)>,
     /// Usual latencies, sorted by route.
     pub(super) usual: Vec<(CompactString, rc::Rc<Usual>)>,
 }
@@ -38,14 +33,4 @@
     pub(super) fn forget_routes(&mut self, snapshot: &config::Snapshot) {
         self.usual.retain(|one| snapshot.route(&one.0).is_some());
     }
-
-    pub(super) fn budget(&mut self, service: &CompactString, retry: &Retry) -> &mut Budget {
-        let place = self.budgets.binary_search_by(|one| one.0.cmp(service));
-        let place = place.unwrap_or_else(|place| {
-            let budget = Budget::new(retry.ratio, retry.saved);
-            self.budgets.insert(place, (service.clone(), budget));
-            place
-        });
-        &mut self.budgets[place].1
-    }
 }
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -112,9 +112,8 @@
     #[must_use]
     pub fn new(context: Context<D>, link: L) -> Self {
         let settings = rc::Rc::new(context.settings.admission.clone());
-        let window = context.settings.retry.window.0;
         let shared = Shared {
-            repeats: Repeats::new(window, time::Instant::now()),
+            repeats: Repeats::new(settings.repeats.clone(), time::Instant::now()),
             gate: Gate::new(settings.clone()),
             records: Records::new(settings.clone(), time::Instant::now()),
             sharing: Sharing::new(link, settings),
@@ -203,6 +202,20 @@
         Ok(())
     }
 
+    /// Refuses a repeat that the service does not bear.
+    fn check_repeat(&self, envelope: &Envelope) -> Result<(), Problem> {
+        if !envelope.repeat.resent || self.shared.context.settings.baseline {
+            return Ok(());
+        }
+        let owners = u32::try_from(self.others().len() + 1).unwrap_or(u32::MAX);
+        if self.shared.repeats.allows(owners, time::Instant::now()) {
+            return Ok(());
+        }
+        self.count(|counts| counts.over_budget += 1);
+        let reason = Reason::Refused(admission::Reason::BudgetSpent);
+        Err(Problem::later(reason))
+    }
+
     pub(crate) fn key_answer_limit(&self) -> usize {
         self.shared.context.settings.admission.key_answer.as_len()
     }
@@ -259,6 +272,7 @@
     /// Runs one request at the backend server.
     pub(crate) async fn run(&self, job: &Job) -> Result<Served<L, D>, Problem> {
         self.check_withheld(&job.envelope)?;
+        self.check_repeat(&job.envelope)?;
         let fingerprint = Fingerprint::new(&job.head, job.payload.clone());
         let permit = self.admit(job, &fingerprint).await?;
         let beside = self.shared.backend.borrow().clone();
@@ -271,6 +285,8 @@
             return Err(broken_body(&job.payload, upstream::Outcome::NotRun));
         };
         let request = self.request(job, &beside, feed)?;
+        // Others may have been let through while this one waited.
+        self.check_repeat(&job.envelope)?;
         let sent = request.headers().clone();
         let repeat = job.envelope.repeat;
         self.count(|counts| {
@@ -280,7 +296,10 @@
         let mut serving = Serving {
             owner: self.clone(),
             permit,
-            _run: self.shared.repeats.start(repeat, time::Instant::now()),
+            _run: self
+                .shared
+                .repeats
+                .start(repeat, job.envelope.depth, time::Instant::now()),
             fingerprint,
         };
         let deadline = job.envelope.deadline;
--- a/node/src/call/reason.rs
+++ b/node/src/call/reason.rs
@@ -45,7 +45,7 @@
 
 impl Reason {
     /// Reasons of owners that are well and only refuse the request.
-    const REFUSALS: [&'static str; 19] = [
+    const REFUSALS: [&'static str; 20] = [
         "no-backend-server",
         "other-backend-server",
         "starting",
@@ -54,6 +54,7 @@
         "queue-full",
         "too-late",
         "waited-too-long",
+        "retry-budget-spent",
         "quarantined",
         "keys-full",
         "key-reused",
@@ -143,7 +144,8 @@
     /// Whether no other backend server could take the request.
     #[must_use]
     pub fn is_final(self) -> bool {
-        const FINAL: [&str; 6] = [
+        const FINAL: [&str; 7] = [
+            "retry-budget-spent",
             "quarantined",
             "key-reused",
             "key-unknown",
@@ -166,6 +168,7 @@
         Reason::Full => "queue-full",
         Reason::Late => "too-late",
         Reason::Waited => "waited-too-long",
+        Reason::BudgetSpent => "retry-budget-spent",
         Reason::Quarantined => "quarantined",
         Reason::OverShare => "service-over-share",
         Reason::KeysFull => "keys-full",
--- a/node/src/call/retry.rs
+++ b/node/src/call/retry.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use serde::{Deserialize, Serialize};
-use upstream::{Budget, Outcome};
+use upstream::Outcome;
 
 units::record! {
     /// Bounds of retries.
@@ -15,12 +15,6 @@
         /// Whether an idempotent request is sent again after its backend server answered that it
         /// failed.
         pub failures: bool,
-        /// Retries that each first attempt earns.
-        pub ratio: f64,
-        /// Most retries that are saved up for one service.
-        pub saved: f64,
-        /// Sliding window in which repeats are counted.
-        pub window: units::Period,
         /// Least time left for which a retry is worth while.
         pub least_time: units::Period,
     }
@@ -52,9 +46,6 @@
         Self {
             attempts: 3,
             failures: false,
-            ratio: 0.06,
-            saved: 300.0,
-            window: units::Period::from_secs(10),
             least_time: units::Period::from_millis(2),
         }
     }
@@ -64,10 +55,10 @@
     /// Attempts of the baseline: the first one and three blind retries.
     pub const BASELINE_ATTEMPTS: u32 = 4;
 
-    /// Whether the request is sent again; takes the retry from `budget` where a backend server had
-    /// the request before.
+    /// Whether the request is sent again. Where a backend server may have had it before, the owner that
+    /// gets it then decides whether the service bears one more repeat.
     #[must_use]
-    pub fn allows(&self, decision: &Decision, budget: &mut Budget) -> bool {
+    pub fn allows(&self, decision: &Decision) -> bool {
         let harmless = match decision.outcome {
             Outcome::NotRun => true,
             Outcome::Unknown => decision.idempotent,
@@ -79,6 +70,5 @@
             && decision.attempts < self.attempts
             && (decision.reach == 0 || decision.reached < decision.reach)
             && decision.left >= self.least_time.0
-            && (decision.reached == 0 || budget.spend())
     }
 }
