admission: calls of repeated runs count against the allowance of the service called

Cause: a run that is itself a repeat makes its calls anew. The class: a bound that is kept at each step by itself and multiplied from step to step. Owners now count them, by the part of the runs on the VM that are repeats when the call is made; they are not refused, but leave fewer repeats.

--- a/components/admission/src/repeats.rs
+++ b/components/admission/src/repeats.rs
@@ -51,10 +51,7 @@
         let mut arrivals = self.shared.arrivals.borrow_mut();
         arrivals.note_owners(owners, now);
         let sum = arrivals.sum(now);
-        // Numbers of one window are small.
-        #[allow(clippy::cast_precision_loss)]
-        let resent = (sum.resent + 1) as f64;
-        resent <= self.shared.allowance.limit(&sum, arrivals.up(now))
+        sum.repeats() + 1.0 <= self.shared.allowance.limit(&sum, arrivals.up(now))
     }
 
     /// A request that is `depth` calls deep goes to the backend server.
