web: a connection between nodes outlives a rest after a request that was given up

Cause: hyper polls the pause before its next ping again after it is over, as it may with its usual timers: when the pause ends while no request is on the connection, and nothing came in since it began. The pause of cyper's timer is an async function and panics then; the driver of the connection dies with all requests on it.

Ruled out: the end of a rest alone (send_after_rest passed before).

--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -6,7 +6,6 @@
 use std::time;
 
 use compio::net;
-use cyper_core::CompioTimer;
 use hyper::client::conn::http2;
 
 use crate::watched::Watched;
@@ -50,7 +49,7 @@
         let last_read = rc::Rc::new(cell::Cell::new(now));
         let (watched, heard) = Watched::new(stream, last_read.clone());
         let handshake = http2::Builder::new(web::Executor)
-            .timer(CompioTimer)
+            .timer(web::Timer)
             .keep_alive_interval(settings.ping_interval.0)
             .keep_alive_timeout(settings.ping_timeout.0)
             .initial_stream_window_size(Self::WINDOW_BYTES)
--- a/components/web/src/connection.rs
+++ b/components/web/src/connection.rs
@@ -5,10 +5,10 @@
 
 use bytes::Bytes;
 use compio::net;
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::HyperStream;
 use hyper::client::conn::http2;
 
-use crate::Executor;
+use crate::{Executor, Timer};
 
 /// One HTTP/2 connection; clones share it.
 pub struct Connection<B> {
@@ -35,7 +35,7 @@
         let stream = net::TcpStream::connect(address.0).await?;
         stream.set_nodelay(true)?;
         let handshake = http2::Builder::new(Executor)
-            .timer(CompioTimer)
+            .timer(Timer)
             .keep_alive_interval(ping)
             .keep_alive_timeout(ping)
             .keep_alive_while_idle(true)
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -7,6 +7,7 @@
 mod grpc;
 mod pipeline;
 mod server;
+mod timer;
 
 pub use body::{Body, Fault};
 pub use channel::Channel;
@@ -14,3 +15,4 @@
 pub use executor::Executor;
 pub use grpc::Grpc;
 pub use server::{Handler, Limits, Peer, Server};
+pub use timer::Timer;
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -9,13 +9,13 @@
 
 use bytes::Bytes;
 use compio::net;
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::HyperStream;
 use futures_util::future;
 use hyper::body::Incoming;
 use hyper_util::server::conn::auto;
 
-use crate::Executor;
 use crate::pipeline::{self, Pipeline, Rewound, exchange};
+use crate::{Executor, Timer};
 
 /// Answers requests; cloned for each request, so that a clone has to be cheap.
 pub trait Handler: Clone + 'static {
@@ -271,12 +271,12 @@
     let mut builder = auto::Builder::new(Executor);
     builder
         .http1()
-        .timer(CompioTimer)
+        .timer(Timer)
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.header_bytes as usize);
     builder
         .http2()
-        .timer(CompioTimer)
+        .timer(Timer)
         .max_concurrent_streams(limits.streams)
         // Callers that give up many requests at once must not cost others the connection.
         .max_pending_accept_reset_streams(Some(limits.streams as usize))
