telemetry: a panic is a log line and a count; the soak takes it for a broken invariant

Panics of detached tasks were text on standard error. Now each is one line `panicked` with its place, radishgap_process_panics_total counts them, and the soak counts such lines with violated invariants. panic_of_thread_counted shows the count.

--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use simplelog::{LevelFilter, SharedLogger};
 
-use crate::{Quotas, Sink};
+use crate::{Panics, Quotas, Sink};
 
 /// Least severe level that is written.
 #[derive(
@@ -58,6 +58,7 @@
     };
     // Fails only where a logger is set already.
     let _ = simplelog::CombinedLogger::init(vec![Box::new(lines)]);
+    Panics::watch();
 }
 
 /// Writes each record as one JSON object on one line.
--- a/node/src/assembly/foundation.rs
+++ b/node/src/assembly/foundation.rs
@@ -44,6 +44,7 @@
         exporter.add_counts(store_name, move || counted.counts());
         let counted = meter.clone();
         exporter.add_counts("peer", move || counted.total());
+        exporter.add_counts("process", telemetry::Panics::count);
         Ok(Self {
             meter,
             link,
--- a/testing/load/src/soak/gather.rs
+++ b/testing/load/src/soak/gather.rs
@@ -15,7 +15,7 @@
     pub violations: Vec<(String, serde_json::Value)>,
     /// Sum of these.
     pub counted: u64,
-    /// Log lines of nodes about violated invariants; they outlive a killed process.
+    /// Log lines of nodes about violated invariants and panics; they outlive a killed process.
     pub logged: Vec<String>,
     /// Nodes that could not be asked.
     pub unread: usize,
@@ -27,8 +27,8 @@
     pub newest: units::Version,
 }
 
-/// What nodes log at error level when an invariant does not hold.
-const INVARIANT: &str = "invariant violated";
+/// What nodes log at error level when an invariant does not hold, or a task has panicked.
+const INVARIANTS: [&str; 2] = ["invariant violated", "panicked"];
 /// Lines that are kept.
 const MOST_LINES: usize = 50;
 
@@ -63,7 +63,9 @@
 
     fn read_log(&mut self, process: &crate::fleet::Process) {
         let text = fs::read_to_string(process.log()).unwrap_or_default();
-        let lines = text.lines().filter(|line| line.contains(INVARIANT));
+        let lines = text
+            .lines()
+            .filter(|line| INVARIANTS.iter().any(|said| line.contains(said)));
         let room = MOST_LINES.saturating_sub(self.logged.len());
         self.logged.extend(lines.take(room).map(str::to_owned));
     }
