--- a/components/admission/src/repeats.rs
+++ b/components/admission/src/repeats.rs
@@ -48,10 +48,16 @@
     /// Whether the backend server may get one more repeat; the service has so many `owners`.
     #[must_use]
     pub fn allows(&self, owners: u32, now: time::Instant) -> bool {
+        self.shared.arrivals.borrow_mut().note_owners(owners, now);
+        self.sum(now).repeats() + 1.0 <= self.limit(now)
+    }
+
+    /// Repeats that the backend server may get in the window that ends at `now`.
+    #[must_use]
+    pub fn limit(&self, now: time::Instant) -> f64 {
         let mut arrivals = self.shared.arrivals.borrow_mut();
-        arrivals.note_owners(owners, now);
         let sum = arrivals.sum(now);
-        sum.repeats() + 1.0 <= self.shared.allowance.limit(&sum, arrivals.up(now))
+        self.shared.allowance.limit(&sum, arrivals.up(now))
     }
 
     /// A request that is `depth` calls deep goes to the backend server.
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -1,8 +1,11 @@
 //! The owner of a backend server: the only one that sends requests to it.
 
+mod answering;
 mod building;
 mod cancel;
+mod crashing;
 mod fingerprint;
+mod repeating;
 mod serving;
 
 use std::cell;
@@ -10,17 +13,15 @@
 use std::time;
 
 use admission::{Announced, Ask, Crash, Gate, Permit, Records, Repeats, Sharing, Standing};
-use hyper::body::Incoming;
 use serde::Serialize;
 use upstream::{Dialer, Payload, Server};
 
 use super::counts::Owner as Counts;
 use super::event::{Event, Inputs};
 use super::pools::Pools;
-use super::{
-    Context, Dialect, Download, Envelope, Headers, Native, Problem, Reason, Source, Watch,
-};
+use super::{Context, Dialect, Envelope, Headers, Native, Problem, Reason, Source};
 
+pub(crate) use self::answering::respond;
 pub(crate) use self::building::build;
 use self::building::build_http1;
 pub(crate) use self::cancel::Cancel;
@@ -105,9 +106,6 @@
 }
 
 impl<L: peer::Link, D: Dialect> Owner<L, D> {
-    /// Time after a crash for which an announcement of the same start may be from before it.
-    const CRASH_SETTLES: time::Duration = time::Duration::from_millis(300);
-
     /// An owner without a backend server; suspects are shared over `link`.
     #[must_use]
     pub fn new(context: Context<D>, link: L) -> Self {
@@ -202,20 +200,6 @@
         Ok(())
     }
 
-    /// Refuses a repeat that the service does not bear.
-    fn check_repeat(&self, envelope: &Envelope) -> Result<(), Problem> {
-        if !envelope.repeat.resent || self.shared.context.settings.baseline {
-            return Ok(());
-        }
-        let owners = u32::try_from(self.others().len() + 1).unwrap_or(u32::MAX);
-        if self.shared.repeats.allows(owners, time::Instant::now()) {
-            return Ok(());
-        }
-        self.count(|counts| counts.over_budget += 1);
-        let reason = Reason::Refused(admission::Reason::BudgetSpent);
-        Err(Problem::later(reason))
-    }
-
     pub(crate) fn key_answer_limit(&self) -> usize {
         self.shared.context.settings.admission.key_answer.as_len()
     }
@@ -427,49 +411,6 @@
             beside.server.maintain(now);
         }
     }
-
-    /// Writes what arrived at the backend server in the window before `now`, where repeats did.
-    fn tell_arrivals(&self, now: time::Instant) {
-        let sum = self.shared.repeats.sum(now);
-        if sum.repeats() <= 0.0 {
-            return;
-        }
-        let Some(announced) = self.shared.gate.announced() else {
-            return;
-        };
-        log::info!(event = "arrivals", service = announced.backend.service.as_str(),
-            first = sum.first, resent = sum.resent, called_again = sum.called_again();
-            "requests at the backend server in the window of the retry budget");
-    }
-
-    /// Withdraws a crash when the backend server still announces the same start.
-    fn settle_crash(&self, announced: &Announced, now: time::Instant) {
-        let crashed = self.shared.crashed.borrow().clone();
-        let Some((crash, at)) = crashed else {
-            return;
-        };
-        if announced.backend.instance != crash.instance {
-            self.shared.crashed.replace(None);
-        } else if now.saturating_duration_since(at) >= Self::CRASH_SETTLES {
-            self.shared.crashed.replace(None);
-            self.shared.sharing.withdraw(&crash, || self.others());
-        }
-    }
-
-    /// The connection broke with the request on it: the backend server has probably crashed.
-    fn accuse(&self, fingerprint: u64, instance: u64, alone: bool) {
-        let now = time::Instant::now();
-        let crash = Crash {
-            node: self.shared.context.node.clone(),
-            instance,
-            alone,
-        };
-        self.count(|counts| counts.crashed += 1);
-        self.shared.crashed.replace(Some((crash.clone(), now)));
-        self.shared
-            .sharing
-            .accuse(fingerprint, &crash, now, || self.others());
-    }
 }
 
 /// What a payload that broke off means for its request.
@@ -483,64 +424,3 @@
         ..Problem::refused(reason)
     }
 }
-
-impl<L: peer::Link, D: Dialect> web::Handler for Owner<L, D> {
-    type Body = Download<Serving<L, D>>;
-
-    async fn handle(self, request: http::Request<Incoming>) -> http::Response<Self::Body> {
-        let (head, body) = request.into_parts();
-        self.shared.context.hear_configuration(&head.headers);
-        let envelope = Envelope::read(&head.headers, time::Instant::now());
-        let deadline = envelope.as_ref().map(|envelope| envelope.deadline);
-        let id = envelope.as_ref().map(|envelope| envelope.request.clone());
-        let (id, deadline) = (
-            id.unwrap_or_default(),
-            deadline.unwrap_or(time::Instant::now()),
-        );
-        let served = match envelope {
-            Ok(envelope) => {
-                let body = web::Body::arriving(body, head.version, None);
-                let keep = self.shared.context.settings.upstream.replay.as_len();
-                let payload = Payload::new(body, keep);
-                let job = Job {
-                    envelope,
-                    head,
-                    payload,
-                };
-                self.serve(job).await
-            }
-            Err(problem) => Err(problem),
-        };
-        let mut answer = match served {
-            Ok(served) => {
-                let download = Download::new(served.source, served.watch, deadline);
-                http::Response::from_parts(served.parts, download)
-            }
-            Err(problem) => respond(problem.answer(&id)),
-        };
-        Headers::set(answer.headers_mut(), Headers::REQUEST, &id);
-        let load = load_parts(self.shared.gate.load());
-        Headers::set_number(answer.headers_mut(), Headers::LOAD, load);
-        self.shared.context.tell_configuration(answer.headers_mut());
-        answer
-    }
-}
-
-/// Load in parts per 10,000.
-fn load_parts(load: f64) -> u64 {
-    const LARGEST: f64 = 1e6;
-    // Clamped to a small positive number.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let parts = (load * 10_000.0).clamp(0.0, LARGEST) as u64;
-    parts
-}
-
-/// The system's own answer to a request.
-pub(crate) fn respond<W: Watch>(
-    (status, headers, body): (http::StatusCode, http::HeaderMap, bytes::Bytes),
-) -> http::Response<Download<W>> {
-    let mut answer = http::Response::new(Download::memory(body));
-    *answer.status_mut() = status;
-    *answer.headers_mut() = headers;
-    answer
-}
