web: a body takes no more than 64 KB of the link until it is read

Cause: a node let a caller's node send 1 MB of a body on a stream before anything of it was read, the default of hyper's server. Uploads that waited at the owner, or were refused and sent to the next one, filled the links whole, and what is small and urgent waited behind them. The class: work that is taken in before it is admitted. The window is now 64 KB.

Test: body_unread_stays_with_its_sender, which saw 1,048,576 bytes sent unread before.

--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -38,6 +38,10 @@
     pub connections: usize,
     /// HTTP/2 streams at a time on one connection.
     pub streams: u32,
+    /// Bytes of a request's body that a client may send on an HTTP/2 stream before they are read.
+    ///
+    /// A body that waits, or is refused, takes no more than that of the link.
+    pub stream_window: u32,
     /// Requests of one HTTP/1.1 connection that are worked on side by side; zero or one takes them
     /// one after the other.
     pub pipelined: usize,
@@ -70,6 +74,7 @@
         Self {
             connections: 1024,
             streams: 1024,
+            stream_window: 64 * 1024,
             pipelined: 0,
             header_bytes: 32 * 1024,
             header_timeout: time::Duration::from_secs(10),
@@ -278,6 +283,7 @@
         .http2()
         .timer(Timer)
         .max_concurrent_streams(limits.streams)
+        .initial_stream_window_size(limits.stream_window)
         // Callers that give up many requests at once must not cost others the connection.
         .max_pending_accept_reset_streams(Some(limits.streams as usize))
         .max_local_error_reset_streams(Some(limits.streams as usize))
--- a/components/web/tests/server.rs
+++ b/components/web/tests/server.rs
@@ -1,7 +1,9 @@
 //! The server answers HTTP/1.1 and HTTP/2, and shuts down without cutting a request.
 
 use std::cell;
+use std::pin;
 use std::rc;
+use std::task;
 use std::time;
 
 use bytes::Bytes;
@@ -159,3 +161,65 @@
     trigger.fire();
     task.await.expect("it stops");
 }
+
+/// A body that counts what is taken of it.
+struct Counted {
+    left: usize,
+    taken: rc::Rc<cell::Cell<usize>>,
+}
+
+impl Counted {
+    const CHUNK: usize = 4 * 1024;
+}
+
+impl http_body::Body for Counted {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<http_body::Frame<Bytes>, Self::Error>>> {
+        if self.left == 0 {
+            return task::Poll::Ready(None);
+        }
+        self.left -= 1;
+        self.taken.set(self.taken.get() + Self::CHUNK);
+        let chunk = Bytes::from_static(&[0; Self::CHUNK]);
+        task::Poll::Ready(Some(Ok(http_body::Frame::data(chunk))))
+    }
+}
+
+/// Bodies of requests that waited, or were refused, filled the links.
+#[compio::test]
+async fn body_unread_stays_with_its_sender() {
+    let (open, gate) = oneshot::channel();
+    let echo = Echo::default();
+    echo.gate.replace(Some(gate));
+    let (address, _trigger, _task) = serve(echo.clone()).await;
+    let mut connection = web::Connection::open(address, PING)
+        .await
+        .expect("it listens");
+    let taken = rc::Rc::new(cell::Cell::new(0));
+    let body = Counted {
+        left: 256,
+        taken: taken.clone(),
+    };
+    let sending = compio::runtime::spawn(async move {
+        let mut request = http::Request::new(body);
+        *request.uri_mut() = http::Uri::from_static("http://sample.example/menu");
+        *request.method_mut() = http::Method::POST;
+        let response = connection.send(request).await.expect("it answers");
+        text(response).await.len()
+    });
+    compio::time::sleep(time::Duration::from_millis(200)).await;
+    assert_eq!(echo.entered.get(), 1);
+    let window = web::Limits::default().stream_window as usize;
+    assert!(
+        taken.get() <= window + 2 * Counted::CHUNK,
+        "{} bytes were sent unread",
+        taken.get()
+    );
+    let _ = open.send(());
+    assert_eq!(sending.await.expect("it ends"), 256 * Counted::CHUNK);
+}
--- a/testing/platform/src/server.rs
+++ b/testing/platform/src/server.rs
@@ -34,6 +34,7 @@
     const LIMITS: web::Limits = web::Limits {
         connections: 16_384,
         streams: 1_024,
+        stream_window: 64 * 1024,
         pipelined: 0,
         header_bytes: 32 * 1024,
         // Longer than clients keep idle connections, so that closing does not race their calls.
