node: a request is not sent again with less than half of its usual time left

What callers saw: a backend server's own answer at its deadline (504, signed) replaced by 502 of the node, since the node sent the request again with some milliseconds left and the next owner refused it.

Cause: the least time for a retry was 2 ms, whatever the route takes. It is now half of the usual latency of the route as well, as owners ask before they let a request wait. The answer that is there goes to the caller, and neither a hop nor a place in a queue is spent on it.

--- a/components/routing/src/usual.rs
+++ b/components/routing/src/usual.rs
@@ -41,6 +41,12 @@
         self.bytes.get()
     }
 
+    /// The usual latency; zero before the first answer.
+    #[must_use]
+    pub fn latency(&self) -> time::Duration {
+        time::Duration::from_secs_f64(self.millis.get() / 1_000.0)
+    }
+
     /// Takes the latency of an answer; returns its ratio to the usual one before.
     pub fn compare(&self, latency: time::Duration) -> f64 {
         let millis = (latency.as_secs_f64() * 1_000.0).max(0.1);
--- a/node/src/call/ingress/retrying.rs
+++ b/node/src/call/ingress/retrying.rs
@@ -94,6 +94,7 @@
             reached: trail.reached,
             reach: arrival.route.attempts,
             left: arrival.left(),
+            usual: arrival.usual.latency(),
         };
         let retry = &self.shared.context.settings.retry;
         let allowed = retry.allows(&decision);
--- a/node/src/call/retry.rs
+++ b/node/src/call/retry.rs
@@ -39,6 +39,8 @@
     pub reach: u32,
     /// Time left until the deadline.
     pub left: time::Duration,
+    /// Usual latency of answers on the route; zero where it is not known.
+    pub usual: time::Duration,
 }
 
 impl Default for Retry {
@@ -70,5 +72,7 @@
             && decision.attempts < self.attempts
             && (decision.reach == 0 || decision.reached < decision.reach)
             && decision.left >= self.least_time.0
+            // Half of the usual time, as owners ask: a retry is given up only if it is nearly sure to fail.
+            && decision.left >= decision.usual / 2
     }
 }
