admission: calls of repeated runs are told by the latest starts as well

Cause: a run whose calls are turned away fails at once, and makes its calls when it starts, so that the part of repeats among what runs hardly shows it: a rate from a sample that is weighted by duration. Owners now take the larger of the part among what runs and the part among the starts of the last tenth of the window.

--- a/components/admission/src/arrivals.rs
+++ b/components/admission/src/arrivals.rs
@@ -21,6 +21,9 @@
     /// Slots of a window; a window that slides by whole slots is up to one slot longer.
     const SLOTS: usize = 41;
 
+    /// Slots of a tenth of a window.
+    const LATEST: u64 = 4;
+
     /// No arrivals, counted over `window` from `now` on.
     #[must_use]
     pub fn new(window: time::Duration, now: time::Instant) -> Self {
@@ -72,6 +75,17 @@
         sum
     }
 
+    /// Sums over the last tenth of the window that ends at `now`.
+    pub fn latest(&mut self, now: time::Instant) -> Sum {
+        self.slide(now);
+        let mut sum = Sum::default();
+        let oldest = self.newest.saturating_sub(Self::LATEST - 1);
+        for number in oldest..=self.newest {
+            sum.add(&self.slots[Self::place(number)]);
+        }
+        sum
+    }
+
     fn slot(&mut self, now: time::Instant) -> &mut Sum {
         self.slide(now);
         &mut self.slots[Self::place(self.newest)]
--- a/components/admission/src/repeats.rs
+++ b/components/admission/src/repeats.rs
@@ -18,9 +18,9 @@
     allowance: Allowance,
     arrivals: cell::RefCell<Arrivals>,
     /// Requests that run.
-    running: cell::Cell<u32>,
+    running: cell::Cell<u64>,
     /// Of these, such as a backend server may have had before.
-    resent: cell::Cell<u32>,
+    resent: cell::Cell<u64>,
 }
 
 /// A request that runs, until it is dropped.
@@ -66,19 +66,18 @@
         shared.arrivals.borrow_mut().add(repeat, depth, now);
         shared.running.set(shared.running.get() + 1);
         let resent = repeat.resent;
-        shared.resent.set(shared.resent.get() + u32::from(resent));
+        shared.resent.set(shared.resent.get() + u64::from(resent));
         Run { shared, resent }
     }
 
-    /// Part of the requests that run now which are repeats. A call that the backend server makes
-    /// belongs to one of them.
+    /// Part of the runs that may make a call at `now` which are repeats: of those that run, or of those
+    /// that have just started, where that is more. Runs that fail are short, and make their calls
+    /// first.
     #[must_use]
-    pub fn share(&self) -> Share {
-        let whole = u64::from(Share::WHOLE.parts());
-        let running = u64::from(self.shared.running.get().max(1));
-        let parts = u64::from(self.shared.resent.get()) * whole / running;
-        let parts = u32::try_from(parts).ok();
-        parts.and_then(Share::from_parts).unwrap_or(Share::WHOLE)
+    pub fn share(&self, now: time::Instant) -> Share {
+        let running = share(self.shared.resent.get(), self.shared.running.get());
+        let latest = self.shared.arrivals.borrow_mut().latest(now);
+        running.max(share(latest.resent, latest.first + latest.resent))
     }
 
     /// What arrived in the window that ends at `now`.
@@ -92,7 +91,13 @@
     fn drop(&mut self) {
         let shared = &self.shared;
         shared.running.set(shared.running.get() - 1);
-        let resent = shared.resent.get() - u32::from(self.resent);
+        let resent = shared.resent.get() - u64::from(self.resent);
         shared.resent.set(resent);
     }
 }
+
+fn share(part: u64, whole: u64) -> Share {
+    let parts = part * u64::from(Share::WHOLE.parts()) / whole.max(1);
+    let parts = u32::try_from(parts).ok();
+    parts.and_then(Share::from_parts).unwrap_or(Share::WHOLE)
+}
--- a/components/admission/tests/repeats.rs
+++ b/components/admission/tests/repeats.rs
@@ -52,16 +52,28 @@
 
 #[test]
 fn share_of_running() {
-    let repeats = Repeats::new(Allowance::default(), Instant::now());
     let now = Instant::now();
-    assert_eq!(repeats.share(), Share::NONE);
+    let later = now + WINDOW / 4;
+    let repeats = Repeats::new(Allowance::default(), now);
+    assert_eq!(repeats.share(now), Share::NONE);
     let first = repeats.start(FIRST, 0, now);
     let resent = repeats.start(RESENT, 0, now);
-    assert_eq!(repeats.share().parts(), 5_000);
+    assert_eq!(repeats.share(later).parts(), 5_000);
     drop(first);
-    assert_eq!(repeats.share(), Share::WHOLE);
+    assert_eq!(repeats.share(later), Share::WHOLE);
     drop(resent);
-    assert_eq!(repeats.share(), Share::NONE);
+    assert_eq!(repeats.share(later), Share::NONE);
+}
+
+/// Repeats that failed at once had made their calls before they showed among what runs.
+#[test]
+fn share_of_latest() {
+    let now = Instant::now();
+    let repeats = Repeats::new(Allowance::default(), now);
+    let first: Vec<_> = (0..3).map(|_| repeats.start(FIRST, 0, now)).collect();
+    drop(repeats.start(RESENT, 0, now));
+    assert_eq!(repeats.share(now).parts(), 2_500);
+    drop(first);
 }
 
 /// Repeats that a total outage causes, as a part of the requests; a thousand come in a second.
--- a/node/src/call/arrival.rs
+++ b/node/src/call/arrival.rs
@@ -90,7 +90,7 @@
         let attempt = asked.attempt.filter(|_| above.is_some());
         let called_again = match attempt {
             Some(attempt) if attempt > 1 => units::Share::WHOLE,
-            None if asked.beside => repeats.share(),
+            None if asked.beside => repeats.share(started),
             Some(_) | None => units::Share::NONE,
         };
         let mut headers = head.headers;
