admission: resent requests leave room for the calls of repeated runs

Cause: the bound on repeats has two users, and only one of them can be refused. Resent requests took all of what an owner plans with (0.6 of the ratio); calls of repeated runs, which nothing refuses, then came on top, up to the calling services' own 0.6 times the calls of a run: 1.2 of the ratio in the worst order. The estimate of these calls does not help, since they come after the resent requests have spent the bound.

--- a/components/admission/src/allowance.rs
+++ b/components/admission/src/allowance.rs
@@ -20,6 +20,12 @@
         pub ratio: f64,
         /// Repeats in a window that are allowed beside these, for all owners of a service together.
         pub slack: f64,
+        /// Further repeats for each first arrival that are kept for the calls of repeated runs.
+        ///
+        /// Nothing refuses these, and they may come after the resent requests.
+        pub called_ratio: f64,
+        /// Further repeats in a window that are kept for them, for all owners together.
+        pub called_slack: f64,
         /// Sliding window in which repeats are counted.
         pub window: units::Period,
     }
@@ -30,6 +36,8 @@
         Self {
             ratio: 0.05,
             slack: 10.0,
+            called_ratio: 0.0,
+            called_slack: 0.0,
             window: units::Period::from_secs(10),
         }
     }
@@ -39,13 +47,16 @@
     /// Part of the slack that an owner has when it starts; the process before it may have used its own.
     const START_PART: f64 = 0.5;
 
-    /// Repeats that an owner may let through in a window with `sum`, having been `up` for a time.
+    /// Resent requests that an owner may let through in a window with `sum`, having been `up` for a
+    /// time: its part of their own bound, and what calls of repeated runs leave of the whole.
     #[must_use]
     pub fn limit(&self, sum: &Sum, up: time::Duration) -> f64 {
         let window = self.window.0.as_secs_f64().max(f64::MIN_POSITIVE);
         let part = (up.as_secs_f64() / window).min(1.0);
         let part = Self::START_PART + (1.0 - Self::START_PART) * part;
-        let slack = self.slack * part / f64::from(sum.owners.max(1));
-        self.ratio * sum.earned() + slack
+        let part = part / f64::from(sum.owners.max(1));
+        let resent = self.ratio * sum.earned() + self.slack * part;
+        let called = self.called_ratio * sum.earned() + self.called_slack * part;
+        resent.min(resent + called - sum.called_again())
     }
 }
--- a/components/admission/src/repeats.rs
+++ b/components/admission/src/repeats.rs
@@ -6,6 +6,7 @@
 
 use units::Share;
 
+use crate::sum::count;
 use crate::{Allowance, Arrivals, Repeat, Sum};
 
 /// Repeats among what a backend server gets and runs; clones share the state.
@@ -48,16 +49,19 @@
     /// Whether the backend server may get one more repeat; the service has so many `owners`.
     #[must_use]
     pub fn allows(&self, owners: u32, now: time::Instant) -> bool {
-        self.shared.arrivals.borrow_mut().note_owners(owners, now);
-        self.sum(now).repeats() + 1.0 <= self.limit(now)
+        let (sum, limit) = self.usage(owners, now);
+        count(sum.resent) + 1.0 <= limit
     }
 
-    /// Repeats that the backend server may get in the window that ends at `now`.
+    /// What arrived in the window that ends at `now`, and the resent requests that may; the service
+    /// has so many `owners`.
     #[must_use]
-    pub fn limit(&self, now: time::Instant) -> f64 {
+    pub fn usage(&self, owners: u32, now: time::Instant) -> (Sum, f64) {
         let mut arrivals = self.shared.arrivals.borrow_mut();
+        arrivals.note_owners(owners, now);
         let sum = arrivals.sum(now);
-        self.shared.allowance.limit(&sum, arrivals.up(now))
+        let limit = self.shared.allowance.limit(&sum, arrivals.up(now));
+        (sum, limit)
     }
 
     /// A request that is `depth` calls deep goes to the backend server.
@@ -79,12 +83,6 @@
         let latest = self.shared.arrivals.borrow_mut().latest(now);
         running.max(share(latest.resent, latest.first + latest.resent))
     }
-
-    /// What arrived in the window that ends at `now`.
-    #[must_use]
-    pub fn sum(&self, now: time::Instant) -> Sum {
-        self.shared.arrivals.borrow_mut().sum(now)
-    }
 }
 
 impl Drop for Run {
--- a/components/admission/src/sum.rs
+++ b/components/admission/src/sum.rs
@@ -45,7 +45,8 @@
     }
 }
 
-fn count(number: u64) -> f64 {
+/// The number as a fraction's type.
+pub(crate) fn count(number: u64) -> f64 {
     // Counts of one window are far below 2^52.
     #[allow(clippy::cast_precision_loss)]
     let count = number as f64;
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -41,6 +41,8 @@
     records: Records,
     sharing: Sharing<L>,
     repeats: Repeats,
+    /// Owners of the service, until the members or the backend server change.
+    owners: cell::Cell<Option<repeating::Counted>>,
     backend: cell::RefCell<Option<Beside>>,
     /// A crash that is not certain: the backend server may only have lost a connection.
     crashed: cell::RefCell<Option<(Crash, time::Instant)>>,
@@ -107,6 +109,7 @@
             gate: Gate::new(settings.clone()),
             records: Records::new(settings.clone(), time::Instant::now()),
             sharing: Sharing::new(link, settings),
+            owners: cell::Cell::default(),
             backend: cell::RefCell::default(),
             crashed: cell::RefCell::default(),
             counts: cell::Cell::default(),
@@ -126,6 +129,7 @@
             self.settle_crash(announced, time::Instant::now());
         }
         self.shared.gate.announce(announced);
+        self.shared.owners.set(None);
     }
 
     /// Refuses new requests from now on; those in flight end.
