upstream: a server is up after a broken connection only if it takes a new one

Cause: after a connection had broken, the server counted as up while any other connection was open or being opened. A crash ends them one by one, and under load a request is nearly always dialling, so that the crash was taken for a lost answer: nobody was suspected. Class: absence of bad news read as a sign of life. Now only a new connection proves that the server is there; it serves the next request. server_gone_while_a_connection_lingers failed before ('nobody listens').

--- a/components/upstream/src/lines.rs
+++ b/components/upstream/src/lines.rs
@@ -106,15 +106,14 @@
         }
     }
 
-    /// Whether the server is still there after one of its connections broke: a crash ends all of
-    /// them, and lets no new one in.
+    /// Whether the server still takes connections after one of them broke.
+    ///
+    /// Other connections prove nothing: their end may be seen later than the crash. The new one takes
+    /// the place of the one that broke.
     pub async fn is_up(&self) -> bool {
-        /// Time in which the ends of the other connections are seen.
+        /// Time in which a server that ends closes its listener.
         const SETTLE: time::Duration = time::Duration::from_millis(5);
         compio::time::sleep(SETTLE).await;
-        if self.shared.open.get() > 0 {
-            return true;
-        }
         let Some(line) = self.shared.dial().await else {
             return false;
         };
--- a/components/upstream/tests/lines.rs
+++ b/components/upstream/tests/lines.rs
@@ -175,3 +175,26 @@
     let gone = self::lines("127.0.0.1:9".parse().expect("an address"));
     assert!(!gone.is_up().await, "nobody listens");
 }
+
+/// The end of a crash reaches connections one by one, and requests dial meanwhile: a crash was taken
+/// for a lost answer.
+#[compio::test]
+async fn server_gone_while_a_connection_lingers() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = units::Address(listener.local_addr().expect("it is bound"));
+    let lines = lines(address);
+    let accepting = async {
+        let (first, _) = listener.accept().await.expect("a connection");
+        let (second, _) = listener.accept().await.expect("a connection");
+        listener.close().await.expect("it is closed");
+        let _ = first.close().await;
+        second
+    };
+    let both = futures_util::future::select(
+        Box::pin(lines.send(request())),
+        Box::pin(lines.send(request())),
+    );
+    let (second, pending) = futures_util::future::join(accepting, both).await;
+    assert!(!lines.is_up().await, "nobody listens");
+    drop((second, pending));
+}
