admission: owners remind each other of requests that crash backend servers

Cause: owners were told once, those that ran just then, and kept it in memory. One that started later, or that a notice did not reach, knew nothing: it ran the request, and learned of its own crash only. Class: state that is pushed once and held in memory. The same holds nowhere else on the request path: withheld versions are told again with each state of a move, members are compared in rounds.

--- a/components/admission/src/sharing.rs
+++ b/components/admission/src/sharing.rs
@@ -6,6 +6,7 @@
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use prost::Message;
+use rand::seq::IndexedRandom;
 use schema::admission as wire;
 
 use crate::{Crash, Finished, Settings, Standing, Suspects};
@@ -32,6 +33,8 @@
     const TIMEOUT: time::Duration = time::Duration::from_secs(2);
     /// Most owners that are told.
     const FAN_OUT: usize = 256;
+    /// Most suspects of one reminder.
+    const REMINDED: usize = 32;
 
     /// No suspects yet; notices go out over `link`.
     #[must_use]
@@ -116,7 +119,7 @@
         if !suspects.add(fingerprint, crash, now, &self.shared.settings) {
             return;
         }
-        let described = suspects.describe(fingerprint);
+        let described = suspects.describe(fingerprint, now);
         drop(suspects);
         log::warn!(node:% = crash.node, instance = crash.instance, alone = crash.alone,
             fingerprint = fingerprint; "request was in flight in a crash");
@@ -139,12 +142,42 @@
         self.send(&notice, others());
     }
 
+    /// Tells one of the other owners what it may have missed: it may have started since, or have been
+    /// out of reach when it was told.
+    pub fn remind(
+        &self,
+        node: &units::Node,
+        now: time::Instant,
+        others: impl FnOnce() -> Vec<units::Address>,
+    ) {
+        if self.is_empty() {
+            return;
+        }
+        let mut suspects = self.shared.suspects.borrow_mut();
+        suspects.expire(now, &self.shared.settings);
+        let told = suspects.remind(node, Self::REMINDED, now);
+        drop(suspects);
+        if told.is_empty() {
+            return;
+        }
+        let notice = wire::Notice {
+            suspects: told,
+            ..wire::Notice::default()
+        };
+        let chosen = others().choose(&mut rand::rng()).copied();
+        self.send(&notice, chosen.into_iter().collect());
+    }
+
     /// Takes a notice of another owner.
     pub fn take(&self, incoming: peer::Incoming, now: time::Instant) {
-        let Ok(notice) = wire::Notice::decode(incoming.payload.as_slice()) else {
+        let Ok(mut notice) = wire::Notice::decode(incoming.payload.as_slice()) else {
             incoming.answer.invalid();
             return;
         };
+        notice.suspects.retain(|suspect| {
+            let alone = suspect.crashes.iter().any(|crash| crash.alone);
+            alone || !self.has_finished(suspect.fingerprint)
+        });
         let mut suspects = self.shared.suspects.borrow_mut();
         suspects.expire(now, &self.shared.settings);
         suspects.merge(&notice, now, &self.shared.settings);
--- a/components/admission/src/suspects.rs
+++ b/components/admission/src/suspects.rs
@@ -44,6 +44,15 @@
         self.crashes.len() >= Self::CRASHES && self.crashes.iter().any(|crash| crash.alone)
     }
 
+    fn describe(&self, now: time::Instant) -> wire::Suspect {
+        let age = now.saturating_duration_since(self.last).as_millis();
+        wire::Suspect {
+            fingerprint: self.fingerprint,
+            crashes: self.crashes.iter().map(Crash::encode).collect(),
+            age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+        }
+    }
+
     fn lifetime(&self, settings: &Settings) -> time::Duration {
         if self.is_quarantined() {
             settings.quarantine.0
@@ -64,7 +73,7 @@
             return false;
         }
         self.crashes.push(crash.clone());
-        self.last = now;
+        self.last = self.last.max(now);
         true
     }
 }
@@ -147,12 +156,15 @@
     /// Takes over what another owner tells.
     pub fn merge(&mut self, notice: &wire::Notice, now: time::Instant, settings: &Settings) {
         for suspect in &notice.suspects {
+            let age = time::Duration::from_millis(suspect.age_ms);
+            let at = now.checked_sub(age).unwrap_or(now);
             for crash in suspect.crashes.iter().take(Entry::KEPT) {
                 if let Some(crash) = Crash::decode(crash) {
-                    self.add(suspect.fingerprint, &crash, now, settings);
+                    self.add(suspect.fingerprint, &crash, at, settings);
                 }
             }
         }
+        self.expire(now, settings);
         for fingerprint in &notice.cleared {
             self.clear(*fingerprint);
         }
@@ -163,13 +175,26 @@
 
     /// What to tell other owners of the request.
     #[must_use]
-    pub fn describe(&self, fingerprint: u64) -> Option<wire::Suspect> {
+    pub fn describe(&self, fingerprint: u64, now: time::Instant) -> Option<wire::Suspect> {
         let place = self.place(fingerprint).ok()?;
-        let crashes = self.entries[place].crashes.iter().map(Crash::encode);
-        Some(wire::Suspect {
-            fingerprint,
-            crashes: crashes.collect(),
-        })
+        Some(self.entries[place].describe(now))
+    }
+
+    /// What `node` reminds other owners of: quarantines, and suspects of crashes beside it; the latest
+    /// first, not more than `most`.
+    #[must_use]
+    pub fn remind(
+        &self,
+        node: &units::Node,
+        most: usize,
+        now: time::Instant,
+    ) -> Vec<wire::Suspect> {
+        let beside = |crash: &Crash| crash.node == *node;
+        let told = |entry: &&Entry| entry.is_quarantined() || entry.crashes.iter().any(beside);
+        let mut entries: Vec<_> = self.entries.iter().filter(told).collect();
+        entries.sort_by_key(|entry| std::cmp::Reverse(entry.last));
+        let entries = entries.into_iter().take(most);
+        entries.map(|entry| entry.describe(now)).collect()
     }
 
     fn place(&self, fingerprint: u64) -> Result<usize, usize> {
--- a/components/admission/tests/suspects.rs
+++ b/components/admission/tests/suspects.rs
@@ -79,7 +79,7 @@
     here.add(7, &crash("a", 1, false), now, &settings);
     there.add(7, &crash("b", 1, true), now, &settings);
     let notice = wire::Notice {
-        suspects: here.describe(7).into_iter().collect(),
+        suspects: here.describe(7, now).into_iter().collect(),
         ..wire::Notice::default()
     };
     for _ in 0..2 {
@@ -116,3 +116,27 @@
     assert_eq!(suspects.len(), 3);
     assert!(is_quarantined(&suspects, now));
 }
+
+/// Owners that remind each other must not keep a quarantine alive for ever.
+#[test]
+fn reminder_keeps_the_age() {
+    let (start, settings) = (Instant::now(), Settings::default());
+    let node = "a".parse().expect("a node id");
+    let mut here = Suspects::default();
+    here.add(7, &crash("a", 1, false), start, &settings);
+    here.add(7, &crash("b", 2, true), start, &settings);
+    here.add(8, &crash("b", 3, false), start, &settings);
+    let later = start + Duration::from_secs(590);
+    let told = here.remind(&node, 10, later);
+    let fingerprints: Vec<_> = told.iter().map(|one| one.fingerprint).collect();
+    assert_eq!(fingerprints, [7], "the other one is beside another node");
+    let notice = wire::Notice {
+        suspects: told,
+        ..wire::Notice::default()
+    };
+    let mut there = Suspects::default();
+    there.merge(&notice, later, &settings);
+    assert!(is_quarantined(&there, later));
+    let end = start + Duration::from_secs(601);
+    assert!(!is_quarantined(&there, end));
+}
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -258,6 +258,8 @@
     /// Closes connections that the backend server may close soon.
     pub(crate) fn maintain(&self, now: time::Instant) {
         self.tell_arrivals(now);
+        let node = &self.shared.context.node;
+        self.shared.sharing.remind(node, now, || self.others());
         if let Some(beside) = &*self.shared.backend.borrow() {
             beside.server.maintain(now);
         }
--- a/node/tests/call/fleet.rs
+++ b/node/tests/call/fleet.rs
@@ -23,6 +23,11 @@
     pub(crate) fn cut(&self) {
         self.cut.set(true);
     }
+
+    /// Delivers everything again.
+    pub(crate) fn mend(&self) {
+        self.cut.set(false);
+    }
 }
 
 type Owners = Vec<(units::Address, Owner<Wire>)>;
--- a/node/tests/call/poison.rs
+++ b/node/tests/call/poison.rs
@@ -74,3 +74,61 @@
     let dump = fleet.nodes[0].owner.dump();
     assert_eq!((dump.suspects, dump.gate.counts.admitted_alone), (0, 1));
 }
+
+/// Three backend servers that crash, two of which have, and a caller at an ingress of its own.
+async fn crashed_twice(cut: bool) -> (Fleet, Vec<Script>, Caller) {
+    let scripts = vec![
+        Script::start(&[Act::Close]).await,
+        Script::start(&[Act::Close]).await,
+    ];
+    let addresses: Vec<_> = scripts.iter().map(|script| script.address).collect();
+    let mut fleet = Fleet::start(&addresses).await;
+    if cut {
+        fleet.wire.cut();
+    }
+    let ingress = fleet.add_ingress().await;
+    let caller = Caller::open(fleet.nodes[ingress].callers).await;
+    for round in 0..4 {
+        caller.send_with("POST", "/poison", &[], b"same body").await;
+        for (index, address) in addresses.iter().enumerate() {
+            fleet.announce(index, *address, 100 + round, Phase::Ready);
+        }
+    }
+    (fleet, scripts, caller)
+}
+
+/// Sends the request to a backend server that has joined since; returns how often it ran there.
+async fn runs_at_newcomer(fleet: &mut Fleet, caller: &Caller, known: usize) -> u32 {
+    let newcomer = Script::start(&[Act::Close]).await;
+    let index = fleet.add_ingress().await;
+    fleet.announce(index, newcomer.address, 1, Phase::Ready);
+    for other in 0..known {
+        fleet.announce(other, newcomer.address, 200, Phase::Draining);
+    }
+    for _ in 0..6 {
+        for node in &fleet.nodes {
+            node.ingress.maintain(std::time::Instant::now());
+        }
+        compio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    for round in 0..3 {
+        caller.send_with("POST", "/poison", &[], b"same body").await;
+        fleet.announce(index, newcomer.address, 300 + round, Phase::Ready);
+    }
+    newcomer.ran.get()
+}
+
+#[compio::test]
+async fn quarantine_known_to_later_owner() {
+    let (mut fleet, scripts, caller) = crashed_twice(false).await;
+    let crashes: u32 = scripts.iter().map(|script| script.ran.get()).sum();
+    assert_eq!(crashes, 2);
+    assert_eq!(runs_at_newcomer(&mut fleet, &caller, 2).await, 0);
+}
+
+#[compio::test]
+async fn quarantine_known_after_lost_notices() {
+    let (mut fleet, _, caller) = crashed_twice(true).await;
+    fleet.wire.mend();
+    assert_eq!(runs_at_newcomer(&mut fleet, &caller, 2).await, 0);
+}
