node: a crash is withdrawn when the backend server has answered since

Cause: an announcement of the same start 0.3 s after a crash withdrew the suspicion, and an announcement may be seconds late: it was sent before the crash. The platform says so of its heartbeats. Now the backend server must also have answered a request since. crash_not_taken_back_by_a_late_heartbeat failed before (0 suspects of 1).

--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -14,7 +14,7 @@
 use std::rc;
 use std::time;
 
-use admission::{Announced, Crash, Gate, Records, Repeats, Sharing};
+use admission::{Announced, Gate, Records, Repeats, Sharing};
 use serde::Serialize;
 use upstream::Payload;
 
@@ -44,8 +44,8 @@
     /// Owners of the service, until the members or the backend server change.
     owners: cell::Cell<Option<repeating::Counted>>,
     backend: cell::RefCell<Option<Beside>>,
-    /// A crash that is not certain: the backend server may only have lost a connection.
-    crashed: cell::RefCell<Option<(Crash, time::Instant)>>,
+    /// The latest crash of the backend server, while it is not certain.
+    accused: cell::RefCell<Option<crashing::Accused>>,
     counts: cell::Cell<Counts>,
     /// Connections to other nodes.
     pools: Pools,
@@ -111,7 +111,7 @@
             sharing: Sharing::new(link, settings),
             owners: cell::Cell::default(),
             backend: cell::RefCell::default(),
-            crashed: cell::RefCell::default(),
+            accused: cell::RefCell::default(),
             counts: cell::Cell::default(),
             pools: Pools::new(&context.settings.upstream),
             life: rand::random(),
--- a/node/tests/call/poison.rs
+++ b/node/tests/call/poison.rs
@@ -132,3 +132,21 @@
     fleet.wire.mend();
     assert_eq!(runs_at_newcomer(&mut fleet, &caller, 2).await, 0);
 }
+
+/// A heartbeat that was sent before the crash and came after it took the suspicion back.
+#[compio::test]
+async fn crash_not_taken_back_by_a_late_heartbeat() {
+    let script = Script::start(&[Act::Close, Act::Answer]).await;
+    let mut fleet = Fleet::start(&[script.address]).await;
+    let caller = Caller::open(fleet.nodes[0].callers).await;
+    let got = caller.send("POST", "/poison").await;
+    assert_eq!((got.status, got.outcome.as_str()), (502, "unknown"));
+    compio::time::sleep(std::time::Duration::from_millis(350)).await;
+    fleet.announce(0, script.address, 1, Phase::Ready);
+    assert_eq!(fleet.nodes[0].owner.dump().suspects, 1);
+    // An answer shows that it was the connection only.
+    let got = caller.send("POST", "/book").await;
+    assert_eq!(got.status, 200, "{got:?}");
+    fleet.announce(0, script.address, 1, Phase::Ready);
+    assert_eq!(fleet.nodes[0].owner.dump().suspects, 0);
+}
