node: a request that crashes backend servers is known in chunks and by its caller

Cause: the length header was a part of what a suspect is known by, so that the same request was another one when its body came in chunks; and the caller was not, so that a request of another caller with the same path and no body cleared it when it finished.

--- a/node/src/call/dialect.rs
+++ b/node/src/call/dialect.rs
@@ -19,6 +19,10 @@
     /// Who sends a request that came to `node`; callers share backend servers evenly.
     fn caller(&self, node: &units::Node, head: &http::request::Parts) -> CompactString;
 
+    /// The caller by which a request that crashes backend servers is told from others; empty where it is
+    /// the same whoever sends it.
+    fn suspect<'e>(&self, envelope: &'e Envelope) -> &'e str;
+
     /// Writes what the backend server learns of a request. `instance` is the id that it gave
     /// itself, empty where it gave none.
     fn write(
--- a/node/src/call/mod.rs
+++ b/node/src/call/mod.rs
@@ -32,7 +32,7 @@
 pub use headers::Headers;
 pub use ingress::Ingress;
 pub use native::Native;
-pub use owner::{Dump as OwnerDump, Owner, Served};
+pub use owner::{Dump as OwnerDump, Fingerprint, Owner, Served};
 pub use patience::Patience;
 pub use problem::Problem;
 pub use reason::Reason;
--- a/node/src/call/native.rs
+++ b/node/src/call/native.rs
@@ -78,6 +78,10 @@
         }
     }
 
+    fn suspect<'e>(&self, _: &'e Envelope) -> &'e str {
+        ""
+    }
+
     fn write(
         &self,
         envelope: &Envelope,
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -27,6 +27,7 @@
 use self::beside::Beside;
 pub(crate) use self::building::build;
 pub(crate) use self::cancel::Cancel;
+pub use self::fingerprint::Fingerprint;
 pub(crate) use self::running::broken_body;
 pub(super) use self::serving::Serving;
 
--- a/node/src/call/owner/running.rs
+++ b/node/src/call/owner/running.rs
@@ -15,7 +15,8 @@
     pub(crate) async fn run(&self, job: &Job) -> Result<Served<L, D>, Problem> {
         self.check_withheld(&job.envelope)?;
         self.check_repeat(&job.envelope)?;
-        let fingerprint = Fingerprint::new(&job.head, job.payload.clone());
+        let caller = self.shared.context.dialect.suspect(&job.envelope);
+        let fingerprint = Fingerprint::new(&job.head, caller, job.payload.clone());
         let permit = self.admit(job, &fingerprint).await?;
         let beside = self.shared.backend.borrow().clone();
         let Some(beside) = beside else {
