upstream: a backend server that sends without end no longer holds up its node

Cause: hyper reads on while bytes come that make no progress, and the one thread serves nobody else meanwhile. After 16 reads in a row other tasks have their turn, so that deadlines hold. A head, with the interim answers before it, is bounded by 64 KiB in all (0.4 MB a head before, and no bound on all). The same on the side of callers: endless_request_leaves_others_served passed on the code before, so nothing is changed there.

--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -5,6 +5,7 @@
 mod dialer;
 mod failure;
 mod feed;
+mod head;
 mod line;
 mod lines;
 mod outcome;
--- a/components/upstream/src/line.rs
+++ b/components/upstream/src/line.rs
@@ -6,14 +6,18 @@
 use std::time;
 
 use compio::net;
-use cyper_core::HyperStream;
-use hyper::client::conn::http1;
+use hyper::body::Incoming;
+use hyper::client::conn::{TrySendError, http1};
 
 use crate::Feed;
+use crate::head::Head;
+use crate::watched::Watched;
 
 /// One HTTP/1.1 connection, which carries one request at a time.
 pub(crate) struct Line {
-    pub(crate) sender: http1::SendRequest<Feed>,
+    sender: http1::SendRequest<Feed>,
+    /// Bounds the heads of answers.
+    head: Head,
     /// Time for which the server keeps it open without a request.
     pub(crate) keep: time::Duration,
     /// When its last answer ended.
@@ -48,7 +52,12 @@
         let open = Open { count };
         let stream = net::TcpStream::connect(address.0).await?;
         stream.set_nodelay(true)?;
-        let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
+        let head = Head::default();
+        let watched = Watched::bounded(stream, head.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(Head::BYTES)
+            .handshake(watched)
+            .await;
         let (sender, driver) = handshake.map_err(io::Error::other)?;
         compio::runtime::spawn(async move {
             if let Err(error) = driver.await {
@@ -59,11 +68,34 @@
         .detach();
         Ok(Self {
             sender,
+            head,
             keep: Self::KEEP,
             used: time::Instant::now(),
         })
     }
 
+    /// Sends one request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// The error of the connection, with the request where nothing of it was sent.
+    pub(crate) async fn send(
+        &mut self,
+        request: http::Request<Feed>,
+    ) -> Result<http::Response<Incoming>, TrySendError<http::Request<Feed>>> {
+        self.head.await_answer();
+        let answer = self.sender.try_send_request(request).await;
+        self.head.arrived();
+        if let Ok(answer) = &answer {
+            self.read_keep(answer.headers());
+        }
+        answer
+    }
+
+    /// Whether it is closed.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Whether it can take a request now.
     pub(crate) fn is_ready(&self, now: time::Instant) -> bool {
         self.sender.is_ready() && !self.is_stale(now)
@@ -71,11 +103,11 @@
 
     /// Whether it is closed, or was idle for so long that the server may close it.
     pub(crate) fn is_stale(&self, now: time::Instant) -> bool {
-        self.sender.is_closed() || now.saturating_duration_since(self.used) >= self.keep
+        self.is_closed() || now.saturating_duration_since(self.used) >= self.keep
     }
 
     /// Takes the time that the server names for idle connections.
-    pub(crate) fn read_keep(&mut self, headers: &http::HeaderMap) {
+    fn read_keep(&mut self, headers: &http::HeaderMap) {
         let keep = headers.get("keep-alive").and_then(|value| {
             let text = value.to_str().ok()?;
             let mut parameters = text.split(',').map(str::trim);
--- a/components/upstream/src/lines.rs
+++ b/components/upstream/src/lines.rs
@@ -50,9 +50,7 @@
     }
 
     pub(crate) fn is_closed(&self) -> bool {
-        self.line
-            .as_ref()
-            .is_none_or(|line| line.sender.is_closed())
+        self.line.as_ref().is_none_or(Line::is_closed)
     }
 }
 
@@ -137,9 +135,8 @@
             let Some(line) = busy.line.as_mut() else {
                 continue;
             };
-            match line.sender.try_send_request(request).await {
+            match line.send(request).await {
                 Ok(response) => {
-                    line.read_keep(response.headers());
                     let lease = Lease::of_line(busy);
                     return Ok(Reply { response, lease });
                 }
--- a/components/upstream/src/watched.rs
+++ b/components/upstream/src/watched.rs
@@ -1,4 +1,4 @@
-//! Stream that remembers when it last received bytes.
+//! Stream that remembers when it last received bytes, and bounds what a server sends in vain.
 
 use std::cell;
 use std::io;
@@ -12,15 +12,29 @@
 use futures_channel::oneshot;
 use hyper::rt;
 
+use crate::head::Head;
+
 /// TCP stream that remembers when it last received bytes.
+///
+/// A server that sends without end would keep its reader in one poll for good: after some reads in a
+/// row other tasks have their turn.
 pub(crate) struct Watched {
     inner: HyperStream<net::TcpStream>,
     last_read: rc::Rc<cell::Cell<time::Instant>>,
     /// Told of the first bytes.
     first: Option<oneshot::Sender<()>>,
+    /// Bounds the heads of answers, on HTTP/1.1.
+    head: Head,
+    /// Reads since the last one that found nothing, or since others had their turn.
+    reads: u32,
 }
 
 impl Watched {
+    /// Reads in a row after which other tasks have their turn.
+    const READS: u32 = 16;
+    /// Bytes of one read while a head is awaited.
+    const HEAD_READ_BYTES: usize = 4 * 1024;
+
     /// Watches `stream`; `last_read` is set at each read, and the receiver ends with the first one.
     pub(crate) fn new(
         stream: net::TcpStream,
@@ -32,9 +46,33 @@
             inner,
             last_read,
             first: Some(sender),
+            head: Head::default(),
+            reads: 0,
         };
         (watched, receiver)
     }
+
+    /// Watches `stream` and bounds what comes while `head` awaits an answer.
+    pub(crate) fn bounded(stream: net::TcpStream, head: Head) -> Self {
+        let last_read = rc::Rc::new(cell::Cell::new(time::Instant::now()));
+        let (watched, _) = Self::new(stream, last_read);
+        Self { head, ..watched }
+    }
+
+    fn poll_head(
+        &mut self,
+        context: &mut task::Context<'_>,
+        mut buffer: rt::ReadBufCursor<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let mut bytes = [std::mem::MaybeUninit::uninit(); Self::HEAD_READ_BYTES];
+        let most = buffer.remaining().min(Self::HEAD_READ_BYTES);
+        let mut read = rt::ReadBuf::uninit(&mut bytes[..most]);
+        let inner = pin::Pin::new(&mut self.inner);
+        task::ready!(rt::Read::poll_read(inner, context, read.unfilled()))?;
+        self.head.take(read.filled().len())?;
+        buffer.put_slice(read.filled());
+        task::Poll::Ready(Ok(()))
+    }
 }
 
 impl rt::Read for Watched {
@@ -43,7 +81,17 @@
         context: &mut task::Context<'_>,
         buffer: rt::ReadBufCursor<'_>,
     ) -> task::Poll<io::Result<()>> {
-        let polled = pin::Pin::new(&mut self.inner).poll_read(context, buffer);
+        if self.reads >= Self::READS {
+            self.reads = 0;
+            context.waker().wake_by_ref();
+            return task::Poll::Pending;
+        }
+        let polled = if self.head.is_awaited() {
+            self.poll_head(context, buffer)
+        } else {
+            pin::Pin::new(&mut self.inner).poll_read(context, buffer)
+        };
+        self.reads = if polled.is_ready() { self.reads + 1 } else { 0 };
         if polled.is_ready() {
             self.last_read.set(time::Instant::now());
             if let Some(first) = self.first.take() {
--- a/components/web/tests/server.rs
+++ b/components/web/tests/server.rs
@@ -223,3 +223,29 @@
     let _ = open.send(());
     assert_eq!(sending.await.expect("it ends"), 256 * Counted::CHUNK);
 }
+
+/// A client whose bytes never end kept the one thread of the process for itself.
+#[compio::test]
+async fn endless_request_leaves_others_served() {
+    const START: &[u8] = b"POST /menu HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    const ENDLESS: time::Duration = time::Duration::from_secs(3);
+    let (address, _trigger, _task) = serve(Echo::default()).await;
+    let endless = std::thread::spawn(move || {
+        use std::io::Write;
+        let mut stream = std::net::TcpStream::connect(address.0).expect("it listens");
+        let began = time::Instant::now();
+        let mut sent = stream.write_all(START);
+        while sent.is_ok() && began.elapsed() < ENDLESS {
+            sent = stream.write_all(&[b'0'; 16 * 1024]);
+        }
+    });
+    compio::time::sleep(time::Duration::from_millis(200)).await;
+    let began = time::Instant::now();
+    let mut connection = web::Connection::open(address, PING)
+        .await
+        .expect("it listens");
+    let response = connection.send(request("soup")).await.expect("it answers");
+    assert_eq!(text(response).await, "soup");
+    assert!(began.elapsed() < ENDLESS / 3, "{:?}", began.elapsed());
+    endless.join().expect("it ends");
+}
--- a/node/tests/call/caller.rs
+++ b/node/tests/call/caller.rs
@@ -31,6 +31,24 @@
         self.send_with(method, path, &[], b"").await
     }
 
+    /// Sends a request and reads its answer without keeping it: its status, and whether it came whole.
+    pub(crate) async fn skim(&self, path: &str) -> (u16, bool) {
+        let request = http::Request::get(format!("http://menus.example{path}"));
+        let request = request.body(Full::default()).expect("a request");
+        let mut connection = self.connection.clone();
+        let Ok(answer) = connection.send(request).await else {
+            return (0, false);
+        };
+        let (parts, body) = answer.into_parts();
+        let mut body = web::Body::arriving(body, http::Version::HTTP_2, None);
+        while let Some(frame) = body.frame().await {
+            if frame.is_err() {
+                return (parts.status.as_u16(), false);
+            }
+        }
+        (parts.status.as_u16(), true)
+    }
+
     pub(crate) async fn send_with(
         &self,
         method: &str,
--- a/node/tests/call/main.rs
+++ b/node/tests/call/main.rs
@@ -6,6 +6,7 @@
 mod script;
 
 mod bodies;
+mod endless;
 mod faults;
 mod keys;
 mod limits;
