--- a/components/admission/src/suspects.rs
+++ b/components/admission/src/suspects.rs
@@ -45,11 +45,11 @@
     }
 
     fn describe(&self, now: time::Instant) -> wire::Suspect {
-        let age = now.saturating_duration_since(self.last).as_millis();
+        let age = now.saturating_duration_since(self.last);
         wire::Suspect {
             fingerprint: self.fingerprint,
             crashes: self.crashes.iter().map(Crash::encode).collect(),
-            age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            age_ms: units::millis(age),
         }
     }
 
--- a/components/moves/src/canary/trial.rs
+++ b/components/moves/src/canary/trial.rs
@@ -179,7 +179,7 @@
             version: self.order.version.to_string(),
             node: node.to_string(),
             life,
-            elapsed_ms: millis(self.elapsed()),
+            elapsed_ms: units::millis(self.elapsed()),
             routes: self.own.encode(),
             bad: self.bad.as_deref().unwrap_or_default().to_owned(),
         }
@@ -187,18 +187,13 @@
 
     pub(super) fn answer(&self) -> wire::CanaryAnswer {
         wire::CanaryAnswer {
-            elapsed_ms: millis(self.elapsed()),
+            elapsed_ms: units::millis(self.elapsed()),
             bad: self.bad.as_deref().unwrap_or_default().to_owned(),
             ended: self.order.phase.is_end(),
         }
     }
 }
 
-/// Whole milliseconds.
-pub(super) fn millis(duration: time::Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Takes samples of the request path for the moves under way; clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct Recorder {
--- a/components/moves/src/sync.rs
+++ b/components/moves/src/sync.rs
@@ -27,7 +27,7 @@
         sync(&shared);
         if looks.is_multiple_of(EXPIRE_EVERY) {
             let retention = shared.parts.settings.retention.0;
-            let millis = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
+            let millis = units::millis(retention);
             let limit = units::Wall(units::Wall::now().0.saturating_sub(millis));
             shared.catalogue.borrow_mut().expire(limit);
         }
--- a/components/platform/src/follower.rs
+++ b/components/platform/src/follower.rs
@@ -155,7 +155,7 @@
 
     fn regain(&mut self, name: &str) {
         if let Some(lost) = self.lost.take() {
-            let gone = u64::try_from(lost.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let gone = units::millis(lost.elapsed());
             log::info!(event = "store-regained", reader = name, gone_ms = gone; "the store is watched again");
         }
     }
--- a/components/platform/src/lease.rs
+++ b/components/platform/src/lease.rs
@@ -71,7 +71,7 @@
         let record = Record {
             holder: holder.into(),
             instance: rand::rng().random(),
-            period_ms: u64::try_from(period.as_millis()).unwrap_or(u64::MAX),
+            period_ms: units::millis(period),
         };
         Ok(Self {
             store,
--- a/components/relay/src/feed.rs
+++ b/components/relay/src/feed.rs
@@ -65,13 +65,18 @@
         self.head
     }
 
-    /// The objects that changed after `after`, oldest change first; all where it is `None`.
+    /// All objects, by key.
     #[must_use]
-    pub fn since(&self, after: Option<Revision>) -> Vec<Object> {
-        let mut found: Vec<_> = self
-            .newer(after)
-            .map(|entry| entry.object.clone())
-            .collect();
+    pub fn objects(&self) -> Vec<Object> {
+        let objects = self.entries.iter().map(|entry| entry.object.clone());
+        objects.collect()
+    }
+
+    /// The objects that changed after `after`, oldest change first.
+    #[must_use]
+    pub fn since(&self, after: Revision) -> Vec<Object> {
+        let newer = self.newer(Some(after));
+        let mut found: Vec<_> = newer.map(|entry| entry.object.clone()).collect();
         found.sort_by_key(|object| object.revision);
         found
     }
--- a/components/relay/src/pull.rs
+++ b/components/relay/src/pull.rs
@@ -9,7 +9,7 @@
 use schema::relay as wire;
 
 use crate::encoding;
-use crate::shared::{Shared, millis};
+use crate::shared::Shared;
 
 impl<S: Store, L: peer::Link> Shared<S, L> {
     /// First wait of a starting node between two questions.
@@ -112,7 +112,7 @@
         };
         let reply = wire::Reply {
             parts: self.beyond(&heads),
-            age_ms: millis(self.age()),
+            age_ms: units::millis(self.age()),
         };
         incoming.answer.send(reply.encode_to_vec());
         if let Some(wire::request::Kind::Push(push)) = request.kind {
--- a/components/relay/src/replica.rs
+++ b/components/relay/src/replica.rs
@@ -80,8 +80,7 @@
             let changed = {
                 let mut feed = feed.borrow_mut();
                 if let Some(revision) = feed.head() {
-                    let mut objects = feed.since(None);
-                    objects.sort_by(|one, other| one.key.cmp(&other.key));
+                    let objects = feed.objects();
                     return Ok(Listing { revision, objects });
                 }
                 feed.wait()
@@ -104,7 +103,7 @@
         loop {
             let changed = {
                 let mut feed = feed.borrow_mut();
-                let objects = feed.since(Some(from));
+                let objects = feed.since(from);
                 let left = deadline.saturating_duration_since(time::Instant::now());
                 if !objects.is_empty() || left.is_zero() {
                     let events = objects.into_iter().map(Event::Put);
--- a/components/relay/src/role.rs
+++ b/components/relay/src/role.rs
@@ -45,7 +45,7 @@
                 continue;
             }
             log::info!(event = "relay-watch", watching = duty, place:? = place,
-                age_ms = crate::shared::millis(coverage.age(now));
+                age_ms = units::millis(coverage.age(now));
                 "the duty to watch the store has changed");
             if duty {
                 self.start_watches();
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -85,7 +85,7 @@
         Dump {
             watching: self.is_watching(),
             place: self.place(),
-            age_ms: millis(self.age()),
+            age_ms: units::millis(self.age()),
             heads: heads.collect(),
             counts: self.counts(),
         }
@@ -251,7 +251,3 @@
 pub(crate) fn complete(age_ms: u64) -> Option<time::Instant> {
     time::Instant::now().checked_sub(time::Duration::from_millis(age_ms))
 }
-
-pub(crate) fn millis(period: time::Duration) -> u64 {
-    u64::try_from(period.as_millis()).unwrap_or(u64::MAX)
-}
--- a/components/relay/src/spread.rs
+++ b/components/relay/src/spread.rs
@@ -7,7 +7,7 @@
 use platform::{Revision, Store};
 use schema::relay as wire;
 
-use crate::shared::{Shared, complete, millis};
+use crate::shared::{Shared, complete};
 use crate::{encoding, tree};
 
 /// What is passed on.
@@ -28,7 +28,7 @@
             parts: self.parts.clone(),
             age_ms: self
                 .complete
-                .map_or(u64::MAX, |complete| millis(age(complete))),
+                .map_or(u64::MAX, |complete| units::millis(age(complete))),
             place: self.place,
             centre,
             targets: targets.iter().map(ToString::to_string).collect(),
--- a/components/relay/tests/feed.rs
+++ b/components/relay/tests/feed.rs
@@ -24,7 +24,7 @@
 }
 
 fn revisions(feed: &Feed) -> Vec<u64> {
-    let objects = feed.since(None).into_iter();
+    let objects = feed.since(Revision::default()).into_iter();
     objects.map(|object| object.revision.0).collect()
 }
 
@@ -115,7 +115,10 @@
             newest,
             "{name}"
         );
-        let value = receiver.since(None).pop().map(|object| object.value);
+        let value = receiver
+            .since(Revision::default())
+            .pop()
+            .map(|object| object.value);
         let wanted = (newest > 0).then(|| routes(u32::try_from(newest).expect("small")));
         assert!(value == wanted, "{name}: the value is whole");
     }
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -17,7 +17,7 @@
 pub use data_centre::DataCentre;
 pub use node::Node;
 pub use operation::Operation;
-pub use period::Period;
+pub use period::{Period, millis};
 pub use rate::Rate;
 pub use service::Service;
 pub use share::Share;
--- a/components/units/src/period.rs
+++ b/components/units/src/period.rs
@@ -10,6 +10,12 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Period(pub time::Duration);
 
+/// Whole milliseconds of a time, for a message or a log line.
+#[must_use]
+pub fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl Period {
     /// A period of whole milliseconds.
     #[must_use]
@@ -26,7 +32,7 @@
     /// The period in whole milliseconds.
     #[must_use]
     pub fn as_millis(self) -> u64 {
-        u64::try_from(self.0.as_millis()).unwrap_or(u64::MAX)
+        millis(self.0)
     }
 }
 
--- a/components/units/src/wall.rs
+++ b/components/units/src/wall.rs
@@ -43,7 +43,7 @@
     /// This time plus `duration`.
     #[must_use]
     pub fn after(self, duration: time::Duration) -> Self {
-        let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        let millis = crate::millis(duration);
         Self(self.0.saturating_add(millis))
     }
 }
--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -89,7 +89,7 @@
         Headers::set(headers, Headers::VERSION, &self.version);
         Headers::set(headers, Headers::CALLER, &self.caller);
         let wanted = self.target.saturating_duration_since(now);
-        Headers::set_number(headers, Headers::TARGET_MS, millis(wanted));
+        Headers::set_number(headers, Headers::TARGET_MS, units::millis(wanted));
         Headers::set_number(headers, Headers::ROUTE, self.route);
         Headers::set_number(headers, Headers::PRIORITY, self.priority.into());
         if self.repeat.resent {
@@ -108,7 +108,7 @@
         if key.recall {
             Headers::set(headers, Headers::KEY_RECALL, "1");
         }
-        Headers::set_number(headers, Headers::KEY_COVER_MS, millis(key.cover));
+        Headers::set_number(headers, Headers::KEY_COVER_MS, units::millis(key.cover));
         if let Some(backup) = key.backup {
             Headers::set(headers, Headers::KEY_BACKUP, &backup.to_string());
         }
@@ -121,7 +121,7 @@
     pub fn write_public(&self, headers: &mut http::HeaderMap, now: time::Instant) {
         let left = self.deadline.saturating_duration_since(now);
         Headers::set(headers, Headers::REQUEST, &self.request);
-        Headers::set_number(headers, Headers::DEADLINE_MS, millis(left));
+        Headers::set_number(headers, Headers::DEADLINE_MS, units::millis(left));
         Headers::set_number(headers, Headers::ATTEMPT, self.attempt.into());
         Headers::set_number(headers, Headers::DEPTH, self.depth.into());
     }
@@ -174,7 +174,3 @@
         })
     }
 }
-
-fn millis(duration: time::Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/node/src/call/event.rs
+++ b/node/src/call/event.rs
@@ -42,7 +42,7 @@
 impl Event<'_> {
     /// Writes the line.
     pub(crate) fn log(self, inputs: &Inputs<'_>) {
-        let left_ms = millis(inputs.left);
+        let left_ms = units::millis(inputs.left);
         let (request, service) = (inputs.request, inputs.service.as_str());
         let (configuration, attempts) = (inputs.configuration.0, inputs.attempts);
         match self {
@@ -63,7 +63,7 @@
                 log::info!(target: telemetry::REQUESTS, event = "request-refused", request = request, service = service,
                     configuration = configuration, attempts = attempts, left_ms = left_ms,
                     priority = inputs.priority, running = crowd.running, waiting = crowd.waiting,
-                    limit = crowd.limit, wait_ms = millis(crowd.wait), runtime_ms = millis(crowd.runtime),
+                    limit = crowd.limit, wait_ms = units::millis(crowd.wait), runtime_ms = units::millis(crowd.runtime),
                     reason = problem.reason.as_str(), outcome:% = problem.outcome,
                     retry_after_ms = retry_after_ms(problem); "request refused by the owner");
             }
@@ -72,9 +72,5 @@
 }
 
 fn retry_after_ms(problem: &Problem) -> u64 {
-    millis(problem.retry_after.unwrap_or_default())
-}
-
-fn millis(duration: time::Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+    units::millis(problem.retry_after.unwrap_or_default())
 }
--- a/node/src/call/problem.rs
+++ b/node/src/call/problem.rs
@@ -77,7 +77,7 @@
         Headers::set(&mut headers, Headers::REASON, self.reason.as_str());
         Headers::set(&mut headers, Headers::REQUEST, request);
         if let Some(wait) = self.retry_after {
-            let millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            let millis = units::millis(wait);
             let seconds = millis.div_ceil(1_000);
             Headers::set_number(&mut headers, header::RETRY_AFTER, seconds);
             Headers::set_number(&mut headers, Headers::RETRY_AFTER_MS, millis);
