node: a request that runs out of time counts against the version that had it

Cause: the ingress tells its observer of an attempt that its owner says ran out of time. The owner is given 5 ms less, and on a busy VM its word often comes after the ingress's own deadline, which then drops the attempt without telling anybody.

--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -227,10 +227,13 @@
                 Ok(answer)
             }
             Ok(Err(problem)) => Err(journey.tell(problem)),
-            Err(_) => Err(Problem {
-                outcome: journey.outcome(),
-                ..Problem::unknown(Reason::Deadline)
-            }),
+            Err(_) => {
+                self.observe_unanswered(arrival, &journey);
+                Err(Problem {
+                    outcome: journey.outcome(),
+                    ..Problem::unknown(Reason::Deadline)
+                })
+            }
         }
     }
 }
--- a/node/src/call/ingress/attempting.rs
+++ b/node/src/call/ingress/attempting.rs
@@ -62,7 +62,7 @@
         let now = time::Instant::now();
         let usual = arrival.usual.clone();
         let mut attempt = Attempt::new(&target.endpoint, target.group, usual, settings, now);
-        journey.start();
+        journey.start(attempt.endpoint());
         let ended = if attempt.endpoint().own {
             self.send_here(arrival, envelope).await
         } else {
@@ -177,14 +177,32 @@
         }
     }
 
+    /// Tells the observer of a request whose time ended before an answer came: its version is slow,
+    /// whether or not its owner could still say so.
+    pub(super) fn observe_unanswered(&self, arrival: &Arrival, journey: &Journey) {
+        if let Some(under_way) = journey.under_way() {
+            let latency = under_way.since.elapsed();
+            self.tell(&under_way.endpoint, latency, &arrival.route.name, true);
+        }
+    }
+
     pub(super) fn observe(&self, attempt: &Attempt, route: &CompactString, failed: bool) {
-        let endpoint = attempt.endpoint();
+        self.tell(attempt.endpoint(), attempt.elapsed(), route, failed);
+    }
+
+    fn tell(
+        &self,
+        endpoint: &Endpoint,
+        latency: time::Duration,
+        route: &CompactString,
+        failed: bool,
+    ) {
         self.shared.observer.observe(&Sample {
             service: endpoint.service.clone(),
             version: endpoint.version.clone(),
             route: route.clone(),
             failed,
-            latency: attempt.elapsed(),
+            latency,
         });
     }
 }
--- a/node/src/call/ingress/journey.rs
+++ b/node/src/call/ingress/journey.rs
@@ -1,7 +1,10 @@
 //! What becomes of a request over its attempts.
 
 use std::cell;
+use std::rc;
+use std::time;
 
+use routing::Endpoint;
 use upstream::Outcome;
 
 use crate::call::Problem;
@@ -11,8 +14,17 @@
 pub(crate) struct Journey {
     /// The problem of the attempt with the worst outcome, the last one among equals.
     worst: cell::Cell<Option<Problem>>,
-    /// Whether an attempt is on its way.
-    under_way: cell::Cell<bool>,
+    /// The attempt that is on its way.
+    under_way: cell::RefCell<Option<UnderWay>>,
+}
+
+/// An attempt that is on its way.
+#[derive(Clone)]
+pub(super) struct UnderWay {
+    /// Where it was sent.
+    pub(super) endpoint: rc::Rc<Endpoint>,
+    /// When.
+    pub(super) since: time::Instant,
 }
 
 impl Journey {
@@ -22,26 +34,34 @@
             .worst
             .get()
             .map_or(Outcome::NotRun, |worst| worst.outcome);
-        if self.under_way.get() {
+        if self.under_way.borrow().is_some() {
             worst.max(Outcome::Unknown)
         } else {
             worst
         }
     }
 
-    /// An attempt is on its way.
-    pub(super) fn start(&self) {
-        self.under_way.set(true);
+    /// An attempt to `endpoint` is on its way.
+    pub(super) fn start(&self, endpoint: &rc::Rc<Endpoint>) {
+        self.under_way.replace(Some(UnderWay {
+            endpoint: endpoint.clone(),
+            since: time::Instant::now(),
+        }));
     }
 
     /// An attempt was answered.
     pub(super) fn answer(&self) {
-        self.under_way.set(false);
+        self.under_way.replace(None);
+    }
+
+    /// The attempt that is on its way.
+    pub(super) fn under_way(&self) -> Option<UnderWay> {
+        self.under_way.borrow().clone()
     }
 
     /// An attempt ended with `problem`.
     pub(super) fn end(&self, problem: Problem) {
-        self.under_way.set(false);
+        self.under_way.replace(None);
         if problem.outcome >= self.outcome() {
             self.worst.set(Some(problem));
         }
--- a/node/tests/call/faults.rs
+++ b/node/tests/call/faults.rs
@@ -3,7 +3,7 @@
 use node::call::Settings;
 
 use crate::caller::Caller;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, route};
 use crate::script::{Act, Script};
 
 struct Case {
@@ -192,3 +192,23 @@
         "{repeats} repeats of 60 requests"
     );
 }
+
+/// A version whose requests ran out of time before their owner could say so looked better than it was.
+#[compio::test]
+async fn unanswered_request_counts_against_its_version() {
+    let server = Script::start(&[Act::Answer]).await;
+    let silent = Script::start(&[Act::Silent]).await;
+    let mut fleet = Fleet::start(&[server.address]).await;
+    fleet.configure(&[route("slow", "/slow", 300)]);
+    let ingress = fleet.add_ingress().await;
+    fleet.divert(0, silent.address);
+    let caller = Caller::open(fleet.nodes[ingress].callers).await;
+    let got = caller.send("GET", "/slow").await;
+    assert_eq!((got.status, got.reason.as_str()), (504, "deadline"));
+    let samples = fleet.nodes[ingress].seen.samples.borrow();
+    let seen: Vec<_> = samples
+        .iter()
+        .map(|one| (one.version.as_str(), one.failed))
+        .collect();
+    assert_eq!(seen, [("v1", true)]);
+}
--- a/node/tests/call/fleet.rs
+++ b/node/tests/call/fleet.rs
@@ -197,6 +197,12 @@
         self.publish();
     }
 
+    /// Requests for the backend server beside node `index` go to `address` in place of its owner.
+    pub(crate) fn divert(&mut self, index: usize, address: units::Address) {
+        self.nodes[index].member.mesh_address = address;
+        self.publish();
+    }
+
     fn publish(&mut self) {
         self.generation += 1;
         let members = self.nodes.iter().map(|node| Rc::new(node.member.clone()));
