--- a/components/moves/tests/canary.rs
+++ b/components/moves/tests/canary.rs
@@ -127,3 +127,76 @@
         assert!(schedule.may_end(period - Duration::from_millis(500)));
     }
 }
+
+/// A move in time: its length, and the timeout of the route, in milliseconds.
+const PERIOD_MS: u64 = 16_000;
+const TIMEOUT_MS: f64 = 1_200.0;
+/// Mean time of a request and spread of its logarithm.
+const USUAL_MS: f64 = 220.0;
+const SPREAD: f64 = 0.8;
+/// How much longer half of the requests of a slow version take.
+const SLOWER: f64 = 8.0;
+
+/// Time of a request whose logarithm is normally distributed.
+fn draw_millis(rng: &mut StdRng) -> f64 {
+    // The sum of twelve uniform numbers is close to normal, with a variance of one.
+    let normal = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+    USUAL_MS * (SPREAD * normal - SPREAD * SPREAD / 2.0).exp()
+}
+
+/// Requests that a version gets of which half are slow, until it is found bad, and all requests of the
+/// service; `rate` of these come in a second.
+fn expose(rate: u32, seed: u64) -> (u64, u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let schedule = Schedule::new(Duration::from_millis(PERIOD_MS));
+    let mut judge = Judge::default();
+    let mut sight = Sight::default();
+    // When each answer of the version comes, whether it fails, and whether it is slow.
+    let mut answers: Vec<(u64, bool, bool)> = Vec::new();
+    let (mut exposed, mut all) = (0, 0);
+    let mut found = false;
+    for millis in 0..PERIOD_MS {
+        for _ in 0..rate / 1_000 + u32::from(rng.random_ratio(rate % 1_000, 1_000)) {
+            all += 1;
+            let share = schedule.share(Duration::from_millis(millis));
+            if found || !rng.random_bool(share) {
+                sight.route(ROUTES[0]).base_requests += 1;
+                continue;
+            }
+            exposed += 1;
+            let factor = if rng.random_bool(0.5) { SLOWER } else { 1.0 };
+            let took = draw_millis(&mut rng) * factor;
+            let slow = took > USUAL_MS * 4.0 + 20.0;
+            let failed = took > TIMEOUT_MS;
+            answers.push((millis + took.min(TIMEOUT_MS) as u64, failed, slow));
+        }
+        if millis % 100 != 0 {
+            continue;
+        }
+        let (ended, open): (Vec<_>, Vec<_>) = answers.iter().partition(|one| one.0 <= millis);
+        answers = open;
+        let route = sight.route(ROUTES[0]);
+        for (_, failed, slow) in ended {
+            route.requests += 1;
+            route.failures += u64::from(failed);
+            route.slow += u64::from(slow);
+        }
+        found |= judge.judge(&sight).is_some();
+    }
+    (exposed, all)
+}
+
+/// A slow version of a service with little traffic got more than a tenth of it (issue 23).
+#[test]
+fn slow_version_of_small_service_gets_little() {
+    for rate in [40, 90, 130, 300] {
+        for seed in 0..60 {
+            let (exposed, all) = expose(rate, seed);
+            let allowed = all / 10 + 50;
+            assert!(
+                exposed <= allowed,
+                "{rate} a second, seed {seed}: {exposed} of {all}, {allowed} allowed"
+            );
+        }
+    }
+}
