--- a/components/upstream/src/watched.rs
+++ b/components/upstream/src/watched.rs
@@ -1,4 +1,4 @@
-//! Stream that remembers when it last received bytes, and bounds what a server sends in vain.
+//! Stream that remembers when it last received bytes, and bounds the heads of answers.
 
 use std::cell;
 use std::io;
