--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -13,7 +13,7 @@
 use self::state::{State, Waiter};
 use crate::runtimes::Runtimes;
 use crate::waiting::Waiting;
-use crate::{Announced, Limit, Permit, Reason, Refusal, Settings};
+use crate::{Announced, Change, Limit, Named, Pace, Permit, Reason, Refusal, Settings, Usage};
 
 /// Decides when a request may run at the backend server; clones share the state.
 #[derive(Clone)]
@@ -87,6 +87,8 @@
     pub waiting: usize,
     /// Mean latency of late, in milliseconds.
     pub latency_ms: f64,
+    /// Requests a second that the backend server takes, where it has named that.
+    pub rate: Option<f64>,
     /// Figures.
     pub counts: Counts,
 }
@@ -104,6 +106,8 @@
         let state = State {
             announced: None,
             limit,
+            pace: Pace::new(time::Instant::now()),
+            paced: None,
             runtimes: Runtimes::default(),
             running: 0,
             alone: false,
@@ -130,6 +134,9 @@
             let slots = announced.map_or(1, |one| one.backend.slots);
             state.limit = Limit::new(slots, &self.shared.settings);
         }
+        if let Some(announced) = announced {
+            state.know(announced.backend.instance, time::Instant::now());
+        }
         let same = |one: &Announced| announced.is_some_and(|other| one.is_like(other));
         let kept = state.announced.as_ref().is_some_and(same);
         state.announced = announced.cloned();
@@ -146,6 +153,26 @@
         self.pump();
     }
 
+    /// Takes what an answer of the backend server with this `instance` names, to a request that was sent
+    /// at `sent`.
+    pub fn hear(&self, instance: u64, named: Named, sent: time::Instant) -> Change {
+        let mut state = self.shared.state.borrow_mut();
+        if state.paced != Some(instance) {
+            return Change::None;
+        }
+        state.pace.hear(named, sent, time::Instant::now())
+    }
+
+    /// What arrived under the rate that the backend server has named.
+    #[must_use]
+    pub fn usage(&self) -> Option<Usage> {
+        self.shared
+            .state
+            .borrow_mut()
+            .pace
+            .usage(time::Instant::now())
+    }
+
     /// Refuses new requests from now on; those that run or wait are ended.
     pub fn stop(&self) {
         self.shared.state.borrow_mut().stopping = true;
@@ -184,6 +211,7 @@
             running: state.running,
             waiting: state.waiting.len() + state.waiting_alone.len(),
             latency_ms: state.limit.latency().as_secs_f64() * 1_000.0,
+            rate: state.pace.rate().map(|rate| rate.0),
             counts: state.counts,
         }
     }
--- a/components/admission/src/gate/state.rs
+++ b/components/admission/src/gate/state.rs
@@ -8,12 +8,15 @@
 use super::{Ask, Counts, Gate};
 use crate::runtimes::Runtimes;
 use crate::waiting::Waiting;
-use crate::{Announced, Crowd, Limit, Permit, Reason, Refusal, Settings, Urgency};
+use crate::{Announced, Crowd, Limit, Pace, Permit, Reason, Refusal, Settings, Urgency};
 
 /// What a gate knows and counts.
 pub(super) struct State {
     pub(super) announced: Option<Announced>,
     pub(super) limit: Limit,
+    pub(super) pace: Pace,
+    /// Number of the start of the backend server that the pace is of.
+    pub(super) paced: Option<u64>,
     pub(super) runtimes: Runtimes,
     pub(super) running: usize,
     /// A request runs alone, or waits for the others to end so that it can.
@@ -33,6 +36,14 @@
 }
 
 impl State {
+    /// The backend server that is there is the start `instance`; a new one has named nothing yet.
+    pub(super) fn know(&mut self, instance: u64, now: time::Instant) {
+        if self.paced != Some(instance) {
+            self.paced = Some(instance);
+            self.pace = Pace::new(now);
+        }
+    }
+
     pub(super) fn check_phase(&mut self, ask: &Ask) -> Result<(), Refusal> {
         let reason = match &self.announced {
             _ if self.stopping => Reason::Stopping,
@@ -134,6 +145,7 @@
                 "invariant violated: a request runs above the limit");
         }
         self.running += 1;
+        self.pace.take(time::Instant::now());
         self.alone |= alone;
         self.counts.admitted += 1;
         self.counts.admitted_alone += u64::from(alone);
--- a/node/src/call/counts.rs
+++ b/node/src/call/counts.rs
@@ -70,4 +70,10 @@
     pub mismatched: u64,
     /// Requests given up by the ingress.
     pub cancelled: u64,
+    /// Rates that the backend server has named, each new one counted.
+    pub rates_named: u64,
+    /// Answers that name a rate that cannot be read.
+    pub rates_unreadable: u64,
+    /// Backend servers that have said in an answer that they leave.
+    pub leaving_heard: u64,
 }
--- a/node/src/call/dialect.rs
+++ b/node/src/call/dialect.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use admission::Statement;
 use bytes::Bytes;
 use compact_str::CompactString;
 
@@ -36,6 +37,9 @@
     /// Whether the backend server says that it has not run the request.
     fn is_unexecuted(&self, answer: &http::response::Parts, envelope: &Envelope) -> bool;
 
+    /// What the backend server says of itself with an answer.
+    fn statement(&self, answer: &http::response::Parts) -> Statement;
+
     /// Whether an answer of the backend server can belong to the request with these `headers`.
     fn is_match(&self, headers: &http::HeaderMap, answer: &http::response::Parts) -> bool;
 
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -1,5 +1,6 @@
 //! Headers of the request path.
 
+use admission::{Named, Statement};
 use compact_str::CompactString;
 use http::HeaderName;
 use http::header;
@@ -26,6 +27,11 @@
     pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
     /// Number of the sending with a key, as the caller counts, from 1.
     pub const KEY_ATTEMPT: HeaderName = HeaderName::from_static("idempotency-attempt");
+    /// On answers of a backend server: requests a second that it takes from all callers together, a
+    /// decimal number, for as long as it says so.
+    pub const RATE_LIMIT: HeaderName = HeaderName::from_static("radishgap-rate-limit");
+    /// On answers of a backend server: `1` where it leaves.
+    pub const LEAVING: HeaderName = HeaderName::from_static("radishgap-leaving");
     /// Between nodes: the service that is meant.
     pub const SERVICE: HeaderName = HeaderName::from_static("radishgap-service");
     /// Between nodes: the version that is meant.
@@ -145,6 +151,20 @@
         headers.get(name)?.to_str().ok()?.parse().ok()
     }
 
+    /// What a backend server says of itself in the headers `rate` and `leaving` of an answer.
+    #[must_use]
+    pub fn statement(
+        headers: &http::HeaderMap,
+        rate: &HeaderName,
+        leaving: &HeaderName,
+    ) -> Statement {
+        let values = headers.get_all(rate).iter();
+        Statement {
+            rate: Named::read(values.map(|value| value.to_str().ok())),
+            leaving: headers.get_all(leaving).iter().any(|value| value == "1"),
+        }
+    }
+
     /// Sets a header to text that is valid by its origin; leaves it out where it is not.
     pub(crate) fn set(headers: &mut http::HeaderMap, name: HeaderName, text: &str) {
         match http::HeaderValue::from_str(text) {
--- a/node/src/call/native.rs
+++ b/node/src/call/native.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use admission::Statement;
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 
@@ -107,6 +108,10 @@
             && says(Headers::REQUEST, &envelope.request)
     }
 
+    fn statement(&self, answer: &http::response::Parts) -> Statement {
+        Headers::statement(&answer.headers, &Headers::RATE_LIMIT, &Headers::LEAVING)
+    }
+
     /// A stream of HTTP/2 carries the answer to its own request only.
     fn is_match(&self, _: &http::HeaderMap, _: &http::response::Parts) -> bool {
         true
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -6,6 +6,7 @@
 mod cancel;
 mod crashing;
 mod fingerprint;
+mod hearing;
 mod repeating;
 mod running;
 mod serving;
@@ -47,6 +48,8 @@
     backend: cell::RefCell<Option<Beside>>,
     /// The latest crash of the backend server, while it is not certain.
     accused: cell::RefCell<Option<crashing::Accused>>,
+    /// The start of the backend server that has said that it leaves.
+    leaving: cell::Cell<Option<u64>>,
     counts: cell::Cell<Counts>,
     /// Connections to other nodes.
     pools: Pools,
@@ -113,6 +116,7 @@
             owners: cell::Cell::default(),
             backend: cell::RefCell::default(),
             accused: cell::RefCell::default(),
+            leaving: cell::Cell::default(),
             counts: cell::Cell::default(),
             pools: Pools::new(&context.settings.upstream),
             life: rand::random(),
@@ -259,6 +263,7 @@
     /// Closes connections that the backend server may close soon.
     pub(crate) fn maintain(&self, now: time::Instant) {
         self.tell_arrivals(now);
+        self.tell_usage();
         let node = &self.shared.context.node;
         self.shared.sharing.remind(node, now, || self.others());
         if let Some(beside) = &*self.shared.backend.borrow() {
--- /dev/null
+++ b/node/src/call/owner/hearing.rs
@@ -0,0 +1,61 @@
+//! What the backend server says of itself with its answers.
+
+use std::time;
+
+use admission::{Change, Statement};
+
+use super::Owner;
+use crate::call::Dialect;
+
+impl<L: peer::Link, D: Dialect> Owner<L, D> {
+    /// Takes what the start `instance` of the backend server says with its answer to `request`, which was
+    /// sent at `sent`.
+    pub(super) fn hear(
+        &self,
+        instance: u64,
+        statement: Statement,
+        request: &str,
+        sent: time::Instant,
+    ) {
+        let change = self.shared.gate.hear(instance, statement.rate, sent);
+        self.tell_change(change, instance, request);
+        if statement.leaving && self.shared.leaving.replace(Some(instance)) != Some(instance) {
+            self.count(|counts| counts.leaving_heard += 1);
+            log::info!(event = "leaving-heard", request = request, instance = instance;
+                "the backend server says in an answer that it leaves");
+        }
+    }
+
+    fn tell_change(&self, change: Change, instance: u64, request: &str) {
+        match change {
+            Change::None => {}
+            Change::Named { rate, before } => {
+                self.count(|counts| counts.rates_named += 1);
+                log::info!(event = "rate-named", request = request, instance = instance,
+                    rate = rate.0, before = before.map_or(0.0, |before| before.0);
+                    "the backend server names how many requests a second it takes");
+            }
+            Change::Lifted { before } => {
+                log::info!(event = "rate-lifted", request = request, instance = instance,
+                    before = before.0;
+                    "the backend server no longer names how many requests a second it takes");
+            }
+            Change::Unreadable { kept } => {
+                self.count(|counts| counts.rates_unreadable += 1);
+                log::warn!(event = "rate-unreadable", request = request, instance = instance,
+                    kept = kept.map_or(0.0, |kept| kept.0);
+                    "the rate that the backend server names cannot be read");
+            }
+        }
+    }
+
+    /// Writes what arrived under the rate that the backend server has named.
+    pub(super) fn tell_usage(&self) {
+        let Some(usage) = self.shared.gate.usage() else {
+            return;
+        };
+        log::info!(event = "limited-arrivals", rate = usage.rate.0, arrived = usage.arrived,
+            window_ms = units::millis(admission::Pace::WINDOW), age_ms = units::millis(usage.age);
+            "requests at the backend server under the rate that it has named");
+    }
+}
--- a/node/src/call/owner/running.rs
+++ b/node/src/call/owner/running.rs
@@ -44,6 +44,8 @@
                 .repeats
                 .start(repeat, job.envelope.depth, time::Instant::now()),
             fingerprint,
+            instance: beside.instance,
+            sent: time::Instant::now(),
         };
         let deadline = job.envelope.deadline;
         match compio::time::timeout_at(deadline, beside.server.send(request)).await {
--- a/node/src/call/owner/serving.rs
+++ b/node/src/call/owner/serving.rs
@@ -19,6 +19,10 @@
     pub(super) _run: admission::Run,
     /// What it is known by after a crash.
     pub(super) fingerprint: Fingerprint,
+    /// Start of the backend server that has it.
+    pub(super) instance: u64,
+    /// When it was sent there.
+    pub(super) sent: time::Instant,
 }
 
 impl<L: peer::Link, D: Dialect> Serving<L, D> {
@@ -36,7 +40,11 @@
             source.retire();
             return Err(Problem::unknown(Reason::Mismatched));
         }
-        if dialect.is_unexecuted(&parts, envelope) {
+        let statement = dialect.statement(&parts);
+        let is_unexecuted = dialect.is_unexecuted(&parts, envelope);
+        self.owner
+            .hear(self.instance, statement, &envelope.request, self.sent);
+        if is_unexecuted {
             self.owner.count(|counts| counts.shed += 1);
             if let Some(permit) = self.permit.take() {
                 permit.shed();
