--- a/node/tests/call/backend.rs
+++ b/node/tests/call/backend.rs
@@ -23,6 +23,8 @@
     headers: Vec<http::HeaderMap>,
     running: usize,
     most: usize,
+    /// Further headers of its answers.
+    says: http::HeaderMap,
 }
 
 struct Running {
@@ -46,6 +48,15 @@
         (address, trigger)
     }
 
+    /// Says `value` under `name` in its answers from now on, or nothing there where it is empty.
+    pub(crate) fn say(&self, name: &'static str, value: &'static str) {
+        let says = &mut self.shared.borrow_mut().says;
+        says.remove(name);
+        if !value.is_empty() {
+            says.insert(name, http::HeaderValue::from_static(value));
+        }
+    }
+
     /// How often it ran requests to `path`.
     pub(crate) fn runs(&self, path: &str) -> usize {
         let record = self.shared.borrow();
@@ -117,6 +128,8 @@
         }
         drop(running);
         let mut answer = http::Response::new(web::Body::from(Bytes::from(received)));
+        let says = self.shared.borrow().says.clone();
+        answer.headers_mut().extend(says);
         if path.contains("fails") {
             *answer.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
         }
--- a/node/tests/call/main.rs
+++ b/node/tests/call/main.rs
@@ -10,5 +10,6 @@
 mod faults;
 mod keys;
 mod limits;
+mod need;
 mod poison;
 mod routes;
