admission: an owner keeps to the rate that its backend server names

What callers saw: nothing; two backend servers in need got 42 requests in four seconds where 13 were allowed, and 62 of 21. Cause: nobody read the header, and the only bound that an owner knew was of slots. The owner alone sends to its backend server, so that one token bucket there is exact for all callers: 4r + 0.5r + 1 in any four seconds, 6r + 5 are allowed. It stands in the gate beside the slots; what waits goes by urgency, and what gets no turn by its target is refused at once, not-run, with a turn of its own as Retry-After (turns follow each other at the rate, so that those who are refused together do not come back together).

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -66,6 +66,8 @@
     pub refused_full: u64,
     /// Refused because they could not finish by their deadline.
     pub refused_late: u64,
+    /// Refused because the backend server takes no more requests a second.
+    pub refused_limited: u64,
     /// Refused after the longest wait.
     pub refused_waited: u64,
     /// Refused because of the phase of the backend server or the node.
@@ -114,6 +116,7 @@
             waiting: Waiting::new(settings.order),
             waiting_alone: std::collections::VecDeque::new(),
             stopping: false,
+            ticking: false,
             counts: Counts::default(),
         };
         let shared = Shared {
@@ -160,7 +163,21 @@
         if state.paced != Some(instance) {
             return Change::None;
         }
-        state.pace.hear(named, sent, time::Instant::now())
+        let change = state.pace.hear(named, sent, time::Instant::now());
+        drop(state);
+        if matches!(change, Change::Named { .. } | Change::Lifted { .. }) {
+            self.pump();
+        }
+        change
+    }
+
+    /// Time after which the sender of a request is welcome again; `None` where the backend server has
+    /// not named a rate.
+    #[must_use]
+    pub fn promise(&self) -> Option<time::Duration> {
+        let mut state = self.shared.state.borrow_mut();
+        let ahead = state.waiting.len();
+        state.pace.promise(ahead, time::Instant::now())
     }
 
     /// What arrived under the rate that the backend server has named.
@@ -242,7 +259,8 @@
         let mut state = self.shared.state.borrow_mut();
         state.check_phase(ask)?;
         state.check_time(ask, now)?;
-        if state.has_room(ask.alone) {
+        state.check_turn(ask, self.shared.settings.queue_wait.0, now)?;
+        if state.has_room(ask.alone, now) {
             state.take(ask.alone);
             return Ok(Entered::Now(Permit::new(
                 self.clone(),
@@ -267,6 +285,8 @@
             let _ = evicted.sender.send(Err(refusal));
         }
         drop(state);
+        self.shed_limited();
+        self.await_turn();
         Ok(Entered::Later(receiver))
     }
 
@@ -289,18 +309,53 @@
         }
     }
 
+    /// Refuses those whose turn comes too late, since the rate has changed or others go first.
+    fn shed_limited(&self) {
+        let mut state = self.shared.state.borrow_mut();
+        let shed = state.shed_limited(self.shared.settings.queue_wait.0, time::Instant::now());
+        drop(state);
+        for (waiter, refusal) in shed {
+            let _ = waiter.sender.send(Err(refusal));
+        }
+    }
+
+    /// Lets the next request through when its turn has come.
+    fn await_turn(&self) {
+        let mut state = self.shared.state.borrow_mut();
+        let now = time::Instant::now();
+        let wait = state.pace.wait(0, now);
+        let none_waits = state.waiting.is_empty() && state.waiting_alone.is_empty();
+        if state.ticking || none_waits || wait.is_zero() {
+            return;
+        }
+        state.ticking = true;
+        drop(state);
+        let shared = rc::Rc::downgrade(&self.shared);
+        compio::runtime::spawn(async move {
+            compio::time::sleep(wait).await;
+            if let Some(shared) = shared.upgrade() {
+                let gate = Self { shared };
+                gate.shared.state.borrow_mut().ticking = false;
+                gate.pump();
+            }
+        })
+        .detach();
+    }
+
     /// Lets waiting requests through as long as there is room.
     fn pump(&self) {
         self.shed_late();
+        self.shed_limited();
         loop {
             let next = self.shared.state.borrow_mut().next();
             let Some((waiter, alone)) = next else {
-                return;
+                break;
             };
             let permit = Permit::new(self.clone(), waiter.route, alone, time::Instant::now());
             // A waiter that has gone gives its permit back, which lets the next one through.
             let _ = waiter.sender.send(Ok(permit));
         }
+        self.await_turn();
     }
 
     pub(crate) fn answered(&self, route: u64, latency: time::Duration) {
--- a/components/admission/src/gate/state.rs
+++ b/components/admission/src/gate/state.rs
@@ -25,6 +25,8 @@
     /// Requests that have to run alone, in the order of their arrival.
     pub(super) waiting_alone: std::collections::VecDeque<Waiter>,
     pub(super) stopping: bool,
+    /// A task waits for the next turn.
+    pub(super) ticking: bool,
     pub(super) counts: Counts,
 }
 
@@ -60,7 +62,7 @@
     /// Refuses what cannot be finished by its deadline.
     pub(super) fn check_time(&mut self, ask: &Ask, now: time::Instant) -> Result<(), Refusal> {
         let left = ask.deadline.saturating_duration_since(now);
-        let wait = if self.has_room(ask.alone) {
+        let wait = if self.has_place(ask.alone) {
             time::Duration::ZERO
         } else {
             self.expected_wait(&self.urgency(ask), now)
@@ -74,16 +76,68 @@
         Ok(())
     }
 
+    /// Refuses what gets no turn in time, by the rate that the backend server has named.
+    pub(super) fn check_turn(
+        &mut self,
+        ask: &Ask,
+        longest: time::Duration,
+        now: time::Instant,
+    ) -> Result<(), Refusal> {
+        let urgency = self.urgency(ask);
+        let ahead = self.waiting.ahead(&urgency, now);
+        let wait = self.pace.wait(ahead, now);
+        if is_in_turn(&urgency, wait, longest, now) {
+            return Ok(());
+        }
+        self.counts.refused_limited += 1;
+        Err(self.limit_rate(ask.route, wait, now))
+    }
+
+    /// Takes out those that get no turn in time.
+    pub(super) fn shed_limited(
+        &mut self,
+        longest: time::Duration,
+        now: time::Instant,
+    ) -> Vec<(Waiter, Refusal)> {
+        if self.pace.rate().is_none() {
+            return Vec::new();
+        }
+        let pace = &self.pace;
+        let fits =
+            |urgency: &Urgency, ahead| is_in_turn(urgency, pace.wait(ahead, now), longest, now);
+        let shed = self.waiting.shed_unless(now, fits);
+        self.counts.refused_limited += shed.len() as u64;
+        let wait = self.pace.wait(self.waiting.len(), now);
+        let refusals = shed.into_iter();
+        refusals
+            .map(|waiter| {
+                let refusal = self.limit_rate(waiter.route, wait, now);
+                (waiter, refusal)
+            })
+            .collect()
+    }
+
+    /// A refusal for the rate, with the turn after which its sender is welcome.
+    fn limit_rate(&mut self, route: u64, wait: time::Duration, now: time::Instant) -> Refusal {
+        let ahead = self.waiting.len();
+        let turn = self.pace.promise(ahead, now).unwrap_or(wait);
+        Refusal::crowded(Reason::Limited, turn, self.crowd(route, wait))
+    }
+
     /// A refusal of a request of `route` for want of room, for which it would have to `wait`.
     pub(super) fn refuse(&self, reason: Reason, route: u64, wait: time::Duration) -> Refusal {
-        let crowd = Crowd {
+        Refusal::crowded(reason, self.retry_after(), self.crowd(route, wait))
+    }
+
+    /// What stands in the way of a request of `route`, which would have to `wait`.
+    fn crowd(&self, route: u64, wait: time::Duration) -> Crowd {
+        Crowd {
             running: self.running,
             waiting: self.waiting.len() + self.waiting_alone.len(),
             limit: self.limit.current(),
             wait,
             runtime: self.runtimes.expected(route),
-        };
-        Refusal::crowded(reason, self.retry_after(), crowd)
+        }
     }
 
     /// A refusal of a waiting request of `route`, which would now have to wait behind all others.
@@ -123,7 +177,13 @@
         self.limit.latency().saturating_mul(ahead) / limit
     }
 
-    pub(super) fn has_room(&self, alone: bool) -> bool {
+    /// Whether a request may go at once.
+    pub(super) fn has_room(&self, alone: bool, now: time::Instant) -> bool {
+        self.has_place(alone) && self.pace.is_open(now)
+    }
+
+    /// Whether a request has a slot, whatever the rate.
+    fn has_place(&self, alone: bool) -> bool {
         if self.alone || !self.waiting_alone.is_empty() {
             return false;
         }
@@ -201,7 +261,8 @@
     ///
     /// Those that have to run alone go first: while one waits, no other request starts.
     pub(super) fn next(&mut self) -> Option<(Waiter, bool)> {
-        if self.alone || self.announced.is_none() {
+        let now = time::Instant::now();
+        if self.alone || self.announced.is_none() || !self.pace.is_open(now) {
             return None;
         }
         while let Some(waiter) = self.waiting_alone.front() {
@@ -220,7 +281,7 @@
             return None;
         }
         loop {
-            let waiter = self.waiting.pop(time::Instant::now())?;
+            let waiter = self.waiting.pop(now)?;
             if !waiter.sender.is_canceled() {
                 self.take(false);
                 return Some((waiter, false));
@@ -228,3 +289,14 @@
         }
     }
 }
+
+/// Whether a request that waits so long for its turn can still be answered when that is wanted; one that
+/// waits longer leaves its turn to others, and may find room elsewhere.
+fn is_in_turn(
+    urgency: &Urgency,
+    wait: time::Duration,
+    longest: time::Duration,
+    now: time::Instant,
+) -> bool {
+    wait.is_zero() || (wait <= longest && now + wait + urgency.expected <= urgency.target)
+}
--- a/components/admission/src/reason.rs
+++ b/components/admission/src/reason.rs
@@ -27,6 +27,9 @@
     /// It has waited as long as a request may wait.
     #[error("waited-too-long")]
     Waited,
+    /// The backend server takes no more requests a second.
+    #[error("rate-limited")]
+    Limited,
     /// It would be a repeat, and the service has had as many as it bears.
     #[error("retry-budget-spent")]
     BudgetSpent,
--- a/components/admission/src/urgency.rs
+++ b/components/admission/src/urgency.rs
@@ -98,6 +98,23 @@
         shed.map(|entry| entry.1).collect()
     }
 
+    /// Takes out those of which `fits` says no, told their urgency and how many of those that stay go
+    /// before them.
+    pub fn shed_unless(
+        &mut self,
+        now: time::Instant,
+        fits: impl Fn(&Urgency, usize) -> bool,
+    ) -> Vec<T> {
+        self.entries.sort_by_key(|entry| rank(&entry.0, now));
+        let mut ahead = 0;
+        let shed = self.entries.extract_if(.., |entry| {
+            let stays = fits(&entry.0, ahead);
+            ahead += usize::from(stays);
+            !stays
+        });
+        shed.map(|entry| entry.1).collect()
+    }
+
     /// Elements that go before one of this urgency.
     #[must_use]
     pub fn ahead(&self, urgency: &Urgency, now: time::Instant) -> usize {
--- a/components/admission/src/waiting.rs
+++ b/components/admission/src/waiting.rs
@@ -76,6 +76,18 @@
         }
     }
 
+    /// Takes out those of which `fits` says no, told their urgency and how many go before them.
+    pub(crate) fn shed_unless(
+        &mut self,
+        now: time::Instant,
+        fits: impl Fn(&Urgency, usize) -> bool,
+    ) -> Vec<T> {
+        match self {
+            Self::Callers(_) => Vec::new(),
+            Self::Urgency(queue) => queue.shed_unless(now, fits),
+        }
+    }
+
     /// Elements that go before one of this urgency.
     pub(crate) fn ahead(&self, urgency: &Urgency, now: time::Instant) -> usize {
         match self {
--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use admission::{Announced, Ask, Gate, Lanes, Permit, Quota, Reason, Settings};
+use admission::{Announced, Ask, Gate, Lanes, Named, Order, Permit, Quota, Reason, Settings};
 use futures_util::FutureExt;
 use membership::{Backend, Phase};
 
@@ -222,3 +222,97 @@
     let admitted = gate.admit(&short).await;
     assert!(admitted.is_ok(), "{:?}", admitted.err());
 }
+
+/// A gate before a backend server that takes `per_second`, with the one request gone that may go first.
+async fn limited(per_second: f64) -> Gate {
+    let gate = Gate::new(Rc::new(Settings {
+        queue_wait: units::Period::from_secs(60),
+        order: Order::Urgency,
+        ..Settings::default()
+    }));
+    gate.announce(Some(&announced(Phase::Ready, "v1", 8)));
+    gate.hear(1, Named::Rate(units::Rate(per_second)), Instant::now());
+    drop(gate.admit(&ask(false, LONG)).await.expect("a permit"));
+    gate
+}
+
+#[compio::test]
+async fn limited_request_refused_at_once_when_its_turn_is_late() {
+    let started = Instant::now();
+    let gate = limited(0.5).await;
+    let refusal = gate
+        .admit(&ask(false, Duration::from_secs(1)))
+        .now_or_never();
+    let refusal = refusal.expect("no waiting").err().expect("a refusal");
+    assert_eq!(refusal.reason, Reason::Limited);
+    // The next turn comes two seconds after the first request.
+    let (told, turn) = (refusal.retry_after, Duration::from_secs(2));
+    assert!(told <= turn && told + started.elapsed() >= turn, "{told:?}");
+    assert_eq!(gate.counts().refused_limited, 1);
+}
+
+#[compio::test]
+async fn limited_request_waits_for_its_turn() {
+    let gate = limited(20.0).await;
+    let started = Instant::now();
+    let later = ask(false, LONG);
+    let urgent = Ask {
+        target: later.target - Duration::from_secs(1),
+        ..later.clone()
+    };
+    let mut second = Box::pin(gate.admit(&later));
+    assert!(second.as_mut().now_or_never().is_none());
+    let first = gate.admit(&urgent).await.expect("a permit");
+    // Turns are 50 ms apart, and the urgent one goes first.
+    assert!(started.elapsed() >= Duration::from_millis(40));
+    assert!(second.as_mut().now_or_never().is_none());
+    drop(first);
+    assert!(second.await.is_ok());
+    assert!(started.elapsed() >= Duration::from_millis(90));
+}
+
+#[compio::test]
+async fn who_waits_is_refused_when_the_limit_falls() {
+    let gate = limited(0.5).await;
+    let asked = ask(false, Duration::from_secs(4));
+    let mut waiting = Box::pin(gate.admit(&asked));
+    assert!(waiting.as_mut().now_or_never().is_none());
+    gate.hear(1, Named::Rate(units::Rate(0.1)), Instant::now());
+    let refused = waiting.as_mut().now_or_never().expect("no waiting");
+    assert_eq!(
+        refused.err().map(|refusal| refusal.reason),
+        Some(Reason::Limited)
+    );
+}
+
+#[compio::test]
+async fn lifted_limit_lets_all_through() {
+    let gate = limited(0.5).await;
+    let asked = ask(false, LONG);
+    let mut waiting = Box::pin(gate.admit(&asked));
+    assert!(waiting.as_mut().now_or_never().is_none());
+    // Made before the limit was named, and late.
+    gate.hear(1, Named::Nothing, Instant::now() - Duration::from_secs(60));
+    assert!(waiting.as_mut().now_or_never().is_none());
+    gate.hear(1, Named::Nothing, Instant::now());
+    assert!(waiting.await.is_ok());
+}
+
+#[compio::test]
+async fn new_start_of_the_backend_server_has_no_limit() {
+    let gate = limited(0.1).await;
+    let mut next = announced(Phase::Ready, "v1", 8);
+    // The same start after a silence is still limited.
+    gate.announce(None);
+    gate.announce(Some(&next));
+    assert_eq!(
+        refused(&gate, &ask(false, Duration::from_secs(1))),
+        Some(Reason::Limited)
+    );
+    next.backend.instance = 2;
+    gate.announce(Some(&next));
+    assert_eq!(refused(&gate, &ask(false, Duration::from_secs(1))), None);
+    // Late news of the start before.
+    gate.hear(1, Named::Rate(units::Rate(0.1)), Instant::now());
+    assert_eq!(refused(&gate, &ask(false, Duration::from_secs(1))), None);
+}
--- a/components/admission/tests/pace.rs
+++ b/components/admission/tests/pace.rs
@@ -84,3 +84,101 @@
     assert_eq!(arrived(&mut pace, 4_100), Some(2));
     assert_eq!(arrived(&mut pace, 8_000), Some(0));
 }
+
+/// Requests that a backend server gets which takes `per_second`, asked each millisecond.
+fn arrivals(per_second: f64, until_ms: u64, restarts_ms: &[u64]) -> Vec<u64> {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut pace = Pace::new(start);
+    pace.hear(rate(per_second), at(0), at(0));
+    let mut arrived = Vec::new();
+    for ms in 0..until_ms {
+        if restarts_ms.contains(&ms) {
+            pace = Pace::new(at(ms));
+            pace.hear(rate(per_second), at(ms), at(ms));
+        }
+        if pace.is_open(at(ms)) {
+            pace.take(at(ms));
+            arrived.push(ms);
+        }
+    }
+    arrived
+}
+
+/// Most arrivals in any four seconds.
+fn worst(arrived: &[u64]) -> usize {
+    let from = |first: u64| {
+        let window = first..first + 4_000;
+        arrived.iter().filter(|ms| window.contains(ms)).count()
+    };
+    arrived
+        .iter()
+        .map(|first| from(*first))
+        .max()
+        .unwrap_or_default()
+}
+
+#[test]
+fn limit_kept_in_any_four_seconds() {
+    for per_second in [0.0, 0.05, 0.4, 1.3, 2.4, 4.2, 30.0, 200.0] {
+        let allowed = 1.5 * 4.0 * per_second + 5.0;
+        for restarts in [&[][..], &[3_900, 4_000][..]] {
+            let arrived = arrivals(per_second, 12_000, restarts);
+            let got = worst(&arrived);
+            assert!(count(got) <= allowed, "{got} at {per_second}/s");
+            let least = 0.9 * per_second * 12.0 - 1.0;
+            assert!(
+                count(arrived.len()) >= least,
+                "{} at {per_second}/s",
+                arrived.len()
+            );
+        }
+    }
+}
+
+fn count(number: usize) -> f64 {
+    u32::try_from(number)
+        .map(f64::from)
+        .expect("a small number")
+}
+
+#[test]
+fn limit_kept_when_it_changes() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut pace = Pace::new(start);
+    // From 10 a second to 2 after a calm time, when all that may go at once is there.
+    pace.hear(rate(10.0), at(0), at(0));
+    pace.hear(rate(2.0), at(5_000), at(5_000));
+    let mut got = 0;
+    for ms in 5_000..9_000 {
+        if pace.is_open(at(ms)) {
+            pace.take(at(ms));
+            got += 1;
+        }
+    }
+    assert!((8..=10).contains(&got), "{got}");
+    // Lifted, nothing waits.
+    pace.hear(Named::Nothing, at(9_000), at(9_001));
+    assert!((0..100).all(|_| {
+        pace.take(at(9_001));
+        pace.is_open(at(9_001))
+    }));
+}
+
+#[test]
+fn turns_follow_each_other() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut pace = Pace::new(start);
+    assert_eq!(pace.promise(0, at(0)), None);
+    pace.hear(rate(2.0), at(0), at(0));
+    pace.take(at(0));
+    let turns: Vec<_> = (0..5)
+        .map(|_| pace.promise(0, at(0)).expect("a rate"))
+        .collect();
+    let wanted = [500, 1_000, 1_500, 2_000, 500].map(Duration::from_millis);
+    assert_eq!(turns, wanted);
+    // Before the first of those who wait, two others go.
+    assert_eq!(pace.promise(2, at(0)), Some(Duration::from_millis(1_500)));
+}
--- a/node/src/call/reason.rs
+++ b/node/src/call/reason.rs
@@ -45,7 +45,7 @@
 
 impl Reason {
     /// Reasons of owners that are well and only refuse the request.
-    const REFUSALS: [&'static str; 20] = [
+    const REFUSALS: [&'static str; 21] = [
         "no-backend-server",
         "other-backend-server",
         "starting",
@@ -54,6 +54,7 @@
         "queue-full",
         "too-late",
         "waited-too-long",
+        "rate-limited",
         "retry-budget-spent",
         "quarantined",
         "keys-full",
@@ -168,6 +169,7 @@
         Reason::Full => "queue-full",
         Reason::Late => "too-late",
         Reason::Waited => "waited-too-long",
+        Reason::Limited => "rate-limited",
         Reason::BudgetSpent => "retry-budget-spent",
         Reason::Quarantined => "quarantined",
         Reason::OverShare => "service-over-share",
