node: an owner that starts anew learns the limit of its backend server from its callers' nodes

What callers would see: nothing; a backend server in need would get what its slots bear until its first answer, while all nodes that had passed on its limit before count. Cause: the limit was known to one process only, and lost with it. Ingresses remember by the number of the start what they have passed on, and say so with each request; an owner takes it until the backend server has answered itself, of several the lowest. A refusal of an owner lifts nothing that an ingress knows, since an owner that has just started knows nothing. Failed before (without Owner::learn): limit_known_to_owner_that_starts_anew, 9 requests where 6.2 are allowed. Left: a message of its own to a starting owner, or the heartbeat: the limit would be known earlier than with the first request, which nobody counts on.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -171,6 +171,20 @@
         change
     }
 
+    /// The rate that the backend server has named, with the number of its start.
+    #[must_use]
+    pub fn rate(&self) -> Option<(u64, units::Rate)> {
+        let state = self.shared.state.borrow();
+        Some((state.paced?, state.pace.rate()?))
+    }
+
+    /// Takes the rate that others know of the backend server with this `instance`; returns whether it
+    /// counts, as it does until that has answered here.
+    pub fn learn(&self, instance: u64, rate: units::Rate) -> bool {
+        let mut state = self.shared.state.borrow_mut();
+        state.paced == Some(instance) && state.pace.learn(rate, time::Instant::now())
+    }
+
     /// Time after which the sender of a request is welcome again; `None` where the backend server has
     /// not named a rate.
     #[must_use]
--- a/components/admission/src/pace.rs
+++ b/components/admission/src/pace.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Clone)]
 pub struct Pace {
     rate: Option<units::Rate>,
+    /// An answer has come, whatever it named.
+    heard: bool,
     /// When the rate was last named.
     named_at: time::Instant,
     /// Requests that may go at once, at the time `renewed`.
@@ -78,6 +80,7 @@
     pub fn new(now: time::Instant) -> Self {
         Self {
             rate: None,
+            heard: false,
             named_at: now,
             tokens: 0.0,
             renewed: now,
@@ -97,6 +100,7 @@
     /// An answer that names nothing lifts the rate only if its request was sent after the rate was last
     /// named: it may have been made before, and come late.
     pub fn hear(&mut self, named: Named, sent: time::Instant, now: time::Instant) -> Change {
+        self.heard = true;
         match (named, self.rate) {
             (Named::Nothing, None) => Change::None,
             (Named::Nothing, Some(_)) if sent <= self.named_at => Change::None,
@@ -107,14 +111,7 @@
             }
             (Named::Unreadable, kept) => Change::Unreadable { kept },
             (Named::Rate(rate), before) => {
-                self.renew(now);
-                self.rate = Some(rate);
-                self.named_at = now;
-                if before.is_none() {
-                    self.tokens = Self::FIRST;
-                    self.promised = now;
-                }
-                self.tokens = self.tokens.min(burst(self.per_second()));
+                self.set(rate, now);
                 if before == Some(rate) {
                     Change::None
                 } else {
@@ -124,6 +121,27 @@
         }
     }
 
+    /// Takes the rate that others know, until an answer has come; of several the lowest counts. Returns
+    /// whether it has changed what holds.
+    pub fn learn(&mut self, rate: units::Rate, now: time::Instant) -> bool {
+        let is_news = !self.heard && self.rate.is_none_or(|held| rate < held);
+        if is_news {
+            self.set(rate, now);
+        }
+        is_news
+    }
+
+    fn set(&mut self, rate: units::Rate, now: time::Instant) {
+        self.renew(now);
+        if self.rate.is_none() {
+            self.tokens = Self::FIRST;
+            self.promised = now;
+        }
+        self.rate = Some(rate);
+        self.named_at = now;
+        self.tokens = self.tokens.min(burst(self.per_second()));
+    }
+
     /// A request goes to the backend server.
     pub fn take(&mut self, now: time::Instant) {
         if self.rate.is_none() {
--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use super::{Headers, Problem, Reason};
+use super::{Headers, Need, Problem, Reason};
 
 units::record! {
     /// What an ingress tells an owner about a request.
@@ -33,6 +33,8 @@
         pub repeat: admission::Repeat,
         /// Whether it was on a backend server that crashed.
         pub suspect: bool,
+        /// What the ingress knows of a backend server in need.
+        pub need: Option<Need>,
         /// Idempotency key of a request that is not idempotent by itself.
         pub key: Option<Key>,
     }
@@ -102,6 +104,9 @@
         if self.suspect {
             Headers::set(headers, Headers::SUSPECT, "1");
         }
+        if let Some(need) = &self.need {
+            need.write(headers);
+        }
         let Some(key) = &self.key else {
             return;
         };
@@ -170,6 +175,7 @@
                     .unwrap_or_default(),
             },
             suspect: headers.contains_key(Headers::SUSPECT),
+            need: Need::read(headers),
             key,
         })
     }
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -60,11 +60,14 @@
     pub const CALLED_AGAIN: HeaderName = HeaderName::from_static("radishgap-called-again");
     /// Between nodes: load of the owner in parts per 10,000 of its limit.
     pub const LOAD: HeaderName = HeaderName::from_static("radishgap-load");
+    /// Between nodes: what is known of a backend server in need, as [`super::Need`] writes it.
+    pub const NEED: HeaderName = HeaderName::from_static("radishgap-need");
     /// Between nodes: version of the configuration that the sender holds.
     pub const CONFIGURATION: HeaderName = HeaderName::from_static("radishgap-configuration");
 
     /// Headers of ours that only nodes exchange.
-    const INTERNAL: [HeaderName; 14] = [
+    const INTERNAL: [HeaderName; 15] = [
+        Self::NEED,
         Self::CONFIGURATION,
         Self::ROUTE,
         Self::TARGET_MS,
@@ -81,7 +84,8 @@
         Self::CALLED_AGAIN,
     ];
     /// Headers of ours on answers, which a backend server may not set.
-    const ANSWER: [HeaderName; 6] = [
+    const ANSWER: [HeaderName; 7] = [
+        Self::NEED,
         Self::CONFIGURATION,
         Self::OUTCOME,
         Self::REASON,
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -4,7 +4,9 @@
 mod handling;
 mod journey;
 mod keyed;
+mod needing;
 mod passage;
+mod reports;
 mod retrying;
 mod selection;
 mod state;
@@ -26,6 +28,7 @@
 
 use self::journey::Journey;
 use self::passage::Passage;
+use self::reports::Reports;
 use self::state::State;
 
 /// Handler of callers' requests; clones share its state.
@@ -85,6 +88,7 @@
             rotation: Rotation::default(),
             settled: false,
             usual: Vec::new(),
+            reports: Reports::default(),
         };
         let shared = Shared {
             observer,
@@ -123,6 +127,7 @@
     /// Takes over configuration and members, and closes idle connections; to be called each second.
     pub fn maintain(&self, now: time::Instant) {
         self.refresh(now);
+        self.forget_reports(now);
         self.shared.owner.pools().maintain(now);
         self.shared.owner.maintain(now);
     }
@@ -161,6 +166,13 @@
         }
     }
 
+    fn forget_reports(&self, now: time::Instant) {
+        let state = &mut *self.shared.state.borrow_mut();
+        let endpoints = state.directory.endpoints().iter();
+        let instances = endpoints.map(|endpoint| endpoint.instance);
+        state.reports.forget(instances, now);
+    }
+
     fn next_id(&self) -> u64 {
         let number = self.shared.sequence.get() + 1;
         self.shared.sequence.set(number);
--- a/node/src/call/ingress/attempting.rs
+++ b/node/src/call/ingress/attempting.rs
@@ -10,7 +10,7 @@
 use super::trail::Trail;
 use super::{Answer, Arrival, Dialect, Ingress, Journey, Key, Problem, Reason, Target, hash_key};
 use crate::call::owner::{Job, Serving, broken_body, build};
-use crate::call::{Attempt, Envelope, Headers, Source};
+use crate::call::{Attempt, Envelope, Headers, Need, Source};
 
 impl<L: peer::Link, O: Observer, D: Dialect> Ingress<L, O, D> {
     pub(super) fn envelope(
@@ -42,6 +42,7 @@
                 called_again: arrival.called_again,
             },
             suspect: trail.suspect,
+            need: self.shared.state.borrow().reports.need(endpoint.instance),
             key,
         }
     }
@@ -64,7 +65,7 @@
         let mut attempt = Attempt::new(&target.endpoint, target.group, usual, settings, now);
         journey.start(attempt.endpoint());
         let ended = if attempt.endpoint().own {
-            self.send_here(arrival, envelope).await
+            self.send_here(arrival, envelope, attempt.endpoint()).await
         } else {
             self.send_away(arrival, &envelope, attempt.endpoint()).await
         };
@@ -103,13 +104,16 @@
         &self,
         arrival: &Arrival,
         envelope: Envelope,
+        endpoint: &Endpoint,
     ) -> Result<(http::response::Parts, Source, Option<Serving<L, D>>), Problem> {
         let job = Job {
             envelope,
             head: arrival.head(),
             payload: arrival.payload.clone(),
         };
-        let served = self.shared.owner.serve(job).await?;
+        let served = self.shared.owner.serve(job).await;
+        self.hear_need(endpoint, self.shared.owner.need(), served.is_ok());
+        let served = served?;
         Ok((served.parts, served.source, served.watch))
     }
 
@@ -146,7 +150,9 @@
             #[allow(clippy::cast_precision_loss)]
             endpoint.report(load as f64 / 10_000.0, now);
         }
-        match Problem::read(&parts.headers) {
+        let problem = Problem::read(&parts.headers);
+        self.hear_need(endpoint, Need::read(&parts.headers), problem.is_none());
+        match problem {
             Some(problem) => Err(problem),
             None => Ok((parts, source, None)),
         }
--- a/node/src/call/ingress/state.rs
+++ b/node/src/call/ingress/state.rs
@@ -5,6 +5,8 @@
 use compact_str::CompactString;
 use routing::{Directory, Rotation, Table, Usual};
 
+use super::reports::Reports;
+
 /// What an ingress holds and knows.
 pub(super) struct State {
     pub(super) table: rc::Rc<Table>,
@@ -14,6 +16,7 @@
     pub(super) settled: bool,
     /// Usual latencies, sorted by route.
     pub(super) usual: Vec<(CompactString, rc::Rc<Usual>)>,
+    pub(super) reports: Reports,
 }
 
 impl State {
--- a/node/src/call/native.rs
+++ b/node/src/call/native.rs
@@ -119,6 +119,7 @@
 
     fn finish(&self, headers: &mut http::HeaderMap, request: &str) {
         headers.remove(Headers::LOAD);
+        headers.remove(Headers::NEED);
         headers.remove(Headers::CONFIGURATION);
         Headers::set(headers, Headers::REQUEST, request);
     }
--- a/node/src/call/owner/answering.rs
+++ b/node/src/call/owner/answering.rs
@@ -45,6 +45,9 @@
         Headers::set(answer.headers_mut(), Headers::REQUEST, &id);
         let load = load_parts(self.shared.gate.load());
         Headers::set_number(answer.headers_mut(), Headers::LOAD, load);
+        if let Some(need) = self.need() {
+            need.write(answer.headers_mut());
+        }
         self.shared.context.tell_configuration(answer.headers_mut());
         answer
     }
--- a/node/src/call/owner/hearing.rs
+++ b/node/src/call/owner/hearing.rs
@@ -5,7 +5,7 @@
 use admission::{Change, Statement};
 
 use super::Owner;
-use crate::call::Dialect;
+use crate::call::{Dialect, Need};
 
 impl<L: peer::Link, D: Dialect> Owner<L, D> {
     /// Takes what the start `instance` of the backend server says with its answer to `request`, which was
@@ -26,6 +26,29 @@
         }
     }
 
+    /// What an ingress is told with an answer, where the backend server is in need.
+    pub(crate) fn need(&self) -> Option<Need> {
+        let gate = &self.shared.gate;
+        let (instance, rate) = gate.rate()?;
+        Some(Need {
+            instance,
+            rate: Some(rate),
+            turn: gate.promise().unwrap_or_default(),
+            leaving: false,
+        })
+    }
+
+    /// Takes what an ingress knows of the backend server, until that has answered itself.
+    pub(super) fn learn(&self, need: &Need) {
+        let Some(rate) = need.rate else {
+            return;
+        };
+        if self.shared.gate.learn(need.instance, rate) {
+            log::info!(event = "rate-learnt", instance = need.instance, rate = rate.0;
+                "another node knows how many requests a second the backend server takes");
+        }
+    }
+
     fn tell_change(&self, change: Change, instance: u64, request: &str) {
         match change {
             Change::None => {}
--- a/node/src/call/owner/running.rs
+++ b/node/src/call/owner/running.rs
@@ -14,6 +14,9 @@
     /// Runs one request at the backend server.
     pub(crate) async fn run(&self, job: &Job) -> Result<Served<L, D>, Problem> {
         self.check_withheld(&job.envelope)?;
+        if let Some(need) = &job.envelope.need {
+            self.learn(need);
+        }
         self.check_repeat(&job.envelope)?;
         let caller = self.shared.context.dialect.suspect(&job.envelope);
         let fingerprint = Fingerprint::new(&job.head, caller, job.payload.clone());
--- a/node/tests/call/need.rs
+++ b/node/tests/call/need.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future;
+use node::call::{Need, Settings};
 
 use crate::backend::Backend;
 use crate::caller::Caller;
@@ -44,3 +45,59 @@
         "{got} of {most}"
     );
 }
+
+#[compio::test]
+async fn limit_known_to_owner_that_starts_anew() {
+    let backend = Backend::default();
+    let (address, _stop) = backend.start().await;
+    let mut settings = Settings::default();
+    settings.admission.adaptive = false;
+    let mut fleet = Fleet::with(&[address], settings).await;
+    let ingress = fleet.add_ingress().await;
+    backend.say("radishgap-rate-limit", "0.2");
+    let caller = Caller::open(fleet.nodes[ingress].callers).await;
+    assert_eq!(caller.send("GET", "/menu").await.status, 200);
+    fleet.restart(0, address).await;
+    let started = Instant::now();
+    let sent = (0..20).map(|_| caller.send("GET", "/slow"));
+    for got in future::join_all(sent).await {
+        assert!(got.status == 200 || got.outcome == "not-run", "{got:?}");
+    }
+    let (got, most) = (backend.runs("/slow"), allowed(0.2, started.elapsed()));
+    assert!(
+        u32::try_from(got).is_ok_and(|got| f64::from(got) <= most),
+        "{got} of {most}"
+    );
+}
+
+#[test]
+fn need_read_cases() {
+    let need = |rate, turn_ms, leaving| Need {
+        instance: 0xf3,
+        rate,
+        turn: Duration::from_millis(turn_ms),
+        leaving,
+    };
+    let cases = [
+        (
+            "f3;2.5;417;0",
+            Some(need(Some(units::Rate(2.5)), 417, false)),
+        ),
+        ("f3;-;0;1", Some(need(None, 0, true))),
+        ("", None),
+        ("f3;2.5;417", None),
+        ("f3;2.5;417;0;1", None),
+        ("g3;2.5;417;0", None),
+        ("f3;-2.5;417;0", None),
+        ("f3;NaN;417;0", None),
+        ("f3;2.5;-1;0", None),
+        ("fffffffffffffffff;2.5;1;0", None),
+    ];
+    for (text, wanted) in cases {
+        let read = text.parse::<Need>().ok();
+        assert_eq!(read, wanted, "{text}");
+        if let Some(need) = read {
+            assert_eq!(need.to_string(), text);
+        }
+    }
+}
