node: a backend server that says in an answer that it leaves gets nothing new

What callers would see: requests at a backend server that is about to end, as long as its heartbeat says ready. Cause: the header was not read; only heartbeats ended the life of a backend server in the mesh. The owner drains on the answer, for the start that gave it; a heartbeat that still says ready changes nothing, and the desk tells the mesh without waiting for the next one. An ingress keeps by node and start what it has passed on and never chooses such a backend server again, so that a restart of the owner beside it brings nothing back. Ruled out while testing: starts are told apart by node and number, since numbers alone may be the same.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -171,11 +171,16 @@
         change
     }
 
-    /// The rate that the backend server has named, with the number of its start.
+    /// Number of the start of the backend server that announced itself last.
     #[must_use]
-    pub fn rate(&self) -> Option<(u64, units::Rate)> {
-        let state = self.shared.state.borrow();
-        Some((state.paced?, state.pace.rate()?))
+    pub fn instance(&self) -> Option<u64> {
+        self.shared.state.borrow().paced
+    }
+
+    /// The rate that it has named.
+    #[must_use]
+    pub fn rate(&self) -> Option<units::Rate> {
+        self.shared.state.borrow().pace.rate()
     }
 
     /// Takes the rate that others know of the backend server with this `instance`; returns whether it
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -52,9 +52,7 @@
     now: time::Instant,
     rng: &mut impl Rng,
 ) -> Option<rc::Rc<Endpoint>> {
-    let open = |one: &&rc::Rc<Endpoint>| {
-        !tried.contains(&one.node) && one.health.get().verdict(now) != Verdict::Ejected
-    };
+    let open = |one: &&rc::Rc<Endpoint>| !tried.contains(&one.node) && one.is_open(now);
     let one = sample(endpoints, open, rng)?;
     if one.health.get().verdict(now) == Verdict::Probe {
         return Some(one.clone());
@@ -98,7 +96,7 @@
     tried: &[units::Node],
     rng: &mut impl Rng,
 ) -> Option<rc::Rc<Endpoint>> {
-    let fresh = |one: &&rc::Rc<Endpoint>| !tried.contains(&one.node);
+    let fresh = |one: &&rc::Rc<Endpoint>| !tried.contains(&one.node) && !one.is_leaving();
     let local = sample(&group.local, fresh, rng);
     local.or_else(|| sample(&group.remote, fresh, rng)).cloned()
 }
--- a/components/routing/src/endpoint.rs
+++ b/components/routing/src/endpoint.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use membership::{Backend, Member};
 
-use crate::{Flight, Health, Policy};
+use crate::{Flight, Health, Policy, Verdict};
 
 /// A backend server as this node sees it, reached through its owner's mesh address.
 #[derive(Debug)]
@@ -40,6 +40,7 @@
     /// Latency of its answers as a multiple of what is usual on their routes.
     slowness: cell::Cell<f64>,
     busy_until: cell::Cell<Option<time::Instant>>,
+    leaving: cell::Cell<bool>,
 }
 
 /// Latency of answers, as a moving average that follows peaks at once.
@@ -93,6 +94,7 @@
             load: cell::Cell::new(None),
             slowness: cell::Cell::new(1.0),
             busy_until: cell::Cell::new(None),
+            leaving: cell::Cell::new(false),
         })
     }
 
@@ -150,6 +152,23 @@
         self.busy_until.set(Some(now + wait));
     }
 
+    /// It has said in an answer that it leaves: it gets nothing new, whatever is announced of it.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Whether it has said in an answer that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Whether it may get a request.
+    #[must_use]
+    pub fn is_open(&self, now: time::Instant) -> bool {
+        !self.is_leaving() && self.health.get().verdict(now) != Verdict::Ejected
+    }
+
     /// Whether the owner asked to come back later than now.
     #[must_use]
     pub fn is_busy(&self, now: time::Instant) -> bool {
--- a/components/routing/src/soonest.rs
+++ b/components/routing/src/soonest.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 
 use crate::choice::sample;
-use crate::{Endpoint, Group, Policy, Verdict};
+use crate::{Endpoint, Group, Policy};
 
 /// Chooses the backend server of `group` whose answer is due soonest, other than those `tried`, for a
 /// request that moves `bytes` with its answer.
@@ -41,9 +41,7 @@
     now: time::Instant,
     rng: &mut impl Rng,
 ) -> [Option<&'e rc::Rc<Endpoint>>; 2] {
-    let open = |one: &&rc::Rc<Endpoint>| {
-        !tried.contains(&one.node) && one.health.get().verdict(now) != Verdict::Ejected
-    };
+    let open = |one: &&rc::Rc<Endpoint>| !tried.contains(&one.node) && one.is_open(now);
     let first = sample(endpoints, open, rng);
     let second = sample(
         endpoints,
--- a/node/src/announce/desk.rs
+++ b/node/src/announce/desk.rs
@@ -3,7 +3,8 @@
 use std::time;
 
 use admission::Announced;
-use futures_channel::oneshot;
+use futures_channel::{mpsc, oneshot};
+use futures_util::{StreamExt, future};
 
 use super::Notice;
 use crate::call::{Dialect, Native, Owner};
@@ -23,6 +24,17 @@
     owner: Owner<L, D>,
     members: kernel::Mailbox<membership::Command>,
     lease: time::Duration,
+    /// Word of the owner that the backend server leaves.
+    departures: mpsc::UnboundedReceiver<()>,
+    /// The backend server as it was last handed on.
+    held: Option<Announced>,
+}
+
+/// What a desk acts on.
+enum Event {
+    Message(Box<Message>),
+    Departure,
+    Closed,
 }
 
 impl<L: peer::Link, D: Dialect> Desk<L, D> {
@@ -36,34 +48,61 @@
         members: kernel::Mailbox<membership::Command>,
         lease: time::Duration,
     ) -> Self {
+        let departures = owner.departures();
         Self {
             inbox,
             owner,
             members,
             lease,
+            departures,
+            held: None,
         }
     }
 
-    async fn take(&self, message: Message) {
-        let announced = Announced {
+    async fn take(&mut self, message: Message) {
+        let announced = self.owner.revise(Announced {
             id: message.notice.id,
             address: message.notice.address,
             backend: message.notice.backend,
-        };
+        });
         self.owner.announce(Some(&announced));
+        self.held = Some(announced);
+        // Without an answer the sender sees a dropped one, and announces again.
+        if let Some(due) = self.hand_on().await {
+            let _ = message.answer.send(due);
+        }
+    }
+
+    /// Tells the membership of the backend server; the time until the next announcement is due.
+    async fn hand_on(&self) -> Option<time::Duration> {
+        let backend = self.held.clone()?.backend;
         let (answer, acknowledged) = oneshot::channel();
-        let backend = announced.backend;
         let command = membership::Command::Announce { backend, answer };
         if let Err(error) = self.members.send(command) {
-            // The sender sees a dropped answer and announces again.
             log::warn!(error:% = error; "announcement not handed on");
-            return;
+            return None;
         }
-        match acknowledged.await {
-            Ok(due) => {
-                let _ = message.answer.send(due);
-            }
-            Err(_) => log::debug!("the membership has stopped"),
+        let due = acknowledged.await.ok();
+        if due.is_none() {
+            log::debug!("the membership has stopped");
+        }
+        due
+    }
+
+    /// The backend server has said in an answer that it leaves; the mesh hears it before the next
+    /// announcement.
+    async fn leave(&mut self) {
+        let held = self.held.take();
+        self.held = held.map(|held| self.owner.revise(held));
+        self.hand_on().await;
+    }
+
+    async fn next(&mut self) -> Event {
+        let received = std::pin::pin!(self.inbox.receive());
+        match future::select(received, self.departures.next()).await {
+            future::Either::Left((Some(message), _)) => Event::Message(Box::new(message)),
+            future::Either::Left((None, _)) => Event::Closed,
+            future::Either::Right(_) => Event::Departure,
         }
     }
 }
@@ -73,11 +112,13 @@
 
     async fn run(mut self, stop: kernel::Stop) {
         loop {
-            let received = compio::time::timeout(self.lease, self.inbox.receive());
+            let lease = self.lease;
+            let received = compio::time::timeout(lease, self.next());
             match stop.guard(received).await {
-                Some(Ok(Some(message))) => self.take(message).await,
+                Some(Ok(Event::Message(message))) => self.take(*message).await,
+                Some(Ok(Event::Departure)) => self.leave().await,
                 Some(Err(_)) => self.owner.announce(None),
-                Some(Ok(None)) | None => return,
+                Some(Ok(Event::Closed)) | None => return,
             }
         }
     }
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -149,6 +149,9 @@
         }
         let context = &self.shared.context;
         let changed = state.directory.update(&view, &context.settings.choice, now);
+        if changed {
+            state.mark_leaving();
+        }
         // Where no moves are followed the versions are listed, and there is nothing to observe.
         if !context.splits.is_known() {
             return;
@@ -168,9 +171,7 @@
 
     fn forget_reports(&self, now: time::Instant) {
         let state = &mut *self.shared.state.borrow_mut();
-        let endpoints = state.directory.endpoints().iter();
-        let instances = endpoints.map(|endpoint| endpoint.instance);
-        state.reports.forget(instances, now);
+        state.reports.forget(state.directory.endpoints(), now);
     }
 
     fn next_id(&self) -> u64 {
--- a/node/src/call/ingress/attempting.rs
+++ b/node/src/call/ingress/attempting.rs
@@ -42,7 +42,7 @@
                 called_again: arrival.called_again,
             },
             suspect: trail.suspect,
-            need: self.shared.state.borrow().reports.need(endpoint.instance),
+            need: self.known_need(endpoint),
             key,
         }
     }
--- a/node/src/call/ingress/selection.rs
+++ b/node/src/call/ingress/selection.rs
@@ -139,6 +139,9 @@
         let home = self
             .home_of(&group.service, &group.version, key, now)
             .ok_or_else(none_left)?;
+        if home.endpoint.is_leaving() {
+            return Err(none_left());
+        }
         let node = &home.endpoint.node;
         let mut past = self.past(&home, node, now);
         let versions = self
--- a/node/src/call/ingress/state.rs
+++ b/node/src/call/ingress/state.rs
@@ -32,6 +32,15 @@
         }
     }
 
+    /// Gives nothing new to backend servers that have said that they leave, whatever is announced of them.
+    pub(super) fn mark_leaving(&self) {
+        for endpoint in self.directory.endpoints() {
+            if self.reports.is_leaving(&endpoint.node, endpoint.instance) {
+                endpoint.leave();
+            }
+        }
+    }
+
     /// Forgets the usual latencies of routes that are gone.
     pub(super) fn forget_routes(&mut self, snapshot: &config::Snapshot) {
         self.usual.retain(|one| snapshot.route(&one.0).is_some());
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -16,6 +16,7 @@
 use std::time;
 
 use admission::{Announced, Gate, Records, Repeats, Sharing};
+use futures_channel::mpsc;
 use serde::Serialize;
 use upstream::Payload;
 
@@ -50,6 +51,8 @@
     accused: cell::RefCell<Option<crashing::Accused>>,
     /// The start of the backend server that has said that it leaves.
     leaving: cell::Cell<Option<u64>>,
+    /// Takes word of a backend server that leaves.
+    departures: cell::RefCell<Option<mpsc::UnboundedSender<()>>>,
     counts: cell::Cell<Counts>,
     /// Connections to other nodes.
     pools: Pools,
@@ -117,6 +120,7 @@
             backend: cell::RefCell::default(),
             accused: cell::RefCell::default(),
             leaving: cell::Cell::default(),
+            departures: cell::RefCell::default(),
             counts: cell::Cell::default(),
             pools: Pools::new(&context.settings.upstream),
             life: rand::random(),
@@ -129,6 +133,8 @@
 
     /// Takes what the backend server announces; `None` when its lease has run out.
     pub fn announce(&self, announced: Option<&Announced>) {
+        let announced = announced.map(|announced| self.revise(announced.clone()));
+        let announced = announced.as_ref();
         self.connect_to(announced);
         if let Some(announced) = announced {
             self.settle_crash(announced, time::Instant::now());
--- a/node/src/call/owner/hearing.rs
+++ b/node/src/call/owner/hearing.rs
@@ -2,7 +2,9 @@
 
 use std::time;
 
-use admission::{Change, Statement};
+use admission::{Announced, Change, Statement};
+use futures_channel::mpsc;
+use membership::Phase;
 
 use super::Owner;
 use crate::call::{Dialect, Need};
@@ -23,19 +25,54 @@
             self.count(|counts| counts.leaving_heard += 1);
             log::info!(event = "leaving-heard", request = request, instance = instance;
                 "the backend server says in an answer that it leaves");
+            self.leave();
         }
     }
 
+    /// The backend server gets nothing new from now on.
+    fn leave(&self) {
+        let announced = self.shared.gate.announced();
+        if let Some(announced) = announced.map(|announced| self.revise(announced)) {
+            self.shared.gate.announce(Some(&announced));
+        }
+        let departures = self.shared.departures.borrow();
+        // Nobody listens where no desk runs.
+        if let Some(Err(error)) = departures.as_ref().map(|to| to.unbounded_send(())) {
+            log::debug!(error:% = error; "the departure is not passed on");
+        }
+    }
+
+    /// What counts of an announcement: a backend server that has said in an answer that it leaves is not
+    /// ready any more.
+    #[must_use]
+    pub fn revise(&self, announced: Announced) -> Announced {
+        let mut announced = announced;
+        if self.shared.leaving.get() == Some(announced.backend.instance) {
+            announced.backend.phase = Phase::Draining;
+        }
+        announced
+    }
+
+    /// Tells each time that the backend server has said in an answer that it leaves; only the latest one
+    /// who asks is told.
+    #[must_use]
+    pub fn departures(&self) -> mpsc::UnboundedReceiver<()> {
+        let (sender, receiver) = mpsc::unbounded();
+        self.shared.departures.replace(Some(sender));
+        receiver
+    }
+
     /// What an ingress is told with an answer, where the backend server is in need.
     pub(crate) fn need(&self) -> Option<Need> {
         let gate = &self.shared.gate;
-        let (instance, rate) = gate.rate()?;
-        Some(Need {
+        let instance = gate.instance()?;
+        let need = Need {
             instance,
-            rate: Some(rate),
+            rate: gate.rate(),
             turn: gate.promise().unwrap_or_default(),
-            leaving: false,
-        })
+            leaving: self.shared.leaving.get() == Some(instance),
+        };
+        (need.rate.is_some() || need.leaving).then_some(need)
     }
 
     /// Takes what an ingress knows of the backend server, until that has answered itself.
--- a/node/tests/call/need.rs
+++ b/node/tests/call/need.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future;
+use membership::Phase;
 use node::call::{Need, Settings};
 
 use crate::backend::Backend;
@@ -101,3 +102,37 @@
         }
     }
 }
+
+#[compio::test]
+async fn nothing_new_after_leaving_was_said_and_owner_started_anew() {
+    let (leaving, other) = (Backend::default(), Backend::default());
+    let (leaving_address, _leaving) = leaving.start().await;
+    let (other_address, _other) = other.start().await;
+    let mut fleet = Fleet::start(&[leaving_address, other_address]).await;
+    let ingress = fleet.add_ingress().await;
+    let caller = Caller::open(fleet.nodes[ingress].callers).await;
+    leaving.say("radishgap-leaving", "1");
+    while leaving.total() == 0 {
+        assert_eq!(caller.send("GET", "/menu").await.status, 200);
+    }
+    let before = leaving.total();
+    // Announcements go on saying that it is ready.
+    fleet.announce(0, leaving_address, 1, Phase::Ready);
+    for _ in 0..20 {
+        let got = caller.send("GET", "/menu").await;
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+    assert_eq!(leaving.total(), before, "the owner knows");
+    fleet.restart(0, leaving_address).await;
+    for _ in 0..20 {
+        assert_eq!(caller.send("GET", "/menu").await.status, 200);
+    }
+    assert_eq!(leaving.total(), before, "only the ingress knows");
+    // Another start beside the same node is another backend server.
+    leaving.say("radishgap-leaving", "");
+    fleet.announce(0, leaving_address, 2, Phase::Ready);
+    for _ in 0..20 {
+        assert_eq!(caller.send("GET", "/menu").await.status, 200);
+    }
+    assert!(leaving.total() > before, "a new start gets requests");
+}
