routing: an ingress goes to a limited backend server when its turn comes

Owners hand out turns that follow each other at the rate, with each answer and each refusal; an ingress leaves the backend server out until its own comes, and keeps the earlier of two. Where nobody else is open it asks one owner, which knows who is more urgent, and gives up at its refusal with the turn as Retry-After.

--- a/components/admission/src/pace.rs
+++ b/components/admission/src/pace.rs
@@ -71,7 +71,7 @@
     /// Requests that may go at once when the rate is first named, whatever was there before.
     const FIRST: f64 = 1.0;
     /// Latest turn that is promised; those who would come later share the turns before.
-    const HORIZON: time::Duration = time::Duration::from_secs(2);
+    const HORIZON: time::Duration = time::Duration::from_secs(10);
     /// Most arrivals that are remembered.
     const ARRIVALS: usize = 4_096;
 
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -24,7 +24,7 @@
 ) -> Option<rc::Rc<Endpoint>> {
     if policy.placing == Placing::Soonest {
         let soonest = soonest::choose(group, tried, bytes, policy, now, rng);
-        return soonest.or_else(|| last_resort(group, tried, rng));
+        return soonest.or_else(|| last_resort(group, tried, now, rng));
     }
     let home = pick(&group.local, tried, policy, now, rng);
     if let Some(home) = &home
@@ -35,7 +35,9 @@
     let away = pick(&group.remote, tried, policy, now, rng);
     match (home, away) {
         (Some(home), Some(away)) if is_crowded(&away, policy, now) => Some(home),
-        (home, away) => away.or(home).or_else(|| last_resort(group, tried, rng)),
+        (home, away) => away
+            .or(home)
+            .or_else(|| last_resort(group, tried, now, rng)),
     }
 }
 
@@ -94,9 +96,10 @@
 fn last_resort(
     group: &Group,
     tried: &[units::Node],
+    now: time::Instant,
     rng: &mut impl Rng,
 ) -> Option<rc::Rc<Endpoint>> {
-    let fresh = |one: &&rc::Rc<Endpoint>| !tried.contains(&one.node) && !one.is_leaving();
+    let fresh = |one: &&rc::Rc<Endpoint>| !tried.contains(&one.node) && one.is_usable(now);
     let local = sample(&group.local, fresh, rng);
     local.or_else(|| sample(&group.remote, fresh, rng)).cloned()
 }
--- a/components/routing/src/endpoint.rs
+++ b/components/routing/src/endpoint.rs
@@ -41,6 +41,17 @@
     slowness: cell::Cell<f64>,
     busy_until: cell::Cell<Option<time::Instant>>,
     leaving: cell::Cell<bool>,
+    turn: cell::Cell<Option<Turn>>,
+}
+
+/// When this node's next request is welcome at a backend server that takes only so many a second.
+#[derive(Debug, Clone, Copy)]
+struct Turn {
+    at: time::Instant,
+    /// Time that the owner told last.
+    wait: time::Duration,
+    /// The owner has not told it yet: the turn before has just been used.
+    guessed: bool,
 }
 
 /// Latency of answers, as a moving average that follows peaks at once.
@@ -95,6 +106,7 @@
             slowness: cell::Cell::new(1.0),
             busy_until: cell::Cell::new(None),
             leaving: cell::Cell::new(false),
+            turn: cell::Cell::new(None),
         })
     }
 
@@ -163,10 +175,50 @@
         self.leaving.get()
     }
 
-    /// Whether it may get a request.
+    /// It takes only so many requests a second, and the next one of this node after `wait`, or when it
+    /// was told before where that is sooner.
+    pub fn limit(&self, wait: time::Duration, now: time::Instant) {
+        let earlier = self
+            .turn
+            .get()
+            .filter(|turn| turn.at > now && !turn.guessed);
+        let at = earlier.map_or(now + wait, |turn| turn.at.min(now + wait));
+        let guessed = false;
+        self.turn.set(Some(Turn { at, wait, guessed }));
+    }
+
+    /// It takes what its slots run.
+    pub fn lift(&self) {
+        self.turn.set(None);
+    }
+
+    /// A request uses the turn of this node; the next one is expected to come as late as the last.
+    pub fn use_turn(&self, now: time::Instant) {
+        if let Some(turn) = self.turn.get() {
+            let at = now + turn.wait;
+            let wait = turn.wait;
+            let guessed = true;
+            self.turn.set(Some(Turn { at, wait, guessed }));
+        }
+    }
+
+    /// Time until this node's next request is welcome.
+    #[must_use]
+    pub fn wait(&self, now: time::Instant) -> time::Duration {
+        let at = self.turn.get().map_or(now, |turn| turn.at);
+        at.saturating_duration_since(now)
+    }
+
+    /// Whether a request sent there now is welcome and has a chance.
     #[must_use]
     pub fn is_open(&self, now: time::Instant) -> bool {
-        !self.is_leaving() && self.health.get().verdict(now) != Verdict::Ejected
+        self.is_usable(now) && self.health.get().verdict(now) != Verdict::Ejected
+    }
+
+    /// Whether a request may be sent there at all, be it ejected.
+    #[must_use]
+    pub fn is_usable(&self, now: time::Instant) -> bool {
+        !self.is_leaving() && self.wait(now).is_zero()
     }
 
     /// Whether the owner asked to come back later than now.
--- a/components/routing/src/group.rs
+++ b/components/routing/src/group.rs
@@ -1,6 +1,7 @@
 //! The backend servers of one version of a service.
 
 use std::rc;
+use std::time;
 
 use compact_str::CompactString;
 
@@ -49,6 +50,21 @@
         Self::new(all)
     }
 
+    /// The backend server where the next turn of this node comes first, other than those `tried`; `None`
+    /// where no turn is to come.
+    #[must_use]
+    pub fn next_turn(
+        &self,
+        tried: &[units::Node],
+        now: time::Instant,
+    ) -> Option<&rc::Rc<Endpoint>> {
+        let limited = self.all().filter(|one| {
+            let has_turn = !one.wait(now).is_zero() && !one.is_leaving();
+            has_turn && !tried.contains(&one.node)
+        });
+        limited.min_by_key(|one| one.wait(now))
+    }
+
     /// Whether one more backend server may be ejected.
     #[must_use]
     pub fn may_eject(&self, policy: &Policy) -> bool {
--- a/node/src/call/attempt.rs
+++ b/node/src/call/attempt.rs
@@ -36,6 +36,7 @@
         settings: rc::Rc<super::Settings>,
         now: time::Instant,
     ) -> Self {
+        endpoint.use_turn(now);
         let mut health = endpoint.health.get();
         if health.verdict(now) == routing::Verdict::Probe {
             health.probe(now, settings.choice.eject_base.0);
--- a/node/src/call/ingress/needing.rs
+++ b/node/src/call/ingress/needing.rs
@@ -17,17 +17,23 @@
     /// Takes what the owner of `endpoint` tells with an answer of its backend server, or with a refusal
     /// of its own. Only the former lifts what was known: an owner that has just started knows nothing.
     pub(super) fn hear_need(&self, endpoint: &Endpoint, need: Option<Need>, answered: bool) {
+        let now = time::Instant::now();
         let state = &mut *self.shared.state.borrow_mut();
         match need {
             Some(need) => {
-                state
-                    .reports
-                    .hear(&endpoint.node, &need, time::Instant::now());
+                match need.rate {
+                    Some(_) => endpoint.limit(need.turn, now),
+                    None => endpoint.lift(),
+                }
+                state.reports.hear(&endpoint.node, &need, now);
                 if need.leaving {
                     state.mark_leaving();
                 }
             }
-            None if answered => state.reports.lift(&endpoint.node, endpoint.instance),
+            None if answered => {
+                endpoint.lift();
+                state.reports.lift(&endpoint.node, endpoint.instance);
+            }
             None => {}
         }
     }
--- a/node/src/call/ingress/selection.rs
+++ b/node/src/call/ingress/selection.rs
@@ -71,11 +71,14 @@
         let bytes = arrival.usual.bytes();
         let among = |tried| routing::choose(&group, tried, bytes, policy, now, &mut rand::rng());
         let fresh = among(&trail.tried).filter(|one| !trail.tried.contains(&one.node));
-        let endpoint = match fresh {
-            Some(endpoint) => endpoint,
+        let next = || group.next_turn(&trail.tried, now);
+        let endpoint = match fresh.map_or_else(|| Err(next()), Ok) {
+            Ok(endpoint) => endpoint,
+            // Its owner knows who is more urgent; but a refusal there says that the others refuse, too.
+            Err(Some(endpoint)) if !trail.is_limited() => endpoint.clone(),
             // With every backend server tried, the first one may be better by now.
-            None if trail.may_come_back() => among(&[]).ok_or_else(none_left)?,
-            None => return Err(trail.last.unwrap_or_else(none_left)),
+            Err(_) if trail.may_come_back() => among(&[]).ok_or_else(none_left)?,
+            Err(_) => return Err(trail.last.unwrap_or_else(none_left)),
         };
         Ok(Target {
             endpoint,
--- a/node/src/call/ingress/trail.rs
+++ b/node/src/call/ingress/trail.rs
@@ -36,6 +36,12 @@
             .is_none_or(|problem| !problem.reason.is_refusal() || problem.reason.is(waited))
     }
 
+    /// Whether the last owner refused it for the rate that its backend server has named.
+    pub(super) fn is_limited(&self) -> bool {
+        let limited = Reason::Refused(admission::Reason::Limited);
+        self.last.is_some_and(|problem| problem.reason.is(limited))
+    }
+
     /// Attempts made so far.
     pub(super) fn attempts(&self) -> u32 {
         u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
