membership: a backend server that leaves stays out after a restart of its node

Asked by operators of similar systems; it could happen here. A node that is killed after it has acknowledged that its backend server leaves knows nothing of that when it is back, and a heartbeat that comes late ('ready', some seconds old) put the backend server in use again everywhere. The mesh remembers: a node that joins always gets its own old record, and takes over from it that this start of the backend server leaves; the owner is told with the acknowledgement of the next heartbeat.

--- a/components/membership/src/announce.rs
+++ b/components/membership/src/announce.rs
@@ -3,16 +3,19 @@
 use std::time;
 
 use crate::shared::Shared;
-use crate::{Backend, Phase};
+use crate::{Backend, Phase, Taken};
 
 impl<S: platform::Store, L: peer::Link> Shared<S, L> {
     /// Announcements that are due within one lease.
     const ANNOUNCEMENTS: u32 = 3;
 
-    /// Takes an announcement, extends the lease and says when the next announcement is due.
-    pub(crate) fn announce(&self, mut backend: Backend) -> time::Duration {
-        if self.draining.get() {
+    /// Takes an announcement and extends the lease.
+    pub(crate) fn announce(&self, mut backend: Backend) -> Taken {
+        let departed = self.table.borrow().departed() == Some(backend.instance);
+        if departed {
             backend.phase = Phase::Draining;
+        } else if self.draining.get() && backend.phase != Phase::Draining {
+            backend.phase = Phase::Stopping;
         }
         let now = time::Instant::now();
         self.lease.set(Some(now + self.settings.lease.0));
@@ -21,6 +24,9 @@
         if !known {
             table.renew(|own| own.backend = Some(backend));
         }
-        self.settings.lease.0 / Self::ANNOUNCEMENTS
+        Taken {
+            due: self.settings.lease.0 / Self::ANNOUNCEMENTS,
+            departed,
+        }
     }
 }
--- a/components/membership/src/backend.rs
+++ b/components/membership/src/backend.rs
@@ -11,8 +11,10 @@
     Starting,
     /// Takes requests.
     Ready,
-    /// Leaving: gets no new requests.
+    /// Leaving: gets no new requests any more.
     Draining,
+    /// The node beside it stops: gets no new requests until that is back.
+    Stopping,
 }
 
 units::record! { eq:
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -31,7 +31,7 @@
 mod view;
 
 pub use backend::{Backend, Phase};
-pub use command::Command;
+pub use command::{Command, Taken};
 pub use counts::Counts;
 pub use digest::Digest;
 pub use health::Health;
--- a/components/membership/src/requests.rs
+++ b/components/membership/src/requests.rs
@@ -30,8 +30,10 @@
         let mut table = self.table.borrow_mut();
         if table.own().backend.is_some() {
             table.renew(|own| {
-                if let Some(backend) = &mut own.backend {
-                    backend.phase = crate::Phase::Draining;
+                if let Some(backend) = &mut own.backend
+                    && backend.phase != crate::Phase::Draining
+                {
+                    backend.phase = crate::Phase::Stopping;
                 }
             });
         }
--- a/components/membership/src/table.rs
+++ b/components/membership/src/table.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use crate::digest::is_running;
-use crate::{Digest, Member, Rumors, State, Suspicion, Update, View};
+use crate::{Digest, Member, Phase, Rumors, State, Suspicion, Update, View};
 
 /// The records of all members that a node keeps, itself included.
 #[derive(Debug)]
@@ -23,6 +23,8 @@
     generation: u64,
     refuted: u64,
     ignored: u64,
+    /// Start of the backend server beside this node that others know to leave.
+    departed: Option<u64>,
 }
 
 /// What is kept of one member.
@@ -79,6 +81,7 @@
             generation: 1,
             refuted: 0,
             ignored: 0,
+            departed: None,
         };
         table.digest.add(&own);
         let own = rc::Rc::new(own);
@@ -142,6 +145,13 @@
         self.ignored
     }
 
+    /// Start of the backend server beside this node that others know to leave, from an earlier start of
+    /// this node.
+    #[must_use]
+    pub fn departed(&self) -> Option<u64> {
+        self.departed
+    }
+
     /// Takes in a piece of news at `now` and passes it on by gossip.
     pub fn apply(&mut self, update: Update, now: time::Instant) -> Outcome {
         self.learn(update, Way::Gossip, now)
@@ -289,6 +299,7 @@
     /// News of this node itself, by others: newer news than its own is refuted.
     fn apply_own(&mut self, member: &Member) -> Outcome {
         let mut own = Member::clone(&self.own());
+        self.note_departure(member, &mut own);
         match member.compare(&own) {
             cmp::Ordering::Equal => Outcome::Known,
             cmp::Ordering::Less => Outcome::Older,
@@ -301,6 +312,19 @@
         }
     }
 
+    /// Takes over from a record of an earlier start of this node that its backend server leaves.
+    fn note_departure(&mut self, member: &Member, own: &mut Member) {
+        let backend = member.backend.as_ref();
+        let Some(leaving) = backend.filter(|backend| backend.phase == Phase::Draining) else {
+            return;
+        };
+        self.departed = Some(leaving.instance);
+        let held = own.backend.as_mut();
+        if let Some(held) = held.filter(|held| held.instance == leaving.instance) {
+            held.phase = Phase::Draining;
+        }
+    }
+
     fn set_own(&mut self, own: Member) {
         let Ok(place) = self.place(&self.own) else {
             return;
--- a/components/membership/src/update.rs
+++ b/components/membership/src/update.rs
@@ -109,6 +109,7 @@
         announce::Phase::Starting => Some(Phase::Starting),
         announce::Phase::Ready => Some(Phase::Ready),
         announce::Phase::Draining => Some(Phase::Draining),
+        announce::Phase::Stopping => Some(Phase::Stopping),
     }
 }
 
@@ -135,6 +136,7 @@
         Phase::Starting => announce::Phase::Starting,
         Phase::Ready => announce::Phase::Ready,
         Phase::Draining => announce::Phase::Draining,
+        Phase::Stopping => announce::Phase::Stopping,
     };
     wire::Backend {
         service: backend.service.to_string(),
--- a/node/src/announce/desk.rs
+++ b/node/src/announce/desk.rs
@@ -68,13 +68,21 @@
         self.owner.announce(Some(&announced));
         self.held = Some(announced);
         // Without an answer the sender sees a dropped one, and announces again.
-        if let Some(due) = self.hand_on().await {
-            let _ = message.answer.send(due);
+        if let Some(taken) = self.hand_on().await {
+            self.heed(taken);
+            let _ = message.answer.send(taken.due);
         }
     }
 
-    /// Tells the membership of the backend server; the time until the next announcement is due.
-    async fn hand_on(&self) -> Option<time::Duration> {
+    /// What others know of the backend server from before this start of the node binds its owner, too.
+    fn heed(&mut self, taken: membership::Taken) {
+        if let Some(held) = self.held.as_ref().filter(|_| taken.departed) {
+            self.owner.depart(held.backend.instance);
+        }
+    }
+
+    /// Tells the membership of the backend server.
+    async fn hand_on(&self) -> Option<membership::Taken> {
         let backend = self.held.clone()?.backend;
         let (answer, acknowledged) = oneshot::channel();
         let command = membership::Command::Announce { backend, answer };
@@ -82,11 +90,11 @@
             log::warn!(error:% = error; "announcement not handed on");
             return None;
         }
-        let due = acknowledged.await.ok();
-        if due.is_none() {
+        let taken = acknowledged.await.ok();
+        if taken.is_none() {
             log::debug!("the membership has stopped");
         }
-        due
+        taken
     }
 
     /// The backend server has said in an answer that it leaves; the mesh hears it before the next
--- a/node/src/announce/notice.rs
+++ b/node/src/announce/notice.rs
@@ -79,7 +79,7 @@
         Ok(wire::Phase::Starting) => Some(Phase::Starting),
         Ok(wire::Phase::Ready) => Some(Phase::Ready),
         Ok(wire::Phase::Draining) => Some(Phase::Draining),
-        Ok(wire::Phase::Unspecified) | Err(_) => {
+        Ok(wire::Phase::Unspecified | wire::Phase::Stopping) | Err(_) => {
             findings.add("/phase", format!("unknown phase {phase}"), "1, 2 or 3");
             None
         }
--- a/node/src/call/owner/hearing.rs
+++ b/node/src/call/owner/hearing.rs
@@ -21,12 +21,21 @@
     ) {
         let change = self.shared.gate.hear(instance, statement.rate, sent);
         self.tell_change(change, instance, request);
-        if statement.leaving && self.shared.leaving.replace(Some(instance)) != Some(instance) {
+        if statement.leaving && self.depart(instance) {
             self.count(|counts| counts.leaving_heard += 1);
             log::info!(event = "leaving-heard", request = request, instance = instance;
                 "the backend server says in an answer that it leaves");
+        }
+    }
+
+    /// The start `instance` of the backend server leaves, whatever it announces; returns whether that is
+    /// news.
+    pub fn depart(&self, instance: u64) -> bool {
+        let is_news = self.shared.leaving.replace(Some(instance)) != Some(instance);
+        if is_news {
             self.leave();
         }
+        is_news
     }
 
     /// The backend server gets nothing new from now on.
