admission: a paused owner lets nothing through on an announcement that has lapsed

The lease of an announcement is kept by a timer, and a process that was stopped for longer takes the requests that have come meanwhile before the timer runs: they went to a backend server that had been silent for longer than its lease. The gate knows now until when the announcement counts, and looks at each request; who waits goes on waiting until it is announced again or taken for gone. Failed before (without the look): lapsed_announcement_lets_nothing_through, a request was let through.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -107,6 +107,7 @@
         let limit = Limit::new(1, &settings);
         let state = State {
             announced: None,
+            until: None,
             limit,
             pace: Pace::new(time::Instant::now()),
             paced: None,
@@ -128,6 +129,13 @@
         }
     }
 
+    /// What the backend server has announced counts until then.
+    ///
+    /// A process that was paused takes requests before it notices how much time has passed.
+    pub fn expire_at(&self, until: time::Instant) {
+        self.shared.state.borrow_mut().until = Some(until);
+    }
+
     /// Takes what the backend server announces; `None` when it has fallen silent.
     pub fn announce(&self, announced: Option<&Announced>) {
         let mut state = self.shared.state.borrow_mut();
@@ -276,7 +284,7 @@
 
     fn enter(&self, ask: &Ask, now: time::Instant) -> Result<Entered, Refusal> {
         let mut state = self.shared.state.borrow_mut();
-        state.check_phase(ask)?;
+        state.check_phase(ask, now)?;
         state.check_time(ask, now)?;
         state.check_turn(ask, self.shared.settings.queue_wait.0, now)?;
         if state.has_room(ask.alone, now) {
--- a/components/admission/src/gate/state.rs
+++ b/components/admission/src/gate/state.rs
@@ -13,6 +13,8 @@
 /// What a gate knows and counts.
 pub(super) struct State {
     pub(super) announced: Option<Announced>,
+    /// Until when that counts.
+    pub(super) until: Option<time::Instant>,
     pub(super) limit: Limit,
     pub(super) pace: Pace,
     /// Number of the start of the backend server that the pace is of.
@@ -46,9 +48,10 @@
         }
     }
 
-    pub(super) fn check_phase(&mut self, ask: &Ask) -> Result<(), Refusal> {
+    pub(super) fn check_phase(&mut self, ask: &Ask, now: time::Instant) -> Result<(), Refusal> {
         let reason = match &self.announced {
             _ if self.stopping => Reason::Stopping,
+            _ if self.has_expired(now) => Reason::NoBackend,
             None => Reason::NoBackend,
             Some(one) if !ask.is_for(one) => Reason::Mismatch,
             Some(one) if one.backend.phase == Phase::Starting => Reason::Starting,
@@ -59,6 +62,10 @@
         Err(Refusal::new(reason, Gate::PHASE_WAIT))
     }
 
+    fn has_expired(&self, now: time::Instant) -> bool {
+        self.until.is_some_and(|until| now >= until)
+    }
+
     /// Refuses what cannot be finished by its deadline.
     pub(super) fn check_time(&mut self, ask: &Ask, now: time::Instant) -> Result<(), Refusal> {
         let left = ask.deadline.saturating_duration_since(now);
@@ -262,7 +269,8 @@
     /// Those that have to run alone go first: while one waits, no other request starts.
     pub(super) fn next(&mut self) -> Option<(Waiter, bool)> {
         let now = time::Instant::now();
-        if self.alone || self.announced.is_none() || !self.pace.is_open(now) {
+        let is_there = self.announced.is_some() && !self.has_expired(now);
+        if self.alone || !is_there || !self.pace.is_open(now) {
             return None;
         }
         while let Some(waiter) = self.waiting_alone.front() {
--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -316,3 +316,21 @@
     gate.hear(1, Named::Rate(units::Rate(0.1)), Instant::now());
     assert_eq!(refused(&gate, &ask(false, Duration::from_secs(1))), None);
 }
+
+/// As a process finds it that was paused for longer than its backend server's lease.
+#[compio::test]
+async fn lapsed_announcement_lets_nothing_through() {
+    let gate = gate(1);
+    let asked = ask(false, LONG);
+    let running = gate.admit(&asked).await.expect("a permit");
+    let mut waiting = Box::pin(gate.admit(&asked));
+    assert!(waiting.as_mut().now_or_never().is_none());
+    gate.expire_at(Instant::now());
+    assert_eq!(refused(&gate, &ask(false, LONG)), Some(Reason::NoBackend));
+    drop(running);
+    assert!(waiting.as_mut().now_or_never().is_none(), "who waits stays");
+    // Announced again, it is there.
+    gate.expire_at(Instant::now() + LONG);
+    gate.announce(Some(&announced(Phase::Ready, "v1", 1)));
+    assert!(waiting.await.is_ok());
+}
--- a/node/src/announce/desk.rs
+++ b/node/src/announce/desk.rs
@@ -66,6 +66,8 @@
             backend: message.notice.backend,
         });
         self.owner.announce(Some(&announced));
+        let until = time::Instant::now() + self.lease;
+        self.owner.gate().expire_at(until);
         self.held = Some(announced);
         // Without an answer the sender sees a dropped one, and announces again.
         if let Some(taken) = self.hand_on().await {
