backend, load: a soak with a backend server that names a limit, judged in windows of four seconds

The stand-in names one on request and says in its answers that it leaves while it does; one site of a service without a move names 20 a second for the whole run, through the kills, freezes and restarts of its node, and the judge counts what begins there as the rule does (six times the limit and five in any four seconds, from three seconds after it was first named).

--- a/testing/backend/src/duty.rs
+++ b/testing/backend/src/duty.rs
@@ -73,6 +73,7 @@
                 body_bytes: 0,
                 start: units::Wall::default(),
                 leaving_ms: None,
+                rate_limit: None,
                 end: None,
                 ending: None,
             },
@@ -87,6 +88,7 @@
     async fn execute(&self, mut ask: Ask) -> http::Response<Body> {
         ask.run.start = units::Wall::now();
         ask.run.leaving_ms = self.state.leaving_ms();
+        ask.run.rate_limit = self.state.faults().rate_limit;
         let execution = self.state.begin(ask.run.clone());
         let bad = self.state.bad(&ask.run.path);
         let crashes = bad.as_ref().is_some_and(|bad| bad.effect == Effect::Crash);
@@ -157,7 +159,14 @@
 
     fn builder(&self, run: &Run, status: http::StatusCode) -> http::response::Builder {
         let settings = self.state.settings();
-        http::Response::builder()
+        let mut builder = http::Response::builder();
+        if let Some(rate) = self.state.faults().rate_limit {
+            builder = builder.header(Headers::RATE_LIMIT, rate.0.to_string());
+        }
+        if self.state.leaving_ms().is_some() {
+            builder = builder.header(Headers::LEAVING, 1);
+        }
+        builder
             .status(status)
             .header(Headers::SERVICE, settings.service.as_str())
             .header(Headers::VERSION, settings.version.as_str())
--- a/testing/backend/src/fault.rs
+++ b/testing/backend/src/fault.rs
@@ -18,6 +18,9 @@
         pub lag: units::Period,
         /// Whether it announces nothing.
         pub silent: bool,
+        /// Requests a second that it names in its answers.
+        #[schemars(with = "Option<String>")]
+        pub rate_limit: Option<units::Rate>,
         /// Path prefix whose requests crash it, next to those with the header `x-crash: 1`.
         #[schemars(with = "Option<String>")]
         pub crash_path: Option<CompactString>,
--- a/testing/backend/src/headers.rs
+++ b/testing/backend/src/headers.rs
@@ -22,6 +22,10 @@
     pub const DIGEST: &'static str = "x-digest";
     /// `1` crashes the process.
     pub const CRASH: &'static str = "x-crash";
+    /// Requests a second that the process takes.
+    pub const RATE_LIMIT: &'static str = "radishgap-rate-limit";
+    /// `1` where the process leaves.
+    pub const LEAVING: &'static str = "radishgap-leaving";
     /// Service that ran the request.
     pub const SERVICE: &'static str = "x-service";
     /// Version that ran the request.
--- a/testing/backend/src/record.rs
+++ b/testing/backend/src/record.rs
@@ -94,7 +94,7 @@
         self.counts.ran += 1;
         run.number = number;
         if self.file.is_some() {
-            self.append(&Event::Start(run.clone()));
+            self.append(&Event::Start(Box::new(run.clone())));
         }
         if self.runs.len() >= self.limit {
             self.runs.pop_front();
--- a/testing/backend/src/run.rs
+++ b/testing/backend/src/run.rs
@@ -31,6 +31,9 @@
         pub start: units::Wall,
         /// Milliseconds since the process began to leave; none while it was not leaving.
         pub leaving_ms: Option<u64>,
+        /// Requests a second that the process named then; none where it named none.
+        #[serde(default)]
+        pub rate_limit: Option<units::Rate>,
         /// End, once there is one.
         pub end: Option<units::Wall>,
         /// How it ended, once it did.
@@ -42,7 +45,7 @@
     #[serde(rename_all = "snake_case")]
     pub enum Event {
         /// A request's execution began.
-        Start(Run),
+        Start(Box<Run>),
         /// It ended: instance, number, time and how.
         End(u64, u64, units::Wall, Ending),
     }
--- a/testing/backend/tests/duty.rs
+++ b/testing/backend/tests/duty.rs
@@ -210,3 +210,22 @@
     assert_eq!(header(&passes, "radishgap-outcome"), "ran");
     assert_eq!(endings(&state), [Some(Ending::Expired)]);
 }
+
+#[compio::test]
+async fn handle_in_need() {
+    let (state, mut client, _stop) = start(|_| {}).await;
+    let answer = client.send(request(&[])).await.expect("an answer");
+    assert_eq!(header(&answer, "radishgap-rate-limit"), "");
+    assert_eq!(header(&answer, "radishgap-leaving"), "");
+    let rate_limit = Some(units::Rate(2.5));
+    state.set_faults(Faults {
+        rate_limit,
+        ..Faults::default()
+    });
+    state.enter(schema::announce::Phase::Draining);
+    let answer = client.send(request(&[])).await.expect("an answer");
+    assert_eq!(header(&answer, "radishgap-rate-limit"), "2.5");
+    assert_eq!(header(&answer, "radishgap-leaving"), "1");
+    let limits = state.record(|record| record.runs().map(|run| run.rate_limit).collect::<Vec<_>>());
+    assert_eq!(limits, [None, rate_limit]);
+}
--- a/testing/load/src/judge.rs
+++ b/testing/load/src/judge.rs
@@ -1,5 +1,7 @@
 //! Compares what callers were told with what backend servers ran.
 
+mod limit;
+
 use compact_str::CompactString;
 use radishgap_backend::{Ending, Event, Run};
 use serde::Serialize;
@@ -25,6 +27,8 @@
         pub once: u64,
         /// Requests that began on a backend server while it was leaving.
         pub leaving: u64,
+        /// Requests that began on a backend server which had named a rate.
+        pub limited: u64,
         /// What was violated, one entry a case, bounded in number.
         pub violations: Vec<Violation>,
         /// Number of violations by kind, those left out of the list included.
@@ -61,6 +65,8 @@
     LateWork,
     /// One request crashed more backend servers than it may.
     CrashedAgain,
+    /// A backend server got more requests a second than it had named.
+    OverLimit,
 }
 
 /// Longest time after the start of a drain in which new work may still arrive.
@@ -84,6 +90,7 @@
             verdict.judge_run(run);
         }
         verdict.judge_crashes(&crashes(events, &runs));
+        verdict.judge_limits(&runs);
         verdict
     }
 
@@ -158,6 +165,15 @@
         }
     }
 
+    fn judge_limits(&mut self, runs: &[&Run]) {
+        let limited = runs.iter().filter(|run| run.rate_limit.is_some());
+        self.limited = limited.count() as u64;
+        for overrun in limit::overruns(runs) {
+            let detail = format!("{} runs of {} in a window", overrun.got, overrun.allowed);
+            self.add(Kind::OverLimit, &overrun.run.call, detail);
+        }
+    }
+
     fn judge_crashes(&mut self, crashes: &[CompactString]) {
         for group in crashes.chunk_by(|one, other| one == other) {
             if group.len() > MOST_CRASHES {
@@ -171,7 +187,7 @@
 /// The runs, sorted by call.
 fn sorted(events: &[Event]) -> Vec<&Run> {
     let starts = events.iter().filter_map(|event| match event {
-        Event::Start(run) => Some(run),
+        Event::Start(run) => Some(run.as_ref()),
         Event::End(..) => None,
     });
     let mut runs: Vec<_> = starts.collect();
--- a/testing/load/src/soak/points.rs
+++ b/testing/load/src/soak/points.rs
@@ -160,6 +160,7 @@
         let refused = self.broken(Kind::FalseNotRun);
         let unnamed = self.broken(Kind::UnnamedOutcome);
         let again = self.broken(Kind::CrashedAgain);
+        let over = self.broken(Kind::OverLimit);
         vec![
             point(
                 "every caller gets the whole answer to its own request",
@@ -194,6 +195,15 @@
                 again,
                 format!("{} such calls, {again} crashed more", crashes.count()),
             ),
+            point(
+                "a backend server gets no more requests a second than it names",
+                verdict.limited > 0,
+                over,
+                format!(
+                    "{} requests under a limit, {over} backend servers got more",
+                    verdict.limited
+                ),
+            ),
         ]
     }
 
--- a/testing/load/src/soak/run.rs
+++ b/testing/load/src/soak/run.rs
@@ -70,6 +70,11 @@
     relays: Vec<Relay>,
 }
 
+/// The backend server that names a limit in its answers, of a service without a move; less than its share
+/// of the calls, and more than its slots can hold up while it is frozen.
+const LIMITED_SITE: usize = 0;
+const LIMIT: units::Rate = units::Rate(20.0);
+
 /// The services on which a good and a bad version are moved to, as places among the region's.
 const MOVED: [usize; 2] = [2, 1];
 /// The bad version: it fails and says that it is healthy.
@@ -133,6 +138,11 @@
         let site = bench.new_site(MOVED[1]);
         let faults: Faults = BAD.faults("");
         bench.mesh.set_faults(site, &faults).await;
+        let limited = Faults {
+            rate_limit: Some(LIMIT),
+            ..Faults::default()
+        };
+        bench.mesh.set_faults(LIMITED_SITE, &limited).await;
         bench.start_relays().await?;
         bench.configure().await?;
         bench.settle().await?;
--- a/testing/load/tests/driver.rs
+++ b/testing/load/tests/driver.rs
@@ -31,7 +31,14 @@
 }
 
 fn events(state: &State) -> Vec<Event> {
-    state.record(|record| record.runs().cloned().map(Event::Start).collect())
+    state.record(|record| {
+        record
+            .runs()
+            .cloned()
+            .map(Box::new)
+            .map(Event::Start)
+            .collect()
+    })
 }
 
 #[compio::test]
--- a/testing/load/tests/judge.rs
+++ b/testing/load/tests/judge.rs
@@ -24,7 +24,7 @@
 
 /// The start of run `number` of call `id`.
 fn start(number: u64, id: &str, leaving_ms: Option<u64>) -> Event {
-    Event::Start(Run {
+    Event::Start(Box::new(Run {
         number,
         instance: 1,
         version: "v1".into(),
@@ -37,9 +37,10 @@
         body_bytes: 0,
         start: units::Wall(0),
         leaving_ms,
+        rate_limit: None,
         end: None,
         ending: None,
-    })
+    }))
 }
 
 fn crash(number: u64) -> Event {
@@ -163,3 +164,42 @@
         (3, 2, 1)
     );
 }
+
+/// Runs of a backend server that has named `rate`, `gap_ms` apart.
+fn limited(rate: f64, gap_ms: u64, count: u64) -> Vec<Event> {
+    let run = |number| {
+        let Event::Start(run) = start(number, "c", None) else {
+            unreachable!("it is a start");
+        };
+        Event::Start(Box::new(Run {
+            rate_limit: Some(units::Rate(rate)),
+            start: units::Wall(number * gap_ms),
+            ..*run
+        }))
+    };
+    (0..count).map(run).collect()
+}
+
+#[test]
+fn verdict_on_limits() {
+    // 35 are allowed in four seconds at 5 a second.
+    let cases = [
+        ("kept", limited(5.0, 200, 100), 0),
+        ("all that is allowed", limited(5.0, 115, 100), 0),
+        ("broken", limited(5.0, 110, 100), 1),
+        ("before it has to be kept", limited(5.0, 10, 200), 0),
+    ];
+    for (name, events, broken) in cases {
+        let verdict = Verdict::new(&[], &events);
+        let over = verdict
+            .counts
+            .iter()
+            .filter(|(kind, _)| *kind == Kind::OverLimit);
+        let over: u64 = over.map(|(_, count)| count).sum();
+        assert_eq!(
+            (over, verdict.limited),
+            (broken, events.len() as u64),
+            "{name}"
+        );
+    }
+}
