admission: where runs take most of the target, the newest requests go first

Between those that can be counted on and those without a chance there are now those with a fair chance, the later target first. Failed before: overload_in_time_where_a_run_takes_most_of_the_target; the model's other loads are as before.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -50,5 +50,5 @@
 pub use statement::Statement;
 pub use sum::Sum;
 pub use suspects::{Standing, Suspects};
-pub use urgency::{Queue, Urgency};
+pub use urgency::{Chance, Queue, Urgency};
 pub use waiting::Order;
--- a/components/admission/src/urgency.rs
+++ b/components/admission/src/urgency.rs
@@ -1,5 +1,6 @@
 //! Queue by what can still be answered in time.
 
+use std::cmp;
 use std::time;
 
 units::record! { eq:
@@ -17,24 +18,42 @@
     }
 }
 
+/// Whether a request that starts now is answered by its target; the best first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Chance {
+    /// It can be counted on.
+    Good,
+    /// It takes a run that is shorter than some.
+    Fair,
+    /// It takes a run that is shorter than most.
+    None,
+}
+
 impl Urgency {
     /// Usual times within which an answer is counted on: with one, half of those that are let
     /// through at the last moment would be late.
     const TIMES: u32 = 2;
 
-    /// Whether it can no longer be counted on to meet its target when it starts at `now`.
+    /// Whether it meets its target when it starts at `now`.
     #[must_use]
-    pub fn is_late(&self, now: time::Instant) -> bool {
-        now + self.expected * Self::TIMES > self.target
+    pub fn chance(&self, now: time::Instant) -> Chance {
+        if now + self.expected * Self::TIMES <= self.target {
+            Chance::Good
+        } else if now + self.expected <= self.target {
+            Chance::Fair
+        } else {
+            Chance::None
+        }
     }
 }
 
 /// Queue by priority and by what can still be answered in time.
 ///
-/// The load that it answers: more requests than the slots can run by their targets. Requests that can
-/// still meet their target go first, by priority and then by the earlier target (earliest deadline
-/// first; C. Liu and J. Layland, 1973). Those that cannot any more take what room is left, so that
-/// they do not make the ones behind them late too.
+/// The load that it answers: more requests than the slots can run by their targets. Requests that can be
+/// counted on to meet their target go first, by priority and then by the earlier target (earliest
+/// deadline first; C. Liu and J. Layland, 1973). Then those with a fair chance, the later target first:
+/// where runs take most of the target nobody can wait, and the newest one has the best chance (B. Maurer,
+/// "Fail at Scale", 2015). The others take what room is left, so that they make nobody late.
 #[derive(Debug)]
 pub struct Queue<T> {
     entries: Vec<(Urgency, T)>,
@@ -86,16 +105,18 @@
         Some(self.entries.remove(place).1)
     }
 
-    /// Takes out what cannot be in time any more, where `enough` elements wait that can: it would
-    /// only wait longer for its refusal.
+    /// Takes out what has less of a chance to be in time, where `enough` elements wait that have more:
+    /// it would only wait longer for its refusal.
     pub fn shed_late(&mut self, now: time::Instant, enough: usize) -> Vec<T> {
-        let is_late = |entry: &(Urgency, T)| entry.0.is_late(now);
-        let late = self.entries.iter().filter(|entry| is_late(entry)).count();
-        if late == 0 || self.entries.len() - late < enough {
-            return Vec::new();
+        for least in [Chance::Good, Chance::Fair] {
+            let is_late = |entry: &(Urgency, T)| entry.0.chance(now) > least;
+            let late = self.entries.iter().filter(|entry| is_late(entry)).count();
+            if self.entries.len() - late >= enough {
+                let shed = self.entries.extract_if(.., |entry| is_late(entry));
+                return shed.map(|entry| entry.1).collect();
+            }
         }
-        let shed = self.entries.extract_if(.., |entry| is_late(entry));
-        shed.map(|entry| entry.1).collect()
+        Vec::new()
     }
 
     /// Takes out those of which `fits` says no, told their urgency and how many of those that stay go
@@ -129,13 +150,20 @@
     }
 }
 
-/// Rank in the queue, the lowest first: those in time, by priority, by when they are due.
-fn rank(urgency: &Urgency, now: time::Instant) -> (bool, u32, time::Instant) {
-    let late = urgency.is_late(now);
-    let by = if late {
-        urgency.deadline
-    } else {
-        urgency.target
+/// Rank in the queue, the lowest first: by chance, by priority, by when they are due.
+fn rank(urgency: &Urgency, now: time::Instant) -> (Chance, u32, Due) {
+    let chance = urgency.chance(now);
+    let due = match chance {
+        Chance::Good => Due::Earliest(urgency.target),
+        Chance::Fair => Due::Latest(cmp::Reverse(urgency.target)),
+        Chance::None => Due::Earliest(urgency.deadline),
     };
-    (late, urgency.priority, by)
+    (chance, urgency.priority, due)
+}
+
+/// Which goes first among equals; one chance uses one of them only.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Earliest(time::Instant),
+    Latest(cmp::Reverse<time::Instant>),
 }
--- a/components/admission/tests/urgency.rs
+++ b/components/admission/tests/urgency.rs
@@ -14,13 +14,13 @@
 const LIMIT: usize = 64;
 
 /// Part of the requests that were answered by their target, at `load` of what the slots can run.
-fn serve(load: f64, seed: u64, first_come: bool) -> f64 {
+fn serve(load: f64, work_ms: f64, seed: u64, first_come: bool) -> f64 {
     let mut rng = StdRng::seed_from_u64(seed);
     let start = Instant::now();
     let mut queue: Queue<Urgency> = Queue::default();
     // Ends of the requests that run, the earliest first.
     let mut running: BinaryHeap<std::cmp::Reverse<Instant>> = BinaryHeap::new();
-    let rate = load * SLOTS as f64 / WORK_MS;
+    let rate = load * SLOTS as f64 / work_ms;
     let (mut now, mut total, mut in_time) = (start, 0_u32, 0_u32);
     for _ in 0..20_000 {
         let gap = -rng.random::<f64>().max(1e-9).ln() / rate;
@@ -32,7 +32,7 @@
             };
             running.pop();
             if let Some(next) = queue.pop(free) {
-                in_time += run(&next, free, &mut running, &mut rng);
+                in_time += run(&next, work_ms, free, &mut running, &mut rng);
             }
         }
         now = arrival;
@@ -49,11 +49,11 @@
             expected: if first_come {
                 Duration::ZERO
             } else {
-                Duration::from_secs_f64(WORK_MS / 1_000.0)
+                Duration::from_secs_f64(work_ms / 1_000.0)
             },
         };
         if running.len() < SLOTS {
-            in_time += run(&asked, now, &mut running, &mut rng);
+            in_time += run(&asked, work_ms, now, &mut running, &mut rng);
         } else {
             let _ = queue.push(asked, asked, LIMIT, now);
         }
@@ -64,6 +64,7 @@
 /// Runs a request from `at`; 1 when it is answered by the target.
 fn run(
     asked: &Urgency,
+    work_ms: f64,
     at: Instant,
     running: &mut BinaryHeap<std::cmp::Reverse<Instant>>,
     rng: &mut StdRng,
@@ -71,7 +72,7 @@
     if at > asked.deadline {
         return 0;
     }
-    let work = WORK_MS * rng.random_range(0.3..1.7);
+    let work = work_ms * rng.random_range(0.3..1.7);
     let end = at + Duration::from_secs_f64(work / 1_000.0);
     running.push(std::cmp::Reverse(end));
     // The baseline's urgency names the deadline as its target.
@@ -85,8 +86,8 @@
         // Nine tenths of what the slots can run.
         let least = 0.9 * (1.0 / load).min(1.0);
         for seed in 0..5 {
-            let urgent = serve(load, seed, false);
-            let first_come = serve(load, seed, true);
+            let urgent = serve(load, WORK_MS, seed, false);
+            let first_come = serve(load, WORK_MS, seed, true);
             assert!(
                 urgent >= least,
                 "load {load}, seed {seed}: {urgent} in time"
@@ -99,6 +100,22 @@
     }
 }
 
+#[test]
+fn overload_in_time_where_a_run_takes_most_of_the_target() {
+    const SLOW_MS: f64 = 170.0;
+    for load in [0.8_f64, 1.2, 1.6] {
+        // Half of what the slots can run: a run takes up to 1.7 times as long, which leaves no time to wait.
+        let least = 0.5 * (1.0 / load).min(1.0);
+        for seed in 0..5 {
+            let urgent = serve(load, SLOW_MS, seed, false);
+            assert!(
+                urgent >= least,
+                "load {load}, seed {seed}: {urgent} in time"
+            );
+        }
+    }
+}
+
 #[test]
 fn order_cases() {
     let now = Instant::now();
@@ -117,6 +134,17 @@
         ),
         ("earlier target", urgency(1, 300, 900), urgency(1, 500, 900)),
         ("still in time", urgency(2, 300, 900), urgency(0, 50, 900)),
+        (
+            "counted on to be in time",
+            urgency(2, 300, 900),
+            urgency(0, 80, 900),
+        ),
+        ("a fair chance", urgency(2, 60, 900), urgency(0, 40, 900)),
+        (
+            "the better of fair chances",
+            urgency(1, 90, 900),
+            urgency(1, 60, 900),
+        ),
         (
             "late, earlier deadline",
             urgency(1, 50, 400),
