--- a/components/kernel/src/system.rs
+++ b/components/kernel/src/system.rs
@@ -33,6 +33,9 @@
     /// Longest time that one service may take to stop.
     pub const STOP_LIMIT: time::Duration = time::Duration::from_secs(30);
 
+    /// Time above which the stop of a service is told.
+    const SLOW_STOP: time::Duration = time::Duration::from_millis(250);
+
     /// A kernel without services.
     #[must_use]
     pub fn new() -> Self {
@@ -76,8 +79,14 @@
 impl Running {
     async fn close(self) {
         self.trigger.fire();
+        let started = time::Instant::now();
         let ended = compio::time::timeout(Kernel::STOP_LIMIT, self.task).await;
+        let took = started.elapsed();
         match ended {
+            Ok(Ok(())) if took >= Kernel::SLOW_STOP => {
+                let took_ms = units::millis(took);
+                log::info!(service = self.name, took_ms = took_ms; "service stopped late");
+            }
             Ok(Ok(())) => log::debug!(service = self.name; "service stopped"),
             Ok(Err(_)) => log::error!(service = self.name; "service panicked"),
             Err(_) => log::error!(service = self.name; "service did not stop in time"),
