moves: an order with an absurd duration no longer ends the moves of every node

Asked by operators of similar systems; it could happen here. A report of another node bounds the time that a move has run by twice its period, and doubling a period of 1e19 s panicked: the task that takes reports ended on each node, and with it its part in all moves, until a restart. No other order changes: the bound is the same for every period below half of what a duration holds.

--- a/components/moves/src/canary/trial.rs
+++ b/components/moves/src/canary/trial.rs
@@ -80,7 +80,7 @@
 
     /// Another node has known of the move for `elapsed`.
     pub(super) fn hear(&mut self, elapsed: time::Duration) {
-        let elapsed = elapsed.min(self.order.period * 2);
+        let elapsed = elapsed.min(self.order.period.saturating_mul(2));
         if let Some(began) = time::Instant::now().checked_sub(elapsed) {
             self.began = self.began.min(began);
         }
