--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -1,19 +1,21 @@
 //! Decides when a request may run at the backend server.
 
+mod counts;
+mod dump;
 mod state;
 
 use std::cell;
 use std::rc;
 use std::time;
 
-use compact_str::CompactString;
 use futures_channel::oneshot;
-use serde::Serialize;
 
+pub use self::counts::Counts;
+pub use self::dump::Dump;
 use self::state::{State, Waiter};
 use crate::runtimes::Runtimes;
 use crate::waiting::Waiting;
-use crate::{Announced, Change, Limit, Named, Pace, Permit, Reason, Refusal, Settings, Usage};
+use crate::{Announced, Ask, Change, Limit, Named, Pace, Permit, Reason, Refusal, Settings, Usage};
 
 /// Decides when a request may run at the backend server; clones share the state.
 #[derive(Clone)]
@@ -26,75 +28,6 @@
     state: cell::RefCell<State>,
 }
 
-/// A request that asks to run.
-#[derive(Debug, Clone)]
-pub struct Ask {
-    /// Who sends it; callers share the backend server evenly.
-    pub caller: CompactString,
-    /// Service that it is meant for.
-    pub service: CompactString,
-    /// Version that it is meant for.
-    pub version: CompactString,
-    /// Hash of its route's name.
-    pub route: u64,
-    /// Rank of its route; zero goes first.
-    pub priority: u32,
-    /// When an answer is wanted.
-    pub target: time::Instant,
-    /// When it has to be finished.
-    pub deadline: time::Instant,
-    /// Whether nothing may run beside it.
-    pub alone: bool,
-}
-
-impl Ask {
-    fn is_for(&self, announced: &Announced) -> bool {
-        announced.backend.service == self.service && announced.backend.version == self.version
-    }
-}
-
-/// Figures of a gate since its start.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
-pub struct Counts {
-    /// Requests that were let through.
-    pub admitted: u64,
-    /// Of these, such as had to run alone.
-    pub admitted_alone: u64,
-    /// Requests that had to wait.
-    pub queued: u64,
-    /// Refused because too many waited.
-    pub refused_full: u64,
-    /// Refused because they could not finish by their deadline.
-    pub refused_late: u64,
-    /// Refused because the backend server takes no more requests a second.
-    pub refused_limited: u64,
-    /// Refused after the longest wait.
-    pub refused_waited: u64,
-    /// Refused because of the phase of the backend server or the node.
-    pub refused_phase: u64,
-    /// Requests that ran beside one that had to run alone, or above the slots; always zero.
-    pub violations: u64,
-}
-
-/// State of a gate.
-#[derive(Debug, Clone, PartialEq, Serialize)]
-pub struct Dump {
-    /// The backend server, once one has announced itself.
-    pub announced: Option<Announced>,
-    /// Requests that may run at a time.
-    pub limit: usize,
-    /// Requests that run.
-    pub running: usize,
-    /// Requests that wait.
-    pub waiting: usize,
-    /// Mean latency of late, in milliseconds.
-    pub latency_ms: f64,
-    /// Requests a second that the backend server takes, where it has named that.
-    pub rate: Option<f64>,
-    /// Figures.
-    pub counts: Counts,
-}
-
 impl Gate {
     /// Wait that a caller is told while there is no usable backend server.
     const PHASE_WAIT: time::Duration = time::Duration::from_millis(500);
--- a/components/admission/src/gate/state.rs
+++ b/components/admission/src/gate/state.rs
@@ -5,10 +5,10 @@
 use futures_channel::oneshot;
 use membership::Phase;
 
-use super::{Ask, Counts, Gate};
+use super::{Counts, Gate};
 use crate::runtimes::Runtimes;
 use crate::waiting::Waiting;
-use crate::{Announced, Crowd, Limit, Pace, Permit, Reason, Refusal, Settings, Urgency};
+use crate::{Announced, Ask, Crowd, Limit, Pace, Permit, Reason, Refusal, Settings, Urgency};
 
 /// What a gate knows and counts.
 pub(super) struct State {
--- a/components/admission/src/pace.rs
+++ b/components/admission/src/pace.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time;
 
-use crate::Named;
+use crate::{Change, Named, Usage};
 
 /// The rate that a backend server has named, and what it got of late.
 ///
@@ -26,41 +26,6 @@
     arrivals: VecDeque<time::Instant>,
 }
 
-/// How an answer changed what is known.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Change {
-    /// Nothing has changed.
-    None,
-    /// It names a rate, other than the one `before`.
-    Named {
-        /// Requests a second.
-        rate: units::Rate,
-        /// The rate before, if one was named.
-        before: Option<units::Rate>,
-    },
-    /// It no longer names the rate `before`.
-    Lifted {
-        /// The rate before.
-        before: units::Rate,
-    },
-    /// What it names cannot be read; the rate `kept` stays.
-    Unreadable {
-        /// The rate before, if one was named.
-        kept: Option<units::Rate>,
-    },
-}
-
-/// What a backend server got under the rate that it has named.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Usage {
-    /// Requests a second that it has named.
-    pub rate: units::Rate,
-    /// Requests that it got in the last [`Pace::WINDOW`].
-    pub arrived: usize,
-    /// Time since it last named the rate.
-    pub age: time::Duration,
-}
-
 impl Pace {
     /// Time over which arrivals are counted.
     pub const WINDOW: time::Duration = time::Duration::from_secs(4);
--- a/components/admission/src/urgency.rs
+++ b/components/admission/src/urgency.rs
@@ -3,6 +3,8 @@
 use std::cmp;
 use std::time;
 
+use crate::Chance;
+
 units::record! { eq:
     /// How urgent a request is.
     #[derive(Copy)]
@@ -18,17 +20,6 @@
     }
 }
 
-/// Whether a request that starts now is answered by its target; the best first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Chance {
-    /// It can be counted on.
-    Good,
-    /// It takes a run that is shorter than some.
-    Fair,
-    /// It takes a run that is shorter than most.
-    None,
-}
-
 impl Urgency {
     /// Usual times within which an answer is counted on: with one, half of those that are let
     /// through at the last moment would be late.
--- a/components/membership/src/command.rs
+++ b/components/membership/src/command.rs
@@ -1,20 +1,8 @@
 //! Requests of other services of the node to the membership service.
 
-use std::time;
-
 use futures_channel::oneshot;
 
-use crate::Backend;
-
-/// What became of an announcement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Taken {
-    /// Time until the next announcement is due.
-    pub due: time::Duration,
-    /// Whether other nodes had heard from an earlier start of this node that this start of the backend
-    /// server leaves; it stays so, whatever it announces.
-    pub departed: bool,
-}
+use crate::{Backend, Taken};
 
 /// A request to the membership service; it is sent through its mailbox.
 #[derive(Debug)]
--- a/components/membership/tests/mesh/leaving.rs
+++ b/components/membership/tests/mesh/leaving.rs
@@ -2,7 +2,7 @@
 
 use membership::Phase;
 
-use crate::{Mesh, announce, announce_as, patient, phase, state};
+use crate::bench::{Mesh, announce, announce_as, patient, phase, state};
 
 #[compio::test]
 async fn backend_server_that_left_stays_out_after_a_restart_of_its_node() {
--- a/components/routing/src/endpoint.rs
+++ b/components/routing/src/endpoint.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use membership::{Backend, Member};
 
+use crate::turn::Turn;
 use crate::{Flight, Health, Policy, Verdict};
 
 /// A backend server as this node sees it, reached through its owner's mesh address.
@@ -44,16 +45,6 @@
     turn: cell::Cell<Option<Turn>>,
 }
 
-/// When this node's next request is welcome at a backend server that takes only so many a second.
-#[derive(Debug, Clone, Copy)]
-struct Turn {
-    at: time::Instant,
-    /// Time that the owner told last.
-    wait: time::Duration,
-    /// The owner has not told it yet: the turn before has just been used.
-    guessed: bool,
-}
-
 /// Latency of answers, as a moving average that follows peaks at once.
 #[derive(Debug, Clone, Copy)]
 struct Latency {
@@ -178,13 +169,8 @@
     /// It takes only so many requests a second, and the next one of this node after `wait`, or when it
     /// was told before where that is sooner.
     pub fn limit(&self, wait: time::Duration, now: time::Instant) {
-        let earlier = self
-            .turn
-            .get()
-            .filter(|turn| turn.at > now && !turn.guessed);
-        let at = earlier.map_or(now + wait, |turn| turn.at.min(now + wait));
-        let guessed = false;
-        self.turn.set(Some(Turn { at, wait, guessed }));
+        let turn = Turn::told(self.turn.get(), wait, now);
+        self.turn.set(Some(turn));
     }
 
     /// It takes what its slots run.
@@ -192,21 +178,17 @@
         self.turn.set(None);
     }
 
-    /// A request uses the turn of this node; the next one is expected to come as late as the last.
+    /// A request uses the turn of this node.
     pub fn use_turn(&self, now: time::Instant) {
-        if let Some(turn) = self.turn.get() {
-            let at = now + turn.wait;
-            let wait = turn.wait;
-            let guessed = true;
-            self.turn.set(Some(Turn { at, wait, guessed }));
-        }
+        let next = self.turn.get().map(|turn| turn.next(now));
+        self.turn.set(next);
     }
 
     /// Time until this node's next request is welcome.
     #[must_use]
     pub fn wait(&self, now: time::Instant) -> time::Duration {
-        let at = self.turn.get().map_or(now, |turn| turn.at);
-        at.saturating_duration_since(now)
+        let left = self.turn.get().map(|turn| turn.left(now));
+        left.unwrap_or_default()
     }
 
     /// Whether a request sent there now is welcome and has a chance.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod soonest;
 mod splits;
 mod table;
+mod turn;
 mod usual;
 mod versions;
 mod withheld;
