node: a rejection that names no limit lifts none

A backend server may turn a request away where its limit is not known, and that answer lifted what its runs had named: until the next answer everything that its slots bear went through. Only an answer to a request that ran lifts it now. Failed before: rejection_that_names_nothing_lifts_no_limit.

--- a/node/src/call/owner/serving.rs
+++ b/node/src/call/owner/serving.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use admission::Permit;
+use admission::{Permit, Statement};
 use upstream::{Cause, Failure};
 
 use super::fingerprint::Fingerprint;
@@ -42,8 +42,11 @@
         }
         let statement = dialect.statement(&parts);
         let is_unexecuted = dialect.is_unexecuted(&parts, envelope);
-        self.owner
-            .hear(self.instance, statement, &envelope.request, self.sent);
+        // A rejection that names no rate may not come from where rates are known.
+        if !is_unexecuted || statement != Statement::default() {
+            self.owner
+                .hear(self.instance, statement, &envelope.request, self.sent);
+        }
         if is_unexecuted {
             self.owner.count(|counts| counts.shed += 1);
             if let Some(permit) = self.permit.take() {
--- a/node/tests/call/backend.rs
+++ b/node/tests/call/backend.rs
@@ -128,6 +128,19 @@
         }
         drop(running);
         let mut answer = http::Response::new(web::Body::from(Bytes::from(received)));
+        if path.contains("sheds") {
+            let headers = answer.headers_mut();
+            headers.insert(
+                "radishgap-outcome",
+                http::HeaderValue::from_static("not-run"),
+            );
+            headers.insert(
+                "radishgap-request",
+                head.headers["radishgap-request"].clone(),
+            );
+            *answer.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+            return answer;
+        }
         let says = self.shared.borrow().says.clone();
         answer.headers_mut().extend(says);
         if path.contains("fails") {
--- a/node/tests/call/need.rs
+++ b/node/tests/call/need.rs
@@ -170,3 +170,21 @@
     compio::time::sleep(Duration::from_millis(told)).await;
     assert_eq!(caller.send("POST", "/menu").await.status, 200);
 }
+
+#[compio::test]
+async fn rejection_that_names_nothing_lifts_no_limit() {
+    let backend = Backend::default();
+    let (address, _stop) = backend.start().await;
+    let fleet = Fleet::start(&[address]).await;
+    let caller = Caller::open(fleet.nodes[0].callers).await;
+    let rate = || fleet.nodes[0].owner.gate().rate().map(|rate| rate.0);
+    backend.say("radishgap-rate-limit", "50");
+    assert_eq!(caller.send("POST", "/menu").await.status, 200);
+    assert_eq!(rate(), Some(50.0));
+    let got = caller.send("POST", "/sheds").await;
+    assert_eq!(got.reason, "backend-server-refused", "{got:?}");
+    assert_eq!(rate(), Some(50.0), "after a rejection");
+    backend.say("radishgap-rate-limit", "");
+    assert_eq!(caller.send("POST", "/menu").await.status, 200);
+    assert_eq!(rate(), None, "after an answer that names none");
+}
