--- a/components/admission/src/repeats.rs
+++ b/components/admission/src/repeats.rs
@@ -7,7 +7,7 @@
 use units::Share;
 
 use crate::sum::count;
-use crate::{Allowance, Arrivals, Repeat, Sum};
+use crate::{Allowance, Arrivals, Budget, Repeat};
 
 /// Repeats among what a backend server gets and runs; clones share the state.
 #[derive(Clone)]
@@ -49,19 +49,19 @@
     /// Whether the backend server may get one more repeat; the service has so many `owners`.
     #[must_use]
     pub fn allows(&self, owners: u32, now: time::Instant) -> bool {
-        let (sum, limit) = self.usage(owners, now);
-        count(sum.resent) + 1.0 <= limit
+        let budget = self.budget(owners, now);
+        count(budget.arrived.resent) + 1.0 <= budget.limit
     }
 
     /// What arrived in the window that ends at `now`, and the resent requests that may; the service
     /// has so many `owners`.
     #[must_use]
-    pub fn usage(&self, owners: u32, now: time::Instant) -> (Sum, f64) {
+    pub fn budget(&self, owners: u32, now: time::Instant) -> Budget {
         let mut arrivals = self.shared.arrivals.borrow_mut();
         arrivals.note_owners(owners, now);
-        let sum = arrivals.sum(now);
-        let limit = self.shared.allowance.limit(&sum, arrivals.up(now));
-        (sum, limit)
+        let arrived = arrivals.sum(now);
+        let limit = self.shared.allowance.limit(&arrived, arrivals.up(now));
+        Budget { arrived, limit }
     }
 
     /// A request that is `depth` calls deep goes to the backend server.
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -169,8 +169,12 @@
     }
 
     pub(crate) fn feed(&self, prefix: &str) -> Option<&cell::RefCell<Feed>> {
+        self.place(prefix).map(|place| &self.feeds[place])
+    }
+
+    fn place(&self, prefix: &str) -> Option<usize> {
         let mut feeds = self.feeds.iter();
-        feeds.find(|feed| feed.borrow().prefix() == prefix)
+        feeds.position(|feed| feed.borrow().prefix() == prefix)
     }
 
     /// Whether something of each feed is known.
@@ -203,8 +207,7 @@
     pub(crate) fn take(&self, given: &[wire::Part]) -> Outcome {
         let mut taken = Outcome::default();
         for part in given {
-            let mut feeds = self.feeds.iter();
-            let Some(place) = feeds.position(|feed| feed.borrow().prefix() == part.prefix) else {
+            let Some(place) = self.place(&part.prefix) else {
                 continue;
             };
             let Some(changes) = encoding::decode(part) else {
--- a/node/src/call/owner/repeating.rs
+++ b/node/src/call/owner/repeating.rs
@@ -33,13 +33,14 @@
             return;
         };
         let owners = self.owners();
-        let (sum, limit) = self.shared.repeats.usage(owners, now);
+        let budget = self.shared.repeats.budget(owners, now);
+        let sum = budget.arrived;
         if sum.repeats() <= 0.0 {
             return;
         }
         log::info!(event = "arrivals", service = announced.backend.service.as_str(),
             first = sum.first, resent = sum.resent, called_again = sum.called_again(),
-            limit = limit, owners = owners;
+            limit = budget.limit, owners = owners;
             "requests at the backend server in the window of the retry budget");
     }
 
