--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -169,10 +169,10 @@
     }
 
     pub(crate) fn feed(&self, prefix: &str) -> Option<&cell::RefCell<Feed>> {
-        self.place(prefix).map(|place| &self.feeds[place])
+        self.feed_place(prefix).map(|place| &self.feeds[place])
     }
 
-    fn place(&self, prefix: &str) -> Option<usize> {
+    fn feed_place(&self, prefix: &str) -> Option<usize> {
         let mut feeds = self.feeds.iter();
         feeds.position(|feed| feed.borrow().prefix() == prefix)
     }
@@ -207,7 +207,7 @@
     pub(crate) fn take(&self, given: &[wire::Part]) -> Outcome {
         let mut taken = Outcome::default();
         for part in given {
-            let Some(place) = self.place(&part.prefix) else {
+            let Some(place) = self.feed_place(&part.prefix) else {
                 continue;
             };
             let Some(changes) = encoding::decode(part) else {
