admission, node: a raised limit brings turns forward; a refused asker gets one turn, not two

Found on reading the change. A request that waits for its turn at 0.2 a second waited five seconds after the limit had been raised to 10: the look for the next turn was set by the old rate. Failed before: raised_limit_brings_turns_forward. A refusal for the rate promised a turn as Retry-After and a second one to the ingress, so that turns ran out twice as fast; the ingress takes the same turn now.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -31,6 +31,8 @@
 impl Gate {
     /// Wait that a caller is told while there is no usable backend server.
     const PHASE_WAIT: time::Duration = time::Duration::from_millis(500);
+    /// Time by which a look for the next turn may be late.
+    const LOOK_SLACK: time::Duration = time::Duration::from_millis(1);
     /// Most requests that wait to run alone.
     const ALONE_LIMIT: usize = 32;
 
@@ -50,7 +52,7 @@
             waiting: Waiting::new(settings.order),
             waiting_alone: std::collections::VecDeque::new(),
             stopping: false,
-            ticking: false,
+            looked_at: None,
             counts: Counts::default(),
         };
         let shared = Shared {
@@ -285,17 +287,23 @@
         let now = time::Instant::now();
         let wait = state.pace.wait(0, now);
         let none_waits = state.waiting.is_empty() && state.waiting_alone.is_empty();
-        if state.ticking || none_waits || wait.is_zero() {
+        let at = now + wait;
+        let soon_enough = at + Self::LOOK_SLACK;
+        let is_looked_for = state.looked_at.is_some_and(|at| at <= soon_enough);
+        if is_looked_for || none_waits || wait.is_zero() {
             return;
         }
-        state.ticking = true;
+        state.looked_at = Some(at);
         drop(state);
         let shared = rc::Rc::downgrade(&self.shared);
         compio::runtime::spawn(async move {
-            compio::time::sleep(wait).await;
+            compio::time::sleep_until(at).await;
             if let Some(shared) = shared.upgrade() {
                 let gate = Self { shared };
-                gate.shared.state.borrow_mut().ticking = false;
+                // An earlier look, for a higher rate, may have taken the place of this one.
+                let mut state = gate.shared.state.borrow_mut();
+                state.looked_at = state.looked_at.filter(|looked_at| *looked_at > at);
+                drop(state);
                 gate.pump();
             }
         })
--- a/components/admission/src/gate/state.rs
+++ b/components/admission/src/gate/state.rs
@@ -27,8 +27,8 @@
     /// Requests that have to run alone, in the order of their arrival.
     pub(super) waiting_alone: std::collections::VecDeque<Waiter>,
     pub(super) stopping: bool,
-    /// A task waits for the next turn.
-    pub(super) ticking: bool,
+    /// When a task looks for the next turn.
+    pub(super) looked_at: Option<time::Instant>,
     pub(super) counts: Counts,
 }
 
--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -285,6 +285,20 @@
     );
 }
 
+#[compio::test]
+async fn raised_limit_brings_turns_forward() {
+    let gate = limited(0.2).await;
+    let asked = ask(false, LONG);
+    let waiting = gate.admit(&asked);
+    let raised = async {
+        gate.hear(1, Named::Rate(units::Rate(10.0)), Instant::now());
+    };
+    let both = futures_util::future::join(waiting, raised);
+    // At the old rate the turn comes after five seconds.
+    let ended = compio::time::timeout(Duration::from_secs(4), both).await;
+    assert!(ended.is_ok_and(|(admitted, ())| admitted.is_ok()));
+}
+
 #[compio::test]
 async fn lifted_limit_lets_all_through() {
     let gate = limited(0.5).await;
--- a/node/src/call/ingress/attempting.rs
+++ b/node/src/call/ingress/attempting.rs
@@ -112,7 +112,8 @@
             payload: arrival.payload.clone(),
         };
         let served = self.shared.owner.serve(job).await;
-        self.hear_need(endpoint, self.shared.owner.need(), served.is_ok());
+        let need = self.shared.owner.need(served.as_ref().err());
+        self.hear_need(endpoint, need, served.is_ok());
         let served = served?;
         Ok((served.parts, served.source, served.watch))
     }
--- a/node/src/call/owner/answering.rs
+++ b/node/src/call/owner/answering.rs
@@ -35,6 +35,7 @@
             }
             Err(problem) => Err(problem),
         };
+        let need = self.need(served.as_ref().err());
         let mut answer = match served {
             Ok(served) => {
                 let download = Download::new(served.source, served.watch, deadline);
@@ -45,7 +46,7 @@
         Headers::set(answer.headers_mut(), Headers::REQUEST, &id);
         let load = load_parts(self.shared.gate.load());
         Headers::set_number(answer.headers_mut(), Headers::LOAD, load);
-        if let Some(need) = self.need() {
+        if let Some(need) = need {
             need.write(answer.headers_mut());
         }
         self.shared.context.tell_configuration(answer.headers_mut());
--- a/node/src/call/owner/hearing.rs
+++ b/node/src/call/owner/hearing.rs
@@ -7,7 +7,7 @@
 use membership::Phase;
 
 use super::Owner;
-use crate::call::{Dialect, Need};
+use crate::call::{Dialect, Need, Problem, Reason};
 
 impl<L: peer::Link, D: Dialect> Owner<L, D> {
     /// Takes what the start `instance` of the backend server says with its answer to `request`, which was
@@ -71,14 +71,18 @@
         receiver
     }
 
-    /// What an ingress is told with an answer, where the backend server is in need.
-    pub(crate) fn need(&self) -> Option<Need> {
+    /// What an ingress is told with an answer, or with the `refusal` in its place, where the backend
+    /// server is in need. A refusal for the rate has promised a turn already.
+    pub(crate) fn need(&self, refusal: Option<&Problem>) -> Option<Need> {
         let gate = &self.shared.gate;
         let instance = gate.instance()?;
+        let limited = Reason::Refused(admission::Reason::Limited);
+        let promised = refusal.filter(|refusal| refusal.reason.is(limited));
+        let promised = promised.and_then(|refusal| refusal.retry_after);
         let need = Need {
             instance,
             rate: gate.rate(),
-            turn: gate.promise().unwrap_or_default(),
+            turn: promised.or_else(|| gate.promise()).unwrap_or_default(),
             leaving: self.shared.leaving.get() == Some(instance),
         };
         (need.rate.is_some() || need.leaving).then_some(need)
