--- a/node/src/call/ingress/reports.rs
+++ b/node/src/call/ingress/reports.rs
@@ -32,6 +32,11 @@
     /// Time for which a backend server that is not in the mesh is remembered.
     const KEPT: time::Duration = time::Duration::from_secs(120);
 
+    /// Whether nothing is known.
+    pub(super) fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// The owner `node` has told of its backend server.
     pub(super) fn hear(&mut self, node: &units::Node, need: &Need, now: time::Instant) {
         let report = Report {
--- a/node/src/call/ingress/state.rs
+++ b/node/src/call/ingress/state.rs
@@ -34,6 +34,9 @@
 
     /// Gives nothing new to backend servers that have said that they leave, whatever is announced of them.
     pub(super) fn mark_leaving(&self) {
+        if self.reports.is_empty() {
+            return;
+        }
         for endpoint in self.directory.endpoints() {
             if self.reports.is_leaving(&endpoint.node, endpoint.instance) {
                 endpoint.leave();
