admission: the queue is looked through for turns only under a limit

Each request counted and ranked all that waited before it, whether or not the backend server had named a rate; without one its wait is zero and the answer the same.

--- a/components/admission/src/gate/state.rs
+++ b/components/admission/src/gate/state.rs
@@ -90,6 +90,9 @@
         longest: time::Duration,
         now: time::Instant,
     ) -> Result<(), Refusal> {
+        if self.pace.rate().is_none() {
+            return Ok(());
+        }
         let urgency = self.urgency(ask);
         let ahead = self.waiting.ahead(&urgency, now);
         let wait = self.pace.wait(ahead, now);
