--- a/components/routing/src/timeouts.rs
+++ b/components/routing/src/timeouts.rs
@@ -44,32 +44,19 @@
     pub(crate) fn observe(&mut self, timeout: time::Duration) -> time::Duration {
         let millis = (timeout.as_secs_f64() * 1_000.0).max(1.0);
         let position = self.record(millis);
-        if self.total < Self::MIN_TOTAL || self.is_usual(&self.bins[position]) {
+        let usual_weight = self.usual_weight();
+        if self.total < Self::MIN_TOTAL || self.bins[position].weight >= usual_weight {
             return time::Duration::ZERO;
         }
-        let usual_ms = self.next_usual_ms(position).unwrap_or(millis);
-        time::Duration::from_secs_f64((usual_ms - millis).max(0.0) / 1_000.0)
-    }
-
-    /// Returns the mean of the next usual timeouts above those of the bin at `position`, over adjacent bins.
-    fn next_usual_ms(&self, position: usize) -> Option<f64> {
         let longer = &self.bins[position + 1..];
-        let first = longer.iter().position(|bin| self.is_usual(bin))?;
-        let (mut weight, mut sum) = (0.0, 0.0);
-        for (bin, index) in longer[first..].iter().zip(longer[first].index..) {
-            if bin.index != index || !self.is_usual(bin) {
-                break;
-            }
-            weight += bin.weight;
-            sum += bin.weight * bin.mean_ms;
-        }
-        Some(sum / weight)
+        let usual_ms = mean_of_first_run(longer, usual_weight).unwrap_or(millis);
+        time::Duration::from_secs_f64((usual_ms - millis).max(0.0) / 1_000.0)
     }
 
-    fn is_usual(&self, bin: &Bin) -> bool {
+    /// Weight from which the timeouts of a bin are usual ones.
+    fn usual_weight(&self) -> f64 {
         let weights = self.bins.iter().map(|bin| bin.weight);
-        let heaviest = weights.fold(0.0, f64::max);
-        bin.weight >= heaviest * Self::USUAL_FRACTION
+        weights.fold(0.0, f64::max) * Self::USUAL_FRACTION
     }
 
     /// Adds a timeout to its bin and returns the position of the bin.
@@ -105,3 +92,17 @@
         self.total = self.bins.iter().map(|bin| bin.weight).sum();
     }
 }
+
+/// Returns the mean timeout of the first run of adjacent bins with at least `usual_weight`, in milliseconds;
+/// `None` if there is no such bin.
+fn mean_of_first_run(bins: &[Bin], usual_weight: f64) -> Option<f64> {
+    let first = bins.iter().position(|bin| bin.weight >= usual_weight)?;
+    let run = bins[first..].iter().zip(bins[first].index..);
+    let run = run.take_while(|(bin, index)| bin.index == *index && bin.weight >= usual_weight);
+    let (mut weight, mut sum) = (0.0, 0.0);
+    for (bin, _) in run {
+        weight += bin.weight;
+        sum += bin.weight * bin.mean_ms;
+    }
+    Some(sum / weight)
+}
