--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -1,4 +1,4 @@
-//! One HTTP/2 connection of a pool.
+//! HTTP/2 connection of a pool.
 
 use std::cell;
 use std::io;
@@ -11,14 +11,14 @@
 use crate::watched::Watched;
 use crate::{Cause, Failure, Feed, Lease, Reply, Settings};
 
-/// One HTTP/2 connection; clones share it.
+/// HTTP/2 connection; clones share it.
 #[derive(Clone)]
 pub(crate) struct Connection {
     sender: http2::SendRequest<Feed>,
     state: rc::Rc<State>,
 }
 
-/// What is known of a connection.
+/// State of a connection.
 pub(crate) struct State {
     pub(crate) in_flight: cell::Cell<usize>,
     pub(crate) busy_since: cell::Cell<time::Instant>,
@@ -28,9 +28,9 @@
 
 /// A request that did not get an answer.
 pub(crate) enum Unanswered {
-    /// It was not written to the connection and may be sent on another one.
+    /// The request was not written to the connection and may be sent on another one.
     Unsent(Box<http::Request<Feed>>),
-    /// It may have been written.
+    /// The request may have been written.
     Failed(Failure),
 }
 
--- a/components/upstream/src/dialer.rs
+++ b/components/upstream/src/dialer.rs
@@ -1,4 +1,4 @@
-//! Cap on new connections.
+//! Rate limit on new connections.
 
 use std::cell;
 use std::rc;
@@ -6,9 +6,9 @@
 
 use rand::Rng;
 
-/// Cap on the connections that the process opens a second; clones share it.
+/// Rate limit on the connections that the process opens; clones share the state.
 ///
-/// Dials beyond the cap are spread out in the order of their arrival, so that a herd of lost
+/// Dials beyond the limit are spread out in the order of their arrival, so that a herd of lost
 /// connections does not come back at once.
 #[derive(Debug, Clone)]
 pub struct Dialer {
@@ -23,7 +23,7 @@
     /// First wait after a failed dial.
     const BACKOFF_BASE: time::Duration = time::Duration::from_millis(20);
 
-    /// A cap of `per_second` connections.
+    /// Creates a limit of `per_second` connections.
     #[must_use]
     pub fn new(per_second: u32) -> Self {
         Self {
@@ -32,7 +32,7 @@
         }
     }
 
-    /// Takes the next place; returns how long to wait before dialling.
+    /// Reserves the next dial; returns the time to wait before it.
     #[must_use]
     pub fn reserve(&self, now: time::Instant) -> time::Duration {
         let burst = self.spacing * Self::BURST;
--- a/components/upstream/src/failure.rs
+++ b/components/upstream/src/failure.rs
@@ -11,7 +11,7 @@
 }
 
 impl Failure {
-    /// What became of the request.
+    /// Outcome of the request.
     #[must_use]
     pub const fn outcome(&self) -> Outcome {
         self.cause.outcome()
--- a/components/upstream/src/feed.rs
+++ b/components/upstream/src/feed.rs
@@ -1,4 +1,4 @@
-//! One sending of a payload.
+//! Body of one attempt.
 
 use std::pin;
 use std::task;
@@ -14,13 +14,13 @@
     generation: u64,
     /// Data frames taken so far.
     place: usize,
-    /// The end, or the trailers before it, has been given.
+    /// Whether the end, or the trailers before it, has been returned.
     ended: bool,
 }
 
-/// Why a feed ended early.
+/// Reason why a feed ended early.
 ///
-/// It has no source, so that HTTP/2 resets the stream with `INTERNAL_ERROR`; a server may take a
+/// The error has no source, so that HTTP/2 resets the stream with `INTERNAL_ERROR`; a server may take a
 /// reset with `NO_ERROR` for the end of the body.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -42,7 +42,7 @@
         }
     }
 
-    /// A feed without bytes.
+    /// Creates a feed without bytes.
     #[must_use]
     pub fn empty() -> Self {
         Self::new(Payload::new(web::Body::empty(), 0), 0)
--- a/components/upstream/src/head.rs
+++ b/components/upstream/src/head.rs
@@ -31,7 +31,7 @@
         self.left.get().is_some()
     }
 
-    /// So many bytes have come.
+    /// Number of bytes received.
     ///
     /// # Errors
     /// [`io::ErrorKind::InvalidData`] when the head is longer than it may be.
--- a/components/upstream/src/line.rs
+++ b/components/upstream/src/line.rs
@@ -1,4 +1,4 @@
-//! One HTTP/1.1 connection, which carries one request at a time.
+//! HTTP/1.1 connection, which carries one request at a time.
 
 use std::cell;
 use std::io;
@@ -13,14 +13,14 @@
 use crate::head::Head;
 use crate::watched::Watched;
 
-/// One HTTP/1.1 connection, which carries one request at a time.
+/// HTTP/1.1 connection, which carries one request at a time.
 pub(crate) struct Line {
     sender: http1::SendRequest<Feed>,
-    /// Bounds the heads of answers.
+    /// Limit on the heads of responses.
     head: Head,
-    /// Time for which the server keeps it open without a request.
+    /// Time for which the server keeps the connection open without a request.
     pub(crate) keep: time::Duration,
-    /// When its last answer ended.
+    /// Time at which the last response ended.
     pub(crate) used: time::Instant,
 }
 
@@ -91,22 +91,22 @@
         answer
     }
 
-    /// Whether it is closed.
+    /// Whether the connection is closed.
     pub(crate) fn is_closed(&self) -> bool {
         self.sender.is_closed()
     }
 
-    /// Whether it can take a request now.
+    /// Whether the connection can take a request now.
     pub(crate) fn is_ready(&self, now: time::Instant) -> bool {
         self.sender.is_ready() && !self.is_stale(now)
     }
 
-    /// Whether it is closed, or was idle for so long that the server may close it.
+    /// Whether the connection is closed, or has been idle for so long that the server may close it.
     pub(crate) fn is_stale(&self, now: time::Instant) -> bool {
         self.is_closed() || now.saturating_duration_since(self.used) >= self.keep
     }
 
-    /// Takes the time that the server names for idle connections.
+    /// Applies the idle timeout that the server announces.
     fn read_keep(&mut self, headers: &http::HeaderMap) {
         let keep = headers.get("keep-alive").and_then(|value| {
             let text = value.to_str().ok()?;
--- a/components/upstream/src/lines.rs
+++ b/components/upstream/src/lines.rs
@@ -18,7 +18,7 @@
     address: units::Address,
     settings: rc::Rc<Settings>,
     dialer: Dialer,
-    /// Connections without a request, the one used last at the end.
+    /// Idle connections, the most recently used one last.
     idle: cell::RefCell<Vec<Line>>,
     /// Connections that are open or being opened.
     open: rc::Rc<cell::Cell<usize>>,
@@ -42,7 +42,7 @@
         }
     }
 
-    /// Closes the connection in place of giving it back.
+    /// Closes the connection instead of returning it to the pool.
     pub(crate) fn retire(mut self) {
         self.line = None;
         let retired = &self.shared.retired;
@@ -69,7 +69,7 @@
     /// Attempts to find a connection that takes the request before any byte of it is sent.
     const UNSENT_TRIES: usize = 3;
 
-    /// No connection yet to `address`.
+    /// Creates a pool for `address` without connections.
     #[must_use]
     pub fn new(address: units::Address, settings: rc::Rc<Settings>, dialer: Dialer) -> Self {
         let shared = Shared {
@@ -93,7 +93,7 @@
         self.shared.address
     }
 
-    /// Figures.
+    /// Counters.
     #[must_use]
     pub fn counts(&self) -> Counts {
         Counts {
@@ -127,7 +127,7 @@
     /// Sends one request; dropping the future closes its connection.
     ///
     /// # Errors
-    /// The failure says what became of the request.
+    /// The failure contains the outcome of the request.
     pub async fn send(&self, request: http::Request<Feed>) -> Result<Reply, Failure> {
         let mut request = request;
         for _ in 0..Self::UNSENT_TRIES {
@@ -185,7 +185,7 @@
         Some(line)
     }
 
-    /// The connection that was used last among those that can take a request.
+    /// Returns the most recently used connection that can take a request.
     fn take_idle(&self, now: time::Instant) -> Option<Line> {
         let mut idle = self.idle.borrow_mut();
         let place = idle.iter().rposition(|line| line.is_ready(now))?;
--- a/components/upstream/src/outcome.rs
+++ b/components/upstream/src/outcome.rs
@@ -1,11 +1,11 @@
-//! What became of a request.
+//! Outcome of a request.
 
 use std::fmt;
 use std::str;
 
 use serde::Serialize;
 
-/// What became of a request at the backend server.
+/// Outcome of a request at the backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
@@ -18,7 +18,7 @@
 }
 
 impl Outcome {
-    /// Its text in the header `radishgap-outcome`.
+    /// Text of the outcome in the header `radishgap-outcome`.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/components/upstream/src/payload.rs
+++ b/components/upstream/src/payload.rs
@@ -22,9 +22,9 @@
 /// Why a payload ended early.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fault {
-    /// It is longer than the route allows.
+    /// The payload is longer than the route allows.
     TooLong,
-    /// Its sender broke it off.
+    /// The sender truncated the payload.
     Broken(CompactString),
 }
 
@@ -46,7 +46,7 @@
     pub(crate) size: http_body::SizeHint,
 }
 
-/// One step of reading.
+/// Result of one read.
 pub(crate) enum Step {
     Data(Bytes),
     Trailers(http::HeaderMap),
--- a/components/upstream/src/pool.rs
+++ b/components/upstream/src/pool.rs
@@ -21,7 +21,7 @@
     settings: rc::Rc<Settings>,
     dialer: Dialer,
     connections: cell::RefCell<Vec<Connection>>,
-    /// Those who wait for the dial that is under way.
+    /// Requests that wait for the dial in progress.
     waiters: cell::RefCell<Vec<oneshot::Sender<()>>>,
     dialling: cell::Cell<bool>,
     failures: cell::Cell<u32>,
--- a/components/upstream/src/reply.rs
+++ b/components/upstream/src/reply.rs
@@ -22,7 +22,7 @@
 }
 
 enum Place {
-    /// One of the streams of an HTTP/2 connection.
+    /// Stream of an HTTP/2 connection.
     Stream(Stream),
     /// The whole of an HTTP/1.1 connection.
     Line(Busy),
--- a/components/upstream/src/server.rs
+++ b/components/upstream/src/server.rs
@@ -23,9 +23,9 @@
 /// Connections to one backend server; clones share them.
 #[derive(Clone)]
 pub enum Server {
-    /// It speaks HTTP/1.1.
+    /// The server speaks HTTP/1.1.
     Http1(Lines),
-    /// It speaks HTTP/2.
+    /// The server speaks HTTP/2.
     Http2(Pool),
 }
 
--- a/components/web/src/body.rs
+++ b/components/web/src/body.rs
@@ -10,7 +10,7 @@
 
 /// Why a body ended early.
 ///
-/// It has no source: hyper resets an HTTP/2 stream with the reason that it finds among the sources,
+/// The error has no source: hyper resets an HTTP/2 stream with the reason that it finds among the sources,
 /// and a reset with `NO_ERROR` or `CANCEL` may be taken for the end of the body.
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
@@ -20,7 +20,7 @@
     /// The stream was closed before its end.
     #[error("the body was cut short")]
     Cut,
-    /// It is longer than allowed.
+    /// The body is longer than allowed.
     #[error("the body is longer than {0} bytes")]
     TooLong(u64),
 }
--- a/components/web/src/connection.rs
+++ b/components/web/src/connection.rs
@@ -10,7 +10,7 @@
 
 use crate::{Executor, Timer};
 
-/// One HTTP/2 connection; clones share it.
+/// HTTP/2 connection; clones share it.
 pub struct Connection<B> {
     sender: http2::SendRequest<B>,
 }
--- a/components/web/src/pipeline/exchange.rs
+++ b/components/web/src/pipeline/exchange.rs
@@ -1,4 +1,4 @@
-//! One request of a pipeline and its answer.
+//! A pipelined request and its response.
 
 use std::cell;
 use std::convert;
@@ -20,7 +20,7 @@
     fn close(self: pin::Pin<&mut Self>);
 }
 
-/// One request of a pipeline and its answer.
+/// A pipelined request and its response.
 pub(crate) struct Exchange<D> {
     memory: Memory,
     /// `None` once the answer was written whole, or failed.
@@ -31,11 +31,11 @@
 /// How far an answer has got.
 #[derive(Default)]
 struct Progress {
-    /// Its body was written to its end, or dropped.
+    /// Whether the response body was completely written or dropped.
     body_ended: cell::Cell<bool>,
-    /// Its head says that the connection closes, or was asked to.
+    /// Whether the response head announces that the connection closes.
     closes: cell::Cell<bool>,
-    /// It failed before its end.
+    /// Whether the response failed before its end.
     failed: cell::Cell<bool>,
 }
 
--- a/components/web/src/pipeline/head.rs
+++ b/components/web/src/pipeline/head.rs
@@ -1,21 +1,21 @@
-//! Where a request ends.
+//! End of a request in a buffer.
 
-/// Where the first request in some bytes ends.
+/// End of the first request in a buffer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Head {
-    /// More bytes have to come.
+    /// The head is incomplete.
     Partial,
-    /// It is a GET or HEAD request without a body, of this many bytes.
+    /// A GET or HEAD request without a body, of this many bytes.
     Bodiless(usize),
-    /// It has a body, asks for another protocol, or is malformed: hyper deals with it.
+    /// A request with a body, an upgrade or a malformed request, which hyper handles.
     Other,
 }
 
 impl Head {
-    /// Most headers of a request that is taken apart here.
+    /// Maximum number of headers of a request that is handled here.
     const HEADERS: usize = 100;
 
-    /// Looks for the end of the first request in `bytes`.
+    /// Finds the end of the first request in `bytes`.
     pub(crate) fn find(bytes: &[u8]) -> Self {
         if bytes.is_empty() {
             return Self::Partial;
@@ -40,7 +40,7 @@
     matches!(request.method, None | Some("GET" | "HEAD"))
 }
 
-/// Whether a header leaves the request without a body and on this protocol.
+/// Whether a header implies neither a body nor an upgrade.
 fn is_plain(name: &str) -> bool {
     const OTHER: [&str; 4] = ["content-length", "transfer-encoding", "upgrade", "expect"];
     !OTHER.iter().any(|other| name.eq_ignore_ascii_case(other))
--- a/components/web/src/pipeline/memory.rs
+++ b/components/web/src/pipeline/memory.rs
@@ -1,4 +1,4 @@
-//! The stream of a server connection in memory.
+//! Stream of an in-memory server connection.
 
 use std::cell;
 use std::io;
@@ -8,7 +8,7 @@
 
 use hyper::rt;
 
-/// The stream of a server connection in memory, with one request to read; clones share it.
+/// Stream of an in-memory server connection, with one request to read; clones share the state.
 #[derive(Clone)]
 pub(crate) struct Memory {
     state: rc::Rc<cell::RefCell<State>>,
@@ -18,12 +18,12 @@
     request: Vec<u8>,
     taken: usize,
     answer: Vec<u8>,
-    /// Wakes the writer once the answer was taken.
+    /// Waker of the writer, for when the response has been taken.
     writer: Option<task::Waker>,
 }
 
 impl Memory {
-    /// Bytes of an answer that wait for earlier answers before its body is held back.
+    /// Maximum number of bytes of a response that are buffered behind earlier responses.
     const AHEAD: usize = 64 * 1024;
 
     pub(crate) fn new(request: Vec<u8>) -> Self {
@@ -38,7 +38,7 @@
         }
     }
 
-    /// Moves what was answered to `to`; whether there was something.
+    /// Moves the written bytes to `to`; returns whether there were any.
     pub(crate) fn take_answer(&self, to: &mut Vec<u8>) -> bool {
         let mut state = self.state.borrow_mut();
         if state.answer.is_empty() {
@@ -53,7 +53,7 @@
 }
 
 impl rt::Read for Memory {
-    /// After the request nothing comes, and the stream does not end: its end would cancel the
+    /// No bytes follow the request, and the stream does not end, as its end would cancel the
     /// request.
     fn poll_read(
         self: pin::Pin<&mut Self>,
--- a/components/web/src/pipeline/mod.rs
+++ b/components/web/src/pipeline/mod.rs
@@ -1,9 +1,9 @@
 //! Requests that a client sends before the earlier ones on its connection are answered.
 //!
-//! Such requests are worked on side by side; the answers go out in the order of the requests, as
-//! RFC 9112, section 9.3.2, asks. hyper's server takes one request at a time, so that each request
-//! gets a server connection in memory here, which parses and answers it. Only requests without a
-//! body are taken apart this way; the first one of another sort hands the connection over to hyper.
+//! Pipelined requests are handled concurrently; their responses are sent in the order of the requests,
+//! as RFC 9112, section 9.3.2, requires. hyper's server handles one request at a time, so each request
+//! gets an in-memory server connection, which parses and answers it. Only requests without a body are
+//! handled this way; the first other request hands the connection over to hyper.
 
 pub(crate) mod exchange;
 mod head;
@@ -28,39 +28,39 @@
 
 type Stream = HyperStream<net::TcpStream>;
 
-/// How the work on a connection went on.
+/// Result of handling a connection.
 pub(crate) enum Ended {
     /// The connection is closed.
     Closed,
-    /// The rest of it is for hyper: the stream, with the bytes that were read already.
+    /// The connection is handed over to hyper: the stream, with the bytes already read.
     Rest(Rewound<Stream>),
 }
 
-/// Bytes that are read at a time.
+/// Maximum number of bytes of one read.
 const CHUNK_BYTES: usize = 8 * 1024;
 
-/// A connection whose requests are worked on side by side, each by what `start` makes of its head.
+/// A connection whose requests are handled concurrently, each by the future that `start` returns for its head.
 pub(crate) struct Pipeline<F, D> {
     stream: Stream,
     start: F,
     limits: Limits,
-    /// Bytes that were read and belong to no exchange yet.
+    /// Bytes read that belong to no exchange yet.
     read: Vec<u8>,
-    /// Requests that are not answered whole, oldest first.
+    /// Requests without a complete response, oldest first.
     exchanges: VecDeque<Exchange<D>>,
-    /// Bytes of answers that are not written yet.
+    /// Bytes of responses not written yet.
     unwritten: Vec<u8>,
-    /// No further request is taken; the connection closes after the answers.
+    /// Whether no further request is accepted; the connection closes after the pending responses.
     closing: bool,
-    /// The next request is not for this stage.
+    /// Whether the next request has to be handled by hyper.
     rest: bool,
 }
 
 impl<F: Fn(Vec<u8>) -> Exchange<D>, D: Driven> Pipeline<F, D> {
-    /// Most bytes that are read ahead.
+    /// Maximum number of bytes read ahead.
     const READ_AHEAD: usize = 64 * 1024;
-    /// Longest wait for a client to close a connection after its last answer; closing it with
-    /// unread bytes would reset it, and the client could lose that answer.
+    /// Maximum wait for a client to close a connection after its last response; closing a connection
+    /// with unread bytes would reset it, and the client could lose that response.
     const CLOSE_WAIT: time::Duration = time::Duration::from_millis(300);
     /// Wait for a first request when the server stops before one has come.
     const FIRST_WAIT: time::Duration = time::Duration::from_millis(200);
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Works on requests until the connection closes or has to be handed over.
+    /// Handles requests until the connection closes or has to be handed over.
     pub(crate) async fn run(mut self, stop: &kernel::Stop) -> Ended {
         let ended = self.serve(stop).await;
         match ended {
@@ -94,7 +94,7 @@
         }
     }
 
-    /// Works until nothing is left to do here.
+    /// Runs until the connection closes or has to be handed over.
     async fn serve(&mut self, stop: &kernel::Stop) -> io::Result<()> {
         let mut stopped = pin::pin!(stop.requested());
         let mut taken = false;
@@ -131,7 +131,7 @@
         }
     }
 
-    /// Takes no further request; the last answer says that the connection closes.
+    /// Accepts no further request; the last response announces that the connection closes.
     fn stop(&mut self) {
         self.closing = true;
         if let Some(last) = self.exchanges.back_mut() {
@@ -139,7 +139,7 @@
         }
     }
 
-    /// Reads, works and writes until something has moved; whether a request was taken.
+    /// Reads, handles and writes until there is progress; returns whether a request was accepted.
     fn poll_step(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Result<bool>> {
         let mut moved = self.poll_read(context)?.is_ready();
         let taken = self.take_requests();
@@ -164,14 +164,14 @@
             buffer.unfilled()
         ))?;
         if buffer.filled().is_empty() {
-            // The client has gone, and does not want the answers that are missing.
+            // The client has closed the connection and waits for no further response.
             return task::Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
         self.read.extend_from_slice(buffer.filled());
         task::Poll::Ready(Ok(()))
     }
 
-    /// Starts the work on each whole request that was read; whether there was one.
+    /// Starts handling each complete request that was read; returns whether there was one.
     fn take_requests(&mut self) -> bool {
         let mut taken = false;
         while !self.rest && !self.closing && self.exchanges.len() < self.limits.pipelined {
@@ -189,7 +189,7 @@
         taken
     }
 
-    /// Works on all requests and takes what is answered of the oldest ones.
+    /// Polls all requests and collects the responses of the oldest ones.
     fn poll_exchanges(&mut self, context: &mut task::Context<'_>) -> io::Result<bool> {
         let mut moved = false;
         for exchange in &mut self.exchanges {
@@ -204,7 +204,7 @@
             let closes = first.says_close();
             self.exchanges.pop_front();
             if closes || !whole {
-                // What was sent behind an answer that closes the connection counts as not read.
+                // Requests sent behind a response that closes the connection count as not read.
                 self.exchanges.clear();
                 self.closing = true;
             }
@@ -229,7 +229,7 @@
         task::Poll::Ready(Ok(()))
     }
 
-    /// Closes the connection once the client has what was written.
+    /// Closes the connection once the client has received the written bytes.
     async fn close(&mut self) {
         let shutting = future::poll_fn(|context| {
             let stream = pin::Pin::new(&mut self.stream);
@@ -242,7 +242,7 @@
         let _ = compio::time::timeout(Self::CLOSE_WAIT, ending).await;
     }
 
-    /// Reads and drops what still comes, until the client closes its side.
+    /// Reads and discards bytes until the client closes its side.
     fn poll_end(&mut self, context: &mut task::Context<'_>) -> task::Poll<()> {
         let mut chunk = [0; CHUNK_BYTES];
         loop {
@@ -256,10 +256,10 @@
     }
 }
 
-/// What has happened on a connection.
+/// Progress on a connection.
 enum Step {
-    /// Bytes have moved, or the connection failed; whether a request was taken.
+    /// Bytes were transferred, or the connection failed; the flag tells whether a request was accepted.
     Moved(io::Result<bool>),
-    /// The server stops.
+    /// The server is stopping.
     Stop,
 }
--- a/components/web/src/pipeline/rewound.rs
+++ b/components/web/src/pipeline/rewound.rs
@@ -1,4 +1,4 @@
-//! Stream with bytes that were read from it already.
+//! Stream that first returns bytes already read from it.
 
 use std::io;
 use std::pin;
@@ -6,7 +6,7 @@
 
 use hyper::rt;
 
-/// Stream with bytes that were read from it already.
+/// Stream that first returns bytes already read from it.
 pub(crate) struct Rewound<S> {
     read: Vec<u8>,
     taken: usize,
@@ -14,7 +14,7 @@
 }
 
 impl<S> Rewound<S> {
-    /// `read` comes before what `stream` has.
+    /// Creates a stream that returns `read` before the bytes of `stream`.
     pub(crate) fn new(read: Vec<u8>, stream: S) -> Self {
         let taken = 0;
         Self {
--- a/components/web/src/timer.rs
+++ b/components/web/src/timer.rs
@@ -9,13 +9,13 @@
 
 /// Times hyper's connections by compio's clock.
 ///
-/// hyper asks a pause that is over again, for which compio's futures are not made.
+/// hyper polls a sleep again after it has completed, which compio's futures do not allow.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Timer;
 
-/// A pause that stays over once it is.
+/// A sleep that stays ready once it has completed.
 struct Pause {
-    /// `None` once it is over.
+    /// `None` once completed.
     sleep: Option<pin::Pin<Box<dyn rt::Sleep>>>,
 }
 
