--- a/node/tests/resent.rs
+++ b/node/tests/resent.rs
@@ -20,7 +20,7 @@
 /// Requests of one play, without the repeated ones.
 const REQUESTS: u32 = 10_000;
 
-/// One attempt of a request.
+/// Attempt of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Attempt {
     /// Time of the caller's first attempt.
@@ -30,7 +30,7 @@
     number: u32,
 }
 
-/// What happens next.
+/// Event of the simulation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival(Attempt),
