--- a/components/relay/src/feed_writer.rs
+++ b/components/relay/src/feed_writer.rs
@@ -6,6 +6,7 @@
 use platform::{Error, Follow, Object, Store};
 
 use crate::shared::{SERVICE, Shared};
+use crate::source::Source;
 
 /// Merges the objects that a watch of this node reads into a feed, and passes them on.
 pub(crate) struct FeedWriter<S, L> {
@@ -45,6 +46,7 @@
         let head = feed.borrow().head();
         feed.borrow_mut().merge(objects);
         if feed.borrow().head() != head {
+            self.log_change(&feed.borrow(), head, Source::Store);
             self.spread_changes(&before);
         }
     }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod role;
 mod settings;
 mod shared;
+mod source;
 mod spread;
 mod topic;
 mod tree;
--- a/components/relay/src/pull.rs
+++ b/components/relay/src/pull.rs
@@ -93,8 +93,13 @@
             heads: heads.collect(),
         };
         self.count(|counts| counts.pulled += 1);
-        let changed = self.call(to, wire::request::Kind::Pull(pull)).await;
-        let changed = changed.unwrap_or_default();
+        let started = time::Instant::now();
+        let pulled = self.call(to, wire::request::Kind::Pull(pull)).await;
+        let error = pulled.as_ref().err().map(ToString::to_string);
+        log::info!(event = "pull-ended", to:% = to, full = full, took_ms = units::millis(started.elapsed()),
+            changed = pulled.as_ref().is_ok_and(|changed| *changed), error = error.as_deref();
+            "another node was asked for changes");
+        let changed = pulled.unwrap_or_default();
         if changed {
             self.spread_changes(&before);
         }
--- a/components/relay/src/replica.rs
+++ b/components/relay/src/replica.rs
@@ -40,7 +40,11 @@
             return Ok(());
         }
         self.shared.count(|counts| counts.reads += 1);
-        let listing = self.shared.parts.store.list(prefix).await?;
+        let started = time::Instant::now();
+        let listing = self.shared.parts.store.list(prefix).await;
+        log::info!(event = "store-read", prefix = prefix, took_ms = units::millis(started.elapsed()),
+            answered = listing.is_ok(); "the store was read for a change that another node has");
+        let listing = listing?;
         self.shared.merge_read(prefix, listing.objects);
         Ok(())
     }
--- a/components/relay/src/role.rs
+++ b/components/relay/src/role.rs
@@ -37,9 +37,12 @@
         if stop.guard(self.wait_for_members()).await.is_none() {
             return;
         }
+        let mut checked = time::Instant::now();
         while stop.sleep(Self::CHECK_INTERVAL).await {
             let watching = self.is_watching();
             let now = time::Instant::now();
+            log_delay(now.saturating_duration_since(checked + Self::CHECK_INTERVAL));
+            checked = now;
             let freshness = self.freshness.get();
             let (place, watchers) = (self.place(), self.parts.settings.watchers);
             let should_watch =
@@ -110,3 +113,13 @@
         *self.watches.borrow_mut() = watches.collect();
     }
 }
+
+/// Delay of a timer beyond which a line is logged.
+const LOGGED_DELAY: time::Duration = time::Duration::from_millis(200);
+
+/// Logs that the tasks of this node had to wait for the processor.
+fn log_delay(delay: time::Duration) {
+    if delay > LOGGED_DELAY {
+        log::info!(event = "loop-delayed", delay_ms = units::millis(delay); "a timer of the node fired late");
+    }
+}
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -10,6 +10,7 @@
 use schema::relay as wire;
 
 use crate::relay::Parts;
+use crate::source::Source;
 use crate::{Counts, Dump, Feed, Freshness, Head, Intervals, Outcome, Place, Topic, encoding};
 
 /// Name of the service, also in requests between nodes.
@@ -203,12 +204,12 @@
             return Err(peer::Error::Invalid);
         };
         self.record_message(instant_ago(reply.age_ms));
-        let result = self.apply_parts(&reply.parts);
+        let result = self.apply_parts(&reply.parts, Source::Reply(to));
         Ok(result.changed)
     }
 
     /// Applies the parts of a message to the feeds.
-    pub(crate) fn apply_parts(&self, parts: &[wire::Part]) -> PartsOutcome {
+    pub(crate) fn apply_parts(&self, parts: &[wire::Part], source: Source<'_>) -> PartsOutcome {
         let mut result = PartsOutcome::default();
         for part in parts {
             let Some(index) = self.feed_index(&part.prefix) else {
@@ -221,7 +222,13 @@
             let mut feed = self.feeds[index].borrow_mut();
             let before = feed.head();
             let head = Revision(part.head);
-            match feed.apply(encoding::after(part), head, &changes) {
+            let outcome = feed.apply(encoding::after(part), head, &changes);
+            if outcome != Outcome::Applied {
+                log::info!(event = "part-not-applied", prefix = part.prefix.as_str(), from:% = source,
+                    reason:? = outcome, held:? = before, after = part.after, head = part.head;
+                    "changes of another node could not be applied");
+            }
+            match outcome {
                 Outcome::Applied => {}
                 Outcome::Gap => result.gap = true,
                 Outcome::MissingBase => {
@@ -230,6 +237,7 @@
                 }
             }
             if feed.head() != before {
+                self.log_change(&feed, before, source);
                 result.changed = true;
                 self.nudge_watch(index);
             }
@@ -237,6 +245,13 @@
         result
     }
 
+    /// Logs that `feed` has taken changes after `before`.
+    pub(crate) fn log_change(&self, feed: &Feed, before: Option<Revision>, source: Source<'_>) {
+        log::info!(event = "feed-changed", prefix = feed.prefix(), from:% = source, before:? = before,
+            head:? = feed.head(), age_ms = units::millis(self.age());
+            "the objects below a prefix have changed");
+    }
+
     /// Makes the watch of a feed read again after another node knew of a change first, as the watch may
     /// have stopped delivering events.
     fn nudge_watch(&self, index: usize) {
--- a/components/relay/src/spread.rs
+++ b/components/relay/src/spread.rs
@@ -8,6 +8,7 @@
 use schema::relay as wire;
 
 use crate::shared::{Shared, instant_ago};
+use crate::source::Source;
 use crate::{encoding, tree};
 
 /// Content of the push messages to several nodes.
@@ -140,7 +141,7 @@
         self.record_message(complete_at);
         self.record_watcher(push.place, complete_at);
         let before = self.heads();
-        let result = self.apply_parts(&push.parts);
+        let result = self.apply_parts(&push.parts, Source::Push(from));
         if result.gap {
             self.start_pull_from(from);
         }
