relay: only an answer of the store to a named node is evidence that a state is complete

Cause: a node took the absence of a failure for evidence. A silent watch counted as complete until its timeout (wait and 2 s); a message counted as evidence where its changes could not be applied; a substitute heard its own report from the watchers it stood in for, ended, and started over 1.5 s later. Change: an answer of the store makes evidence with its time and the place of the node that got it. It travels with pushes and replies, and counts at a receiver only if everything was applied. Watches of the configuration are short and end in turn, one in each quarter of configApplyS for the whole fleet. Nobody hears any for half of it: the number of nodes that ask the store doubles with each twentieth, all of them in the end, one call each. Why it works: a node in touch reaches the store itself, so that its bound no longer depends on who else does.

--- a/components/platform/src/follower.rs
+++ b/components/platform/src/follower.rs
@@ -22,6 +22,14 @@
     /// Everything below the prefix has been read.
     fn listed(&self) {}
 
+    /// The store has answered: what is taken next makes the objects complete up to `at`.
+    fn answered(&self, _at: time::Instant) {}
+
+    /// Longest wait of the next watch, if it differs from that of the pace.
+    fn next_wait(&self) -> Option<time::Duration> {
+        None
+    }
+
     /// A call has failed.
     fn failed(&self, _error: &Error) {}
 }
@@ -48,6 +56,8 @@
     store: S,
     pace: Pace,
     asked: kernel::Inbox<()>,
+    /// Revision up to which the objects have been read, for the first call.
+    from: Option<Revision>,
     /// Since when the objects cannot be watched.
     lost: Option<time::Instant>,
 }
@@ -65,11 +75,23 @@
             store,
             pace,
             asked,
+            from: None,
             lost: None,
         };
         (follower, Nudge::new(mailbox))
     }
 
+    /// Follows for `reader`, which has read the objects up to `from`, until the stop.
+    pub async fn run_from(
+        mut self,
+        reader: impl Follow,
+        from: Option<Revision>,
+        stop: kernel::Stop,
+    ) {
+        self.from = from.filter(|from| from.0 > 0);
+        self.run(reader, stop).await;
+    }
+
     /// Follows for `reader` until the stop.
     pub async fn run(mut self, reader: impl Follow, stop: kernel::Stop) {
         let (least, most) = (self.pace.retry_least, self.pace.retry_most);
@@ -92,26 +114,52 @@
 
     /// Reads the objects, then watches them until a call fails or it is asked to read again.
     async fn follow<F: Follow>(&mut self, reader: &F, backoff: &mut Backoff) -> Result<(), Error> {
-        let listing = self.store.list(reader.prefix()).await?;
-        reader.take(listing.objects);
+        let mut from = match self.from.take() {
+            Some(from) => self.catch_up(reader, from).await?,
+            None => self.list(reader).await?,
+        };
         reader.listed();
         backoff.reset();
         self.forget_asked();
         self.regain(F::NAME);
-        let mut from = listing.revision;
         while let Some(next) = self.watch(reader, from).await? {
             from = next;
         }
         Ok(())
     }
 
+    async fn list<F: Follow>(&self, reader: &F) -> Result<Revision, Error> {
+        let asked_at = time::Instant::now();
+        let listing = self.store.list(reader.prefix()).await?;
+        reader.answered(asked_at);
+        reader.take(listing.objects);
+        Ok(listing.revision)
+    }
+
+    /// Reads the changes after `from`, or everything if that history is gone.
+    async fn catch_up<F: Follow>(&self, reader: &F, from: Revision) -> Result<Revision, Error> {
+        let asked_at = time::Instant::now();
+        let watched = self
+            .store
+            .watch(reader.prefix(), from, time::Duration::ZERO);
+        let events = match watched.await {
+            Err(Error::Gone) => return self.list(reader).await,
+            events => events?,
+        };
+        reader.answered(asked_at);
+        let revision = events.revision.max(from);
+        take_puts(reader, events.events);
+        Ok(revision)
+    }
+
     /// Waits for changes after `from`; `None` when it was asked to read again.
     async fn watch<F: Follow>(
         &mut self,
         reader: &F,
         from: Revision,
     ) -> Result<Option<Revision>, Error> {
-        let watched = self.store.watch(reader.prefix(), from, self.pace.wait);
+        let wait = reader.next_wait().unwrap_or(self.pace.wait);
+        let watched = self.store.watch(reader.prefix(), from, wait);
         let asked = async {
             if self.asked.receive().await.is_none() {
                 // Nobody is left who could ask.
@@ -126,13 +174,8 @@
                 return Ok(None);
             }
         };
-        let puts = events.events.into_iter().filter_map(|event| match event {
-            Event::Put(object) => Some(object),
-            Event::Removed(..) => None,
-        });
-        let puts: Vec<_> = puts.collect();
-        if !puts.is_empty() {
-            reader.take(puts);
+        reader.answered(time::Instant::now());
+        if take_puts(reader, events.events) {
             compio::time::sleep(self.pace.pause).await;
             // What was heard of before is there; a change that is not is heard of again.
             self.forget_asked();
@@ -160,3 +203,17 @@
         }
     }
 }
+
+/// Hands the changed objects to `reader`; returns whether there are any.
+fn take_puts<F: Follow>(reader: &F, events: Vec<Event>) -> bool {
+    let puts = events.into_iter().filter_map(|event| match event {
+        Event::Put(object) => Some(object),
+        Event::Removed(..) => None,
+    });
+    let puts: Vec<_> = puts.collect();
+    let has_puts = !puts.is_empty();
+    if has_puts {
+        reader.take(puts);
+    }
+    has_puts
+}
--- a/components/relay/src/dump.rs
+++ b/components/relay/src/dump.rs
@@ -15,6 +15,8 @@
         pub place: Place,
         /// Milliseconds since the state was last known to be complete.
         pub age_ms: u64,
+        /// Position of the node whose answer from the store shows that; `None` while there is no evidence.
+        pub evidence: Option<Place>,
         /// Newest known revision of each prefix.
         pub heads: Vec<Head>,
         /// Counters since the start.
--- a/components/relay/src/feed_writer.rs
+++ b/components/relay/src/feed_writer.rs
@@ -2,41 +2,70 @@
 
 use std::cell;
 use std::rc;
+use std::time;
 
 use platform::{Error, Follow, Object, Store};
 
-use crate::shared::{SERVICE, Shared};
+use crate::Topic;
+use crate::schedule;
+use crate::shared::{Answered, SERVICE, Shared};
 use crate::source::Source;
 
 /// Merges the objects that a watch of this node reads into a feed, and passes them on.
 pub(crate) struct FeedWriter<S, L> {
     pub(crate) shared: rc::Rc<Shared<S, L>>,
-    pub(crate) prefix: &'static str,
-    /// Whether the store has answered and no call has failed since.
-    pub(crate) healthy: rc::Rc<cell::Cell<bool>>,
+    pub(crate) topic: Topic,
+    /// Latest answer of the store.
+    pub(crate) answered: rc::Rc<cell::Cell<Answered>>,
 }
 
 impl<S: Store, L: peer::Link> Follow for FeedWriter<S, L> {
     const NAME: &'static str = SERVICE;
 
     fn prefix(&self) -> &str {
-        self.prefix
+        self.topic.prefix
     }
 
     fn take(&self, objects: Vec<Object>) {
-        self.shared.merge_read(self.prefix, objects);
+        self.shared.merge_read(self.topic.prefix, objects);
     }
 
-    fn listed(&self) {
-        self.healthy.set(true);
+    fn answered(&self, at: time::Instant) {
+        self.answered.set(Answered::At(at));
+        self.shared.record_answer();
     }
 
-    fn failed(&self, _error: &Error) {
-        self.healthy.set(false);
+    fn next_wait(&self) -> Option<time::Duration> {
+        match self.topic.wait {
+            Some(_) => None,
+            None => Some(self.shared.scheduled_wait()),
+        }
+    }
+
+    fn failed(&self, error: &Error) {
+        // History that is gone is listed anew.
+        if *error != Error::Gone {
+            self.answered.set(Answered::Failed);
+            self.shared.end_failed_substitute();
+        }
     }
 }
 
 impl<S: Store, L: peer::Link> Shared<S, L> {
+    /// Wait with which the next watch of this node ends in its turn.
+    fn scheduled_wait(&self) -> time::Duration {
+        let freshness = self.freshness.borrow();
+        let watchers = self.parts.settings.watchers;
+        let now = time::Instant::now();
+        schedule::next_wait(
+            self.place(),
+            freshness.evidence(),
+            watchers,
+            now,
+            &self.intervals,
+        )
+    }
+
     /// Merges objects read below `prefix`; every change up to the newest of them must be included.
     pub(crate) fn merge_read(self: &rc::Rc<Self>, prefix: &str, objects: Vec<Object>) {
         let before = self.heads();
--- /dev/null
+++ b/components/relay/src/intervals.rs
@@ -0,0 +1,42 @@
+//! Intervals and timeouts of the relay.
+
+use std::time;
+
+units::record! { eq:
+    /// Intervals and timeouts of the relay.
+    #[derive(Copy)]
+    pub struct Intervals {
+        /// Time between two answers of the store to the watchers together, each of which is evidence that
+        /// the fleet has missed no change.
+        pub evidence: time::Duration,
+        /// Longest time between two heartbeats of a watcher that has no evidence to report.
+        pub heartbeat: time::Duration,
+        /// Age beyond which a state counts as stale.
+        pub stale_after: time::Duration,
+        /// Timeout of a request to another node.
+        pub answer_timeout: time::Duration,
+        /// Time after which twice as many nodes have asked the store themselves, once the state is stale.
+        pub takeover_step: time::Duration,
+        /// Time between two attempts of a node to read the store itself.
+        pub retry: time::Duration,
+    }
+}
+
+impl Intervals {
+    /// Derives intervals with which a change reaches all nodes within `apply`, even if the store stops
+    /// answering the watchers just before it.
+    ///
+    /// That is noticed after half of `apply`. Each `takeover_step` doubles the number of nodes that ask
+    /// the store, so that all have asked after a quarter of `apply` more, and the last quarter is left for reading.
+    #[must_use]
+    pub fn new(apply: time::Duration) -> Self {
+        Self {
+            evidence: apply / 4,
+            heartbeat: apply / 4,
+            stale_after: apply / 2,
+            answer_timeout: apply / 8,
+            takeover_step: apply / 20,
+            retry: apply,
+        }
+    }
+}
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -6,18 +6,23 @@
 //! them has a current state. A wrong view of the members thus causes additional calls to the store,
 //! but never an outdated state.
 
+mod candidate;
 mod counts;
 mod delta;
 mod dump;
 mod encoding;
 mod entry;
+mod evidence;
 mod feed;
 mod feed_writer;
 mod freshness;
+mod intervals;
+mod place;
 mod pull;
 mod relay;
 mod replica;
 mod role;
+mod schedule;
 mod settings;
 mod shared;
 mod source;
@@ -25,13 +30,18 @@
 mod topic;
 mod tree;
 
+pub use candidate::Candidate;
 pub use counts::Counts;
 pub use delta::Delta;
 pub use dump::{Dump, Head};
+pub use evidence::Evidence;
 pub use feed::{Change, Feed, Outcome};
-pub use freshness::{Freshness, Intervals, Place};
+pub use freshness::Freshness;
+pub use intervals::Intervals;
+pub use place::Place;
 pub use relay::{Parts, Relay};
 pub use replica::Replica;
+pub use schedule::next_wait;
 pub use settings::Settings;
 pub use topic::Topic;
 pub use tree::split;
--- a/components/relay/src/pull.rs
+++ b/components/relay/src/pull.rs
@@ -8,8 +8,8 @@
 use rand::seq::IndexedRandom;
 use schema::relay as wire;
 
-use crate::encoding;
 use crate::shared::Shared;
+use crate::{Evidence, encoding};
 
 impl<S: Store, L: peer::Link> Shared<S, L> {
     /// First interval between two pulls of a starting node.
@@ -26,7 +26,7 @@
             }
             wait = self.intervals.answer_timeout;
             let now = time::Instant::now();
-            if !self.is_watch_healthy() && self.freshness.get().is_stale(now, &self.intervals) {
+            if self.freshness.borrow().is_stale(now, &self.intervals) {
                 stop.guard(self.pull_from_any()).await;
             }
         }
@@ -117,9 +117,11 @@
             Some(wire::request::Kind::Push(push)) => push.parts.iter().map(head).collect(),
             None => return incoming.answer.invalid(),
         };
+        let evidence = self.evidence();
         let reply = wire::Reply {
             parts: self.parts_after(&heads),
-            age_ms: units::millis(self.age()),
+            age_ms: evidence.map_or(Evidence::UNKNOWN_AGE_MS, Evidence::age_ms),
+            place: evidence.map_or(0, |evidence| evidence.place.to_wire()),
         };
         incoming.answer.send(reply.encode_to_vec());
         if let Some(wire::request::Kind::Push(push)) = request.kind {
--- a/components/relay/src/settings.rs
+++ b/components/relay/src/settings.rs
@@ -20,6 +20,8 @@
         pub retry_most: units::Period,
         /// Number of nodes to which one node forwards a message.
         pub fanout: usize,
+        /// Calls to the store a second that all nodes together make when they find the watchers silent.
+        pub reads: units::Rate,
     }
 }
 
@@ -31,6 +33,7 @@
             retry_least: units::Period::from_millis(100),
             retry_most: units::Period::from_millis(800),
             fanout: 4,
+            reads: units::Rate(1_000.0),
         }
     }
 }
@@ -49,6 +52,9 @@
                 findings.add(format!("{place}/{name}"), "zero", "at least 1");
             }
         }
+        if self.reads.0 <= 0.0 {
+            findings.add(format!("{place}/reads"), "no calls", "a rate above zero");
+        }
         if self.apply.as_millis() == 0 {
             findings.add(format!("{place}/apply"), "no time", "a time above zero");
         }
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -11,7 +11,10 @@
 
 use crate::relay::Parts;
 use crate::source::Source;
-use crate::{Counts, Dump, Feed, Freshness, Head, Intervals, Outcome, Place, Topic, encoding};
+use crate::{
+    Candidate, Counts, Dump, Evidence, Feed, Freshness, Head, Intervals, Outcome, Place, Topic,
+    encoding,
+};
 
 /// Name of the service, also in requests between nodes.
 pub(crate) const SERVICE: &str = "relay";
@@ -23,7 +26,7 @@
     pub(crate) topics: Vec<Topic>,
     /// One feed for each topic, in the same order.
     pub(crate) feeds: Vec<cell::RefCell<Feed>>,
-    pub(crate) freshness: cell::Cell<Freshness>,
+    pub(crate) freshness: cell::RefCell<Freshness>,
     /// Watches of this node, one for each feed; empty while it does not watch the store.
     pub(crate) watches: cell::RefCell<Vec<Watch>>,
     /// Time of the latest message that this node distributed in its data centre.
@@ -40,12 +43,24 @@
 pub(crate) struct Watch {
     /// Triggers another read.
     pub(crate) nudge: platform::Nudge,
-    /// Whether the store has answered and no call has failed since.
-    pub(crate) healthy: rc::Rc<cell::Cell<bool>>,
+    /// Latest answer of the store.
+    pub(crate) answered: rc::Rc<cell::Cell<Answered>>,
     /// Stops the watch when dropped.
     pub(crate) _trigger: kernel::Trigger,
 }
 
+/// Latest answer of the store to a watch.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum Answered {
+    /// None so far.
+    #[default]
+    Never,
+    /// The feed contains all changes up to this time.
+    At(time::Instant),
+    /// A call has failed since.
+    Failed,
+}
+
 /// Ranks of the members, cached for one generation of the view.
 #[derive(Default)]
 struct RankCache {
@@ -59,7 +74,7 @@
         Self {
             intervals: parts.settings.intervals(),
             feeds: feeds.map(cell::RefCell::new).collect(),
-            freshness: cell::Cell::new(Freshness::new(time::Instant::now())),
+            freshness: cell::RefCell::new(Freshness::new(time::Instant::now())),
             watches: cell::RefCell::default(),
             spread_at: cell::Cell::default(),
             pulling: cell::Cell::default(),
@@ -87,6 +102,7 @@
             watching: self.is_watching(),
             place: self.place(),
             age_ms: units::millis(self.age()),
+            evidence: self.evidence().map(|evidence| evidence.place),
             heads: heads.collect(),
             counts: self.counts(),
         }
@@ -115,9 +131,11 @@
         let ranks = self.ranks();
         let centres = ranks.centres().count();
         let own = &self.parts.data_centre;
-        let centre = ranks.centres().position(|name| name == own)?;
-        let rank = self.rank()?;
-        Some(rank * centres + centre)
+        let centre = ranks.centres().position(|name| name == own);
+        match centre.zip(self.rank()) {
+            Some((centre, rank)) => Place::ranked(rank * centres + centre),
+            None => Place::unranked(&self.parts.node),
+        }
     }
 
     /// Rank of this node in its data centre.
@@ -127,9 +145,30 @@
         first.position(|member| member.node == self.parts.node)
     }
 
+    /// This node as a candidate for watching the store.
+    pub(crate) fn candidate(&self) -> Candidate {
+        let place = self.place();
+        let settings = &self.parts.settings;
+        let ranked = self.ranks().centres().count() * Ranks::MEMBERS_PER_CENTRE;
+        let position = place.position();
+        let spread = position.map_or(self.spread_of_nodes(), |_| time::Duration::ZERO);
+        Candidate {
+            place,
+            behind: position.unwrap_or(ranked).checked_sub(settings.watchers),
+            spread: spread.mul_f64(place.fraction()),
+            watching: self.is_watching(),
+        }
+    }
+
+    /// Time that all nodes together need for one call each, at the rate that the settings allow.
+    pub(crate) fn spread_of_nodes(&self) -> time::Duration {
+        let nodes = self.parts.members.get().members().len();
+        time::Duration::from_secs_f64(nodes as f64 / self.parts.settings.reads.0)
+    }
+
     /// Whether this node distributes the changes that it receives in its data centre.
     pub(crate) fn is_distributor(&self) -> bool {
-        self.is_watching() || self.rank() == Some(0)
+        self.is_reading() || self.rank() == Some(0)
     }
 
     /// Running members except this node.
@@ -141,16 +180,54 @@
         others.cloned().collect()
     }
 
-    pub(crate) fn record_message(&self, complete_at: Option<time::Instant>) {
-        let mut freshness = self.freshness.get();
-        freshness.record_message(complete_at, time::Instant::now());
-        self.freshness.set(freshness);
+    pub(crate) fn record_message(&self) {
+        let mut freshness = self.freshness.borrow_mut();
+        freshness.record_message(time::Instant::now());
+    }
+
+    /// Records that the state of this node contains all changes up to the time of `evidence`.
+    pub(crate) fn record_evidence(&self, evidence: Option<Evidence>) {
+        if let Some(evidence) = evidence {
+            self.freshness.borrow_mut().record(evidence);
+        }
+    }
+
+    /// The newest evidence that the state of this node is complete.
+    pub(crate) fn evidence(&self) -> Option<Evidence> {
+        self.freshness.borrow().newest()
     }
 
-    /// Whether this node watches the store and all its watches are healthy.
-    pub(crate) fn is_watch_healthy(&self) -> bool {
-        let watches = self.watches.borrow();
-        !watches.is_empty() && watches.iter().all(|watch| watch.healthy.get())
+    /// Records and reports an answer of the store to a watch of this node, once all its watches have one.
+    pub(crate) fn record_answer(self: &rc::Rc<Self>) {
+        let Some(at) = self.answered_at() else {
+            return;
+        };
+        let place = self.place();
+        self.record_evidence(Some(Evidence { at, place }));
+        let (shared, recorded_at) = (self.clone(), time::Instant::now());
+        // Runs after the objects in the answer have been taken.
+        compio::runtime::spawn(async move { shared.report_evidence(recorded_at) }).detach();
+    }
+
+    /// Latest time at which the answers of the store made all feeds complete; `None` if a watch has failed.
+    ///
+    /// Only the watches with a schedule tell the time; the others are read again if they fail.
+    fn answered_at(&self) -> Option<time::Instant> {
+        let mut oldest = None;
+        for (watch, topic) in self.watches.borrow().iter().zip(&self.topics) {
+            let Answered::At(at) = watch.answered.get() else {
+                return None;
+            };
+            if topic.wait.is_none() {
+                oldest = Some(oldest.map_or(at, |oldest: time::Instant| oldest.min(at)));
+            }
+        }
+        oldest
+    }
+
+    /// Whether this node watches the store, and the store answers.
+    pub(crate) fn is_reading(&self) -> bool {
+        self.answered_at().is_some()
     }
 
     pub(crate) fn is_watching(&self) -> bool {
@@ -159,10 +236,7 @@
 
     /// Time since the state of this node was last known to be complete.
     pub(crate) fn age(&self) -> time::Duration {
-        if self.is_watch_healthy() {
-            return time::Duration::ZERO;
-        }
-        self.freshness.get().age(time::Instant::now())
+        self.freshness.borrow().age(time::Instant::now())
     }
 
     /// Heads of the feeds.
@@ -195,6 +269,7 @@
     ) -> Result<bool, peer::Error> {
         let request = wire::Request { kind: Some(kind) }.encode_to_vec();
         let link = &self.parts.link;
+        let asked = time::Instant::now();
         let answer = link
             .call(to, SERVICE, request, self.intervals.answer_timeout)
             .await;
@@ -203,20 +278,27 @@
             self.count(|counts| counts.malformed += 1);
             return Err(peer::Error::Invalid);
         };
-        self.record_message(instant_ago(reply.age_ms));
+        self.record_message();
         let result = self.apply_parts(&reply.parts, Source::Reply(to));
+        if result.complete {
+            self.record_evidence(Evidence::of_reply(&reply, asked));
+        }
         Ok(result.changed)
     }
 
     /// Applies the parts of a message to the feeds.
     pub(crate) fn apply_parts(&self, parts: &[wire::Part], source: Source<'_>) -> PartsOutcome {
-        let mut result = PartsOutcome::default();
+        let mut result = PartsOutcome {
+            changed: false,
+            complete: true,
+        };
         for part in parts {
             let Some(index) = self.feed_index(&part.prefix) else {
                 continue;
             };
             let Some(changes) = encoding::decode(part) else {
                 self.count(|counts| counts.malformed += 1);
+                result.complete = false;
                 continue;
             };
             let mut feed = self.feeds[index].borrow_mut();
@@ -230,9 +312,9 @@
             }
             match outcome {
                 Outcome::Applied => {}
-                Outcome::Gap => result.gap = true,
+                Outcome::Gap => result.complete = false,
                 Outcome::MissingBase => {
-                    result.gap = true;
+                    result.complete = false;
                     self.needs_full_pull.set(true);
                 }
             }
@@ -262,15 +344,10 @@
 }
 
 /// Result of applying the parts of a message.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct PartsOutcome {
     /// A feed changed.
     pub(crate) changed: bool,
-    /// Changes before those in the message, or the base of a delta, are missing.
-    pub(crate) gap: bool,
-}
-
-/// Time `age_ms` before now; `None` if it cannot be represented.
-pub(crate) fn instant_ago(age_ms: u64) -> Option<time::Instant> {
-    time::Instant::now().checked_sub(time::Duration::from_millis(age_ms))
+    /// The feeds contain everything that the sender of the message had.
+    pub(crate) complete: bool,
 }
--- a/components/relay/src/spread.rs
+++ b/components/relay/src/spread.rs
@@ -7,30 +7,25 @@
 use platform::{Revision, Store};
 use schema::relay as wire;
 
-use crate::shared::{Shared, instant_ago};
+use crate::shared::Shared;
 use crate::source::Source;
-use crate::{encoding, tree};
+use crate::{Evidence, encoding, tree};
 
 /// Content of the push messages to several nodes.
 #[derive(Clone)]
 struct Message {
     parts: Vec<wire::Part>,
-    /// Time at which the state of the watcher was complete.
-    complete_at: Option<time::Instant>,
-    /// Position of the watcher in the order of the fleet.
-    place: u32,
+    /// Evidence that the sender's state was complete.
+    evidence: Option<Evidence>,
 }
 
 impl Message {
     fn push(&self, centre: bool, targets: &[units::Address]) -> wire::Push {
-        let now = time::Instant::now();
-        let age = |complete_at| now.saturating_duration_since(complete_at);
+        let evidence = self.evidence;
         wire::Push {
             parts: self.parts.clone(),
-            age_ms: self
-                .complete_at
-                .map_or(u64::MAX, |complete_at| units::millis(age(complete_at))),
-            place: self.place,
+            age_ms: evidence.map_or(Evidence::UNKNOWN_AGE_MS, Evidence::age_ms),
+            place: evidence.map_or(0, |evidence| evidence.place.to_wire()),
             centre,
             targets: targets.iter().map(ToString::to_string).collect(),
         }
@@ -42,19 +37,42 @@
     const ATTEMPTS: usize = 3;
     /// Fraction of the heartbeat interval after a message in the data centre during which heartbeats of
     /// other watchers are not forwarded.
-    const REPEAT_FRACTION: f64 = 0.75;
+    const REPEAT_FRACTION: f64 = 0.5;
 
-    /// Sends heartbeats to all data centres while this node watches the store.
+    /// Sends heartbeats while this node watches the store and has no evidence to report, so that the
+    /// others know that it runs.
     pub(crate) async fn run_heartbeats(self: rc::Rc<Self>, stop: kernel::Stop) {
         while stop.sleep(self.intervals.heartbeat).await {
-            if self.is_watching() && self.is_loaded() {
-                let heads = self.heads();
-                self.spread_in_centre(self.message(&heads));
-                self.spread_to_centres();
+            let is_watcher = self.candidate().behind.is_none() || self.is_reading();
+            if is_watcher && self.is_quiet() {
+                self.spread_heartbeat();
             }
         }
     }
 
+    /// Reports evidence that was recorded at `recorded_at`, unless a message has done so since.
+    pub(crate) fn report_evidence(self: &rc::Rc<Self>, recorded_at: time::Instant) {
+        let is_reported = self.spread_at.get().is_some_and(|at| at >= recorded_at);
+        if !is_reported {
+            self.spread_heartbeat();
+        }
+    }
+
+    /// Sends the evidence of this node to all data centres.
+    fn spread_heartbeat(self: &rc::Rc<Self>) {
+        if self.is_loaded() {
+            let heads = self.heads();
+            self.spread_in_centre(self.message(&heads));
+            self.spread_to_centres();
+        }
+    }
+
+    /// Whether this node has distributed no message for the interval of heartbeats.
+    fn is_quiet(&self) -> bool {
+        let at = self.spread_at.get();
+        at.is_none_or(|at| at.elapsed() >= self.intervals.heartbeat)
+    }
+
     /// Distributes the changes after `before`, the earlier heads of the feeds.
     pub(crate) fn spread_changes(self: &rc::Rc<Self>, before: &[Option<Revision>]) {
         if !self.is_loaded() {
@@ -63,7 +81,7 @@
         if self.is_distributor() {
             self.spread_in_centre(self.message(before));
         }
-        if self.is_watching() {
+        if self.is_reading() {
             self.spread_to_centres();
         }
     }
@@ -72,11 +90,9 @@
     fn message(&self, heads: &[Option<Revision>]) -> Message {
         let feeds = self.feeds.iter().zip(heads);
         let parts = feeds.filter_map(|(feed, head)| encoding::encode(&feed.borrow(), *head));
-        let place = self.place().and_then(|place| u32::try_from(place).ok());
         Message {
             parts: parts.collect(),
-            complete_at: time::Instant::now().checked_sub(self.age()),
-            place: place.unwrap_or(u32::MAX),
+            evidence: self.evidence(),
         }
     }
 
@@ -137,21 +153,24 @@
 
     /// Applies a push of another node and forwards it.
     pub(crate) fn receive_push(self: &rc::Rc<Self>, from: &units::Node, push: wire::Push) {
-        let complete_at = instant_ago(push.age_ms);
-        self.record_message(complete_at);
-        self.record_watcher(push.place, complete_at);
+        self.record_message();
+        let evidence = Evidence::of_push(&push);
         let before = self.heads();
         let result = self.apply_parts(&push.parts, Source::Push(from));
-        if result.gap {
+        if result.complete {
+            self.record_evidence(evidence);
+        } else {
             self.start_pull_from(from);
         }
         let message = Message {
             parts: push.parts,
-            complete_at,
-            place: push.place,
+            evidence,
         };
         if push.centre {
-            self.forward_in_centre(message, &before);
+            // The pull sends on what is missing here, and with it the evidence.
+            if result.complete {
+                self.forward_in_centre(message, &before);
+            }
             return;
         }
         let targets = push.targets.iter().filter_map(|to| to.parse().ok());
@@ -171,16 +190,6 @@
             self.spread_in_centre(message);
         }
     }
-
-    fn record_watcher(&self, place: u32, complete_at: Option<time::Instant>) {
-        let own = self.place().and_then(|own| u32::try_from(own).ok());
-        let is_predecessor = own.is_none_or(|own| place < own);
-        if let Some(complete_at) = complete_at.filter(|_| is_predecessor) {
-            let mut freshness = self.freshness.get();
-            freshness.record_predecessor(complete_at);
-            self.freshness.set(freshness);
-        }
-    }
 }
 
 /// Addresses of the members in the order in which they receive a message.
--- a/components/relay/src/topic.rs
+++ b/components/relay/src/topic.rs
@@ -8,9 +8,10 @@
     pub struct Topic {
         /// Prefix of the keys.
         pub prefix: &'static str,
-        /// Longest wait of one call to watch the store. A watch that delivers no more events is detected
-        /// after this time, or when another node has a newer revision.
-        pub wait: time::Duration,
+        /// Longest wait of one call to watch the store; `None` if its watches follow the schedule by which
+        /// the watchers obtain evidence. A watch that delivers no more events is detected after this
+        /// time, or when another node has a newer revision.
+        pub wait: Option<time::Duration>,
         /// Pause of a watch after a change, which limits the number of calls during a burst of changes.
         pub pause: time::Duration,
     }
--- a/components/relay/tests/mesh/evidence.rs
+++ b/components/relay/tests/mesh/evidence.rs
@@ -31,6 +31,10 @@
 async fn silence_of_the_store_to_nine_of_ten_nodes_delays_no_change() {
     for nodes in [13, 89] {
         let fleet = Fleet::open(nodes, 4).await;
+        // The watches start over, so that none of them ends soon.
+        fleet.change_config();
+        fleet.wait_for_config("change before the silence").await;
+        compio::time::sleep(Duration::from_millis(200)).await;
         let reached = nodes.div_ceil(10);
         let silent = fleet.watchers().into_iter().chain(others(&fleet));
         for member in silent.take(nodes - reached) {
