relay: pulls have half of configApplyS, several run side by side, and a full one is asked for until it has come

What callers saw: 404 at a node whose link was full, for a route 2.7 s old (config-load). Cause: a pull was given up after an eighth of configApplyS (0.31 s), whatever its answer weighed and however slow the link; the answer came and was thrown away, and the next one was asked for. One pull ran at a time, so that a node which does not answer kept the others from being asked; and the wish for a full pull was dropped with the first that failed. A node of a data centre that lacked a change passed the heartbeat on, and all nodes behind it asked it for what it did not have yet. Why it works: what is on its way is waited for, and slow or dead nodes are passed by in parallel, at most three.

--- a/components/relay/src/intervals.rs
+++ b/components/relay/src/intervals.rs
@@ -13,8 +13,10 @@
         pub heartbeat: time::Duration,
         /// Age beyond which a state counts as stale.
         pub stale_after: time::Duration,
-        /// Timeout of a request to another node.
+        /// Time without an answer of another node after which the next one is asked as well.
         pub answer_timeout: time::Duration,
+        /// Timeout of a pull, whose answer may be large and come over a slow link.
+        pub pull_timeout: time::Duration,
         /// Time after which twice as many nodes have asked the store themselves, once the state is stale.
         pub takeover_step: time::Duration,
         /// Time between two attempts of a node to read the store itself.
@@ -35,6 +37,7 @@
             heartbeat: apply / 4,
             stale_after: apply / 2,
             answer_timeout: apply / 8,
+            pull_timeout: apply / 2,
             takeover_step: apply / 20,
             retry: apply,
         }
--- a/components/relay/src/pull.rs
+++ b/components/relay/src/pull.rs
@@ -1,8 +1,10 @@
 //! Pulls of newer changes from other nodes.
 
+use std::pin;
 use std::rc;
 use std::time;
 
+use futures_util::future::{self, Either};
 use platform::Store;
 use prost::Message;
 use rand::seq::IndexedRandom;
@@ -15,31 +17,30 @@
     /// First interval between two pulls of a starting node.
     const FIRST_WAIT: time::Duration = time::Duration::from_millis(25);
 
+    /// Number of pulls that may run at the same time.
+    const PULLS: usize = 3;
+
     /// Pulls from random nodes while the state of this node is stale or not loaded.
     pub(crate) async fn run_pulls(self: rc::Rc<Self>, stop: kernel::Stop) {
         let mut wait = Self::FIRST_WAIT;
         while stop.sleep(wait).await {
-            if !self.is_loaded() {
-                stop.guard(self.pull_from_any()).await;
-                wait = (wait * 2).min(self.intervals.answer_timeout);
-                continue;
-            }
-            wait = self.intervals.answer_timeout;
+            wait = (wait * 2).min(self.intervals.answer_timeout);
             let now = time::Instant::now();
-            if self.freshness.borrow().is_stale(now, &self.intervals) {
-                stop.guard(self.pull_from_any()).await;
+            let is_stale = self.freshness.borrow().is_stale(now, &self.intervals);
+            if is_stale || !self.is_loaded() {
+                self.start_pull_from_any();
             }
         }
     }
 
-    async fn pull_from_any(self: &rc::Rc<Self>) {
-        let chosen = self.others().choose(&mut rand::rng()).cloned();
-        if let Some(member) = chosen {
-            self.pull(member.peer_address).await;
+    fn start_pull_from_any(self: &rc::Rc<Self>) {
+        if let Some(member) = self.others().choose(&mut rand::rng()) {
+            self.start_pull(member.peer_address);
         }
     }
 
-    /// Pulls from the first-ranked node of the data centre, then from a random node.
+    /// Pulls from the first-ranked node of the data centre and, if that does not answer soon, from a
+    /// random node as well.
     ///
     /// Returns whether a feed changed.
     pub(crate) async fn pull_changes(self: &rc::Rc<Self>) -> bool {
@@ -47,30 +48,46 @@
         let mut first = ranks.first(&self.parts.data_centre, 1);
         let first = first.find(|member| member.node != self.parts.node);
         let any = self.others().choose(&mut rand::rng()).cloned();
-        for member in first.into_iter().chain(any.as_ref()) {
-            if self.pull(member.peer_address).await {
-                return true;
+        let first = async {
+            match first {
+                Some(member) => self.pull(member.peer_address).await,
+                None => false,
+            }
+        };
+        let any = async {
+            compio::time::sleep(self.intervals.answer_timeout).await;
+            match any {
+                Some(member) => self.pull(member.peer_address).await,
+                None => false,
             }
+        };
+        match future::select(pin::pin!(first), pin::pin!(any)).await {
+            Either::Left((true, _)) | Either::Right((true, _)) => true,
+            Either::Left((false, any)) => any.await,
+            Either::Right((false, first)) => first.await,
         }
-        false
     }
 
-    /// Starts a pull from `node`, unless one is running already.
+    /// Starts a pull from `node`, whose message has shown that changes are missing here.
     pub(crate) fn start_pull_from(self: &rc::Rc<Self>, node: &units::Node) {
-        if self.pulling.replace(true) {
+        let view = self.parts.members.get();
+        match view.member(node) {
+            Some(member) => self.start_pull(member.peer_address),
+            None => self.start_pull_from_any(),
+        }
+    }
+
+    /// Starts a pull from the node at `to`, unless one from there or too many are running.
+    fn start_pull(self: &rc::Rc<Self>, to: units::Address) {
+        let mut pulling = self.pulling.borrow_mut();
+        if pulling.len() >= Self::PULLS || pulling.contains(&to) {
             return;
         }
-        let view = self.parts.members.get();
-        let address = view.member(node).map(|member| member.peer_address);
+        pulling.push(to);
         let shared = self.clone();
         compio::runtime::spawn(async move {
-            match address {
-                Some(address) => {
-                    shared.pull(address).await;
-                }
-                None => shared.pull_from_any().await,
-            }
-            shared.pulling.set(false);
+            shared.pull(to).await;
+            shared.pulling.borrow_mut().retain(|address| *address != to);
         })
         .detach();
     }
@@ -78,7 +95,7 @@
     /// Pulls from the node at `to`; returns whether a feed changed.
     async fn pull(self: &rc::Rc<Self>, to: units::Address) -> bool {
         let before = self.heads();
-        let full = self.needs_full_pull.replace(false);
+        let full = self.needs_full_pull.get();
         let heads = self.feeds.iter().filter_map(|feed| {
             let feed = feed.borrow();
             if full {
@@ -94,10 +111,13 @@
         };
         self.count(|counts| counts.pulled += 1);
         let started = time::Instant::now();
-        let pulled = self.call(to, wire::request::Kind::Pull(pull)).await;
+        let timeout = self.intervals.pull_timeout;
+        let pulled = self
+            .call(to, wire::request::Kind::Pull(pull), timeout)
+            .await;
         let error = pulled.as_ref().err().map(ToString::to_string);
         log::info!(event = "pull-ended", to:% = to, full = full, took_ms = units::millis(started.elapsed()),
-            changed = pulled.as_ref().is_ok_and(|changed| *changed), error = error.as_deref();
+            changed = pulled.as_ref().is_ok_and(|changed| *changed), error = error.as_deref().unwrap_or_default();
             "another node was asked for changes");
         let changed = pulled.unwrap_or_default();
         if changed {
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -31,8 +31,8 @@
     pub(crate) watches: cell::RefCell<Vec<Watch>>,
     /// Time of the latest message that this node distributed in its data centre.
     pub(crate) spread_at: cell::Cell<Option<time::Instant>>,
-    /// Whether a pull from a sender of missing changes is running.
-    pub(crate) pulling: cell::Cell<bool>,
+    /// Nodes from which pulls are running.
+    pub(crate) pulling: cell::RefCell<Vec<units::Address>>,
     /// Whether the next pull asks for the full feeds, because the base of a received delta is missing.
     pub(crate) needs_full_pull: cell::Cell<bool>,
     counts: cell::Cell<Counts>,
@@ -77,7 +77,7 @@
             freshness: cell::RefCell::new(Freshness::new(time::Instant::now())),
             watches: cell::RefCell::default(),
             spread_at: cell::Cell::default(),
-            pulling: cell::Cell::default(),
+            pulling: cell::RefCell::default(),
             needs_full_pull: cell::Cell::default(),
             counts: cell::Cell::default(),
             rank_cache: cell::RefCell::default(),
@@ -266,13 +266,12 @@
         &self,
         to: units::Address,
         kind: wire::request::Kind,
+        timeout: time::Duration,
     ) -> Result<bool, peer::Error> {
         let request = wire::Request { kind: Some(kind) }.encode_to_vec();
         let link = &self.parts.link;
         let asked = time::Instant::now();
-        let answer = link
-            .call(to, SERVICE, request, self.intervals.answer_timeout)
-            .await;
+        let answer = link.call(to, SERVICE, request, timeout).await;
         let answer = answer.inspect_err(|_| self.count(|counts| counts.failed += 1))?;
         let Ok(reply) = wire::Reply::decode(answer.as_slice()) else {
             self.count(|counts| counts.malformed += 1);
@@ -311,6 +310,7 @@
                     "changes of another node could not be applied");
             }
             match outcome {
+                Outcome::Applied if part.after == 0 => self.needs_full_pull.set(false),
                 Outcome::Applied => {}
                 Outcome::Gap => result.complete = false,
                 Outcome::MissingBase => {
--- a/components/relay/src/spread.rs
+++ b/components/relay/src/spread.rs
@@ -147,7 +147,10 @@
     /// Sends `push` to the node at `to`; returns whether it was accepted.
     async fn push(&self, to: units::Address, push: wire::Push) -> bool {
         self.count(|counts| counts.pushed += 1);
-        let sent = self.call(to, wire::request::Kind::Push(push)).await;
+        let timeout = self.intervals.answer_timeout;
+        let sent = self
+            .call(to, wire::request::Kind::Push(push), timeout)
+            .await;
         sent.is_ok()
     }
 
