relay: a reader that lists anew returns as soon as its feed is ahead

What callers saw: 404 at sidecar-sigatoka-13 at 22.489 s, 2.7 s after version 44 was acknowledged; the feed had version 50 at 22.86 s, and it came in force at 23.63 s. Cause: a reader that knows of a newer change asks two nodes and then reads the whole object from the store, up to 2.6 s on a full link, and did not look at its feed meanwhile. Evidence: the lines store-read (took_ms 2004), feed-changed and 'configuration in force' of that node, in this order. Why it works: the listing ends with whichever comes first. Test: evidence::silent_store_keeps_no_change_of_the_feed_from_a_reader (failed: 'call timed out').

--- a/components/relay/src/replica.rs
+++ b/components/relay/src/replica.rs
@@ -1,11 +1,14 @@
 //! View of the store that reads from the feeds of the relay.
 
 use std::cell;
+use std::pin;
 use std::rc;
 use std::time;
 
+use futures_util::future::{self, Either};
 use platform::{Error, Event, Events, Key, Listing, Object, Revision, Store};
 
+use crate::Feed;
 use crate::shared::Shared;
 
 /// A store that reads the prefixes of the relay from its feeds and passes all other calls on.
@@ -13,15 +16,15 @@
 /// Clones share their state.
 pub struct Replica<S, L> {
     shared: rc::Rc<Shared<S, L>>,
-    /// Whether this reader has listed before; a second listing means that it knows of a newer change.
-    listed: rc::Rc<cell::Cell<bool>>,
+    /// Newest revision that this reader has got; a second listing means that it knows of a newer change.
+    read: rc::Rc<cell::Cell<Option<Revision>>>,
 }
 
 impl<S, L> Clone for Replica<S, L> {
     fn clone(&self) -> Self {
         Self {
             shared: self.shared.clone(),
-            listed: self.listed.clone(),
+            read: self.read.clone(),
         }
     }
 }
@@ -30,7 +33,7 @@
     pub(crate) fn new(shared: rc::Rc<Shared<S, L>>) -> Self {
         Self {
             shared,
-            listed: rc::Rc::default(),
+            read: rc::Rc::default(),
         }
     }
 
@@ -77,21 +80,16 @@
         let Some(feed) = self.shared.feed(prefix) else {
             return self.shared.parts.store.list(prefix).await;
         };
-        if self.listed.replace(true) {
-            self.refresh(prefix).await?;
-        }
-        loop {
-            let changed = {
-                let mut feed = feed.borrow_mut();
-                if let Some(revision) = feed.head() {
-                    let objects = feed.objects();
-                    return Ok(Listing { revision, objects });
-                }
-                feed.subscribe()
-            };
-            // The feed is checked again even if the sender was dropped.
-            let _ = changed.await;
+        if let Some(read) = self.read.get() {
+            let newer = pin::pin!(wait_for_newer(feed, Some(read)));
+            let refreshed = pin::pin!(self.refresh(prefix));
+            if let Either::Left((result, _)) = future::select(refreshed, newer).await {
+                result?;
+            }
         }
+        let listing = wait_for_newer(feed, None).await;
+        self.read.set(Some(listing.revision));
+        Ok(listing)
     }
 
     async fn watch(
@@ -111,8 +109,10 @@
                 let remaining = deadline.saturating_duration_since(time::Instant::now());
                 if !objects.is_empty() || remaining.is_zero() {
                     let events = objects.into_iter().map(Event::Put);
+                    let revision = feed.head().unwrap_or(from);
+                    self.read.set(self.read.get().max(Some(revision)));
                     return Ok(Events {
-                        revision: feed.head().unwrap_or(from),
+                        revision,
                         events: events.collect(),
                     });
                 }
@@ -123,3 +123,19 @@
         }
     }
 }
+
+/// Waits until `feed` has a head after `read`.
+async fn wait_for_newer(feed: &cell::RefCell<Feed>, read: Option<Revision>) -> Listing {
+    loop {
+        let changed = {
+            let mut feed = feed.borrow_mut();
+            if let Some(revision) = feed.head().filter(|head| Some(*head) > read) {
+                let objects = feed.objects();
+                return Listing { revision, objects };
+            }
+            feed.subscribe()
+        };
+        // The feed is checked again even if the sender was dropped.
+        let _ = changed.await;
+    }
+}
