platform: positions in the store name its era, so that revisions that are given out again do not pass for the old ones

Cause: a revision was taken to grow for ever. A watch went on from the old revision and heard nothing of what was written again below it; a conditional write compared with a revision that now belongs to another object. Change: Revision holds era and counter in one number, made by the client alone; another era means a listing, a conflict that is not sent, or an unknown outcome. Stand-ins take copies and come back from them.

--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -9,8 +9,8 @@
 
 use crate::form::{Answer, Ask};
 use crate::{
-    Breaker, Bucket, Counts, Error, Events, Form, Key, Listing, Native, Object, Revision, Settings,
-    Store,
+    Breaker, Bucket, Counts, Era, Error, Events, Form, Key, Listing, Native, Object, Revision,
+    Settings, Store,
 };
 
 /// Wait after a 429 that names none.
@@ -39,6 +39,8 @@
     writes: cell::RefCell<Bucket>,
     reads: cell::RefCell<Bucket>,
     breaker: cell::RefCell<Breaker>,
+    /// Era of the newest answer.
+    era: cell::Cell<Option<Era>>,
     counts: cell::Cell<Counts>,
 }
 
@@ -60,6 +62,8 @@
 }
 
 impl<F: Form> Client<F> {
+    /// Header of all answers that names the era of the store.
+    const ERA: http::HeaderName = http::HeaderName::from_static("store-era");
     /// Largest answer that is read, in bytes.
     const ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
@@ -82,6 +86,7 @@
             writes: cell::RefCell::new(Bucket::new(settings.writes, settings.burst, now)),
             reads: cell::RefCell::new(Bucket::new(settings.reads, settings.burst, now)),
             breaker: cell::RefCell::new(breaker),
+            era: cell::Cell::default(),
             counts: cell::Cell::default(),
             settings,
         };
@@ -211,11 +216,41 @@
         let body = body.map_err(|_| Error::Unknown("the answer broke off".into()))?;
         Ok(Answer {
             status,
+            era: self.observe_era(&headers)?,
             headers,
             body: body.into(),
         })
     }
 
+    /// Era of an answer; one of an earlier era than another answer came too late to be used.
+    fn observe_era(&self, headers: &http::HeaderMap) -> Result<Era, Error> {
+        let known = self.era();
+        let Some(named) = headers.get(Self::ERA) else {
+            return Ok(known);
+        };
+        let named = named.to_str().ok().and_then(|text| text.parse().ok());
+        let era: Era = named.ok_or_else(|| Error::Unknown("the era is malformed".into()))?;
+        if era < known {
+            return Err(Error::Unknown("the answer is of an earlier era".into()));
+        }
+        let before = self.inner.era.replace(Some(era));
+        self.count(|counts| counts.era = era.0.into());
+        if before.is_some_and(|before| before < era) {
+            log::warn!(event = "store-era-changed", before = known.0, era = era.0;
+                "the store names a new era: it may have lost its latest changes");
+        }
+        Ok(era)
+    }
+
+    /// Refuses a write on the condition of a revision of an earlier era, which the store may have given
+    /// to another object since.
+    fn check_era(&self, expected: Revision) -> Result<(), Error> {
+        match expected.era() == self.era() {
+            true => Ok(()),
+            false => Err(Error::Conflict),
+        }
+    }
+
     fn request(&self, ask: Ask) -> Result<cyper::RequestBuilder, Error> {
         let url = format!("http://{}{}", self.inner.address, ask.path);
         let invalid = |error: cyper::Error| Error::Invalid(error.to_compact_string());
@@ -231,7 +266,8 @@
         let answer = self
             .call(ask, Sort::Write, time::Duration::ZERO, add)
             .await?;
-        self.inner.form.written(&answer)
+        let written = self.inner.form.written(&answer)?;
+        stamped(written.in_era(answer.era))
     }
 
     /// Lists the objects below `prefix` page by page; `ask` is the call for the page after a key.
@@ -249,11 +285,14 @@
             let ask = ask(after.as_ref());
             let answer = self.get(ask, |counts| counts.lists += 1).await?;
             let page = self.inner.form.page(prefix, &answer)?;
+            let listing = stamped(page.listing.in_era(answer.era))?;
             if after.is_none() {
                 // Changes while the pages are read come with a watch from the first page.
-                whole.revision = page.listing.revision;
+                whole.revision = listing.revision;
+            } else if listing.revision.era() != whole.revision.era() {
+                return Err(Error::Gone);
             }
-            whole.objects.extend(page.listing.objects);
+            whole.objects.extend(listing.objects);
             after = match whole.objects.last() {
                 Some(last) if page.more => Some(last.key.clone()),
                 _ => return Ok(whole),
@@ -272,7 +311,11 @@
         let answer = self.get(ask, |counts| counts.reads += 1).await?;
         match answer.status {
             StatusCode::NOT_FOUND => Ok(None),
-            _ => self.inner.form.object(key, answer).map(Some),
+            _ => {
+                let era = answer.era;
+                let object = self.inner.form.object(key, answer)?;
+                stamped(object.in_era(era)).map(Some)
+            }
         }
     }
 
@@ -286,17 +329,22 @@
         expected: Revision,
         value: Vec<u8>,
     ) -> Result<Revision, Error> {
+        self.check_era(expected)?;
         let ask = self.inner.form.update(key, expected, value);
-        self.write(ask).await
+        let written = self.write(ask).await?;
+        check_written_era(expected, written.era())?;
+        Ok(written)
     }
 
     async fn remove(&self, key: &Key, expected: Revision) -> Result<(), Error> {
+        self.check_era(expected)?;
         let ask = self.inner.form.remove(key, expected);
         let add = |counts: &mut Counts| counts.removes += 1;
         let answer = self
             .call(ask, Sort::Write, time::Duration::ZERO, add)
             .await?;
-        self.inner.form.removed(&answer)
+        self.inner.form.removed(&answer)?;
+        check_written_era(expected, answer.era)
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
@@ -323,7 +371,28 @@
         if answer.status == StatusCode::GONE {
             return Err(Error::Gone);
         }
-        self.inner.form.events(prefix, &answer)
+        if answer.era != from.era() {
+            return Err(Error::Gone);
+        }
+        stamped(self.inner.form.events(prefix, &answer)?.in_era(answer.era))
+    }
+
+    fn era(&self) -> Era {
+        self.inner.era.get().unwrap_or_default()
+    }
+}
+
+/// A result with the era of its answer; malformed where a revision is too large.
+fn stamped<T>(result: Option<T>) -> Result<T, Error> {
+    result.ok_or_else(|| Error::Unknown("a revision is too large".into()))
+}
+
+/// Refuses the answer to a write whose condition was of an earlier era: the store may have compared the
+/// revision with that of another object.
+fn check_written_era(expected: Revision, era: Era) -> Result<(), Error> {
+    match expected.era() == era {
+        true => Ok(()),
+        false => Err(Error::Unknown("the era changed before the write".into())),
     }
 }
 
--- a/components/platform/src/counts.rs
+++ b/components/platform/src/counts.rs
@@ -24,6 +24,8 @@
         pub unavailable: u64,
         /// Calls whose answer was lost.
         pub unknown: u64,
+        /// Era of the store.
+        pub era: u64,
         /// Bytes of values and answers received.
         pub received_bytes: u64,
         /// Bytes of values sent.
--- a/components/platform/src/form.rs
+++ b/components/platform/src/form.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use http::HeaderName;
 
-use crate::{Error, Events, Key, Listing, Object, Revision};
+use crate::{Era, Error, Events, Key, Listing, Object, Revision};
 
 /// Form of a store's calls and answers; when and how often it is called is the client's.
 pub trait Form: 'static {
@@ -95,6 +95,8 @@
 pub struct Answer {
     /// Its status; 429 and those above 499 do not get here.
     pub status: http::StatusCode,
+    /// Era of the store that it names.
+    pub era: Era,
     /// Its headers.
     pub headers: http::HeaderMap,
     /// Its body.
--- a/components/platform/src/native.rs
+++ b/components/platform/src/native.rs
@@ -53,7 +53,8 @@
     fn watch(&self, prefix: &str, from: Revision, wait: time::Duration) -> Ask {
         let millis = wait.as_millis();
         Ask::get(format_compact!(
-            "/v1/watch?prefix={prefix}&from={from}&wait_ms={millis}"
+            "/v1/watch?prefix={prefix}&from={}&wait_ms={millis}",
+            from.counter()
         ))
     }
 
@@ -105,7 +106,7 @@
 }
 
 fn tag(revision: Revision) -> CompactString {
-    format_compact!("\"{revision}\"")
+    format_compact!("\"{}\"", revision.counter())
 }
 
 fn revision(headers: &http::HeaderMap) -> Result<Revision, Error> {
--- a/components/platform/src/object.rs
+++ b/components/platform/src/object.rs
@@ -2,27 +2,7 @@
 
 use compact_str::CompactString;
 
-/// Revision of the platform's store; each write raises it, and an object carries that of its last write.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
-pub struct Revision(pub u64);
-
-impl std::fmt::Display for Revision {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.0.fmt(formatter)
-    }
-}
+use crate::{Era, Revision};
 
 units::record! { eq:
     /// Name of an object: path segments of letters, digits, `-`, `_` and `.`, separated by `/`.
@@ -63,6 +43,39 @@
     }
 }
 
+impl Object {
+    /// The object as read in `era`.
+    pub(crate) fn in_era(mut self, era: Era) -> Option<Self> {
+        self.revision = self.revision.in_era(era)?;
+        Some(self)
+    }
+}
+
+impl Listing {
+    /// The listing as read in `era`.
+    pub(crate) fn in_era(self, era: Era) -> Option<Self> {
+        let objects = self.objects.into_iter().map(|object| object.in_era(era));
+        Some(Self {
+            revision: self.revision.in_era(era)?,
+            objects: objects.collect::<Option<_>>()?,
+        })
+    }
+}
+
+impl Events {
+    /// The events as seen in `era`.
+    pub(crate) fn in_era(self, era: Era) -> Option<Self> {
+        let events = self.events.into_iter().map(|event| match event {
+            Event::Put(object) => object.in_era(era).map(Event::Put),
+            Event::Removed(key, revision) => Some(Event::Removed(key, revision.in_era(era)?)),
+        });
+        Some(Self {
+            revision: self.revision.in_era(era)?,
+            events: events.collect::<Option<_>>()?,
+        })
+    }
+}
+
 impl Key {
     /// Longest key in bytes.
     pub const MAX_BYTES: usize = 256;
--- a/components/platform/src/store.rs
+++ b/components/platform/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{Error, Events, Key, Listing, Object, Revision};
+use crate::{Era, Error, Events, Key, Listing, Object, Revision};
 
 /// Versioned objects with conditional updates; clones share the connection and the limits.
 pub trait Store: Clone + 'static {
@@ -33,6 +33,11 @@
         self.list(prefix)
     }
 
+    /// Era of the newest answer of the store.
+    fn era(&self) -> Era {
+        Era::default()
+    }
+
     /// Waits up to `wait` for changes below `prefix` after revision `from`.
     ///
     /// [`Error::Gone`] when that history is not kept any more.
--- a/components/relay/src/replica.rs
+++ b/components/relay/src/replica.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use futures_util::future::{self, Either};
-use platform::{Error, Event, Events, Key, Listing, Object, Revision, Store};
+use platform::{Era, Error, Event, Events, Key, Listing, Object, Revision, Store};
 
 use crate::Feed;
 use crate::shared::Shared;
@@ -92,6 +92,10 @@
         Ok(listing)
     }
 
+    fn era(&self) -> Era {
+        self.shared.parts.store.era()
+    }
+
     async fn watch(
         &self,
         prefix: &str,
--- a/components/relay/tests/mesh/store.rs
+++ b/components/relay/tests/mesh/store.rs
@@ -5,7 +5,7 @@
 use std::rc;
 use std::time;
 
-use platform::{Error, Events, Key, Listing, Object, Revision};
+use platform::{Era, Error, Events, Key, Listing, Object, Revision};
 
 /// Access of one node to the store; while it is disconnected, its calls receive no answer.
 #[derive(Clone)]
@@ -77,6 +77,10 @@
         listing
     }
 
+    fn era(&self) -> Era {
+        self.store.era()
+    }
+
     async fn watch(
         &self,
         prefix: &str,
--- a/testing/fakes/src/store.rs
+++ b/testing/fakes/src/store.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use futures_channel::oneshot;
-use platform::{Error, Event, Events, Key, Listing, Object, Revision};
+use platform::{Era, Error, Event, Events, Key, Listing, Object, Revision};
 
 use crate::Faults;
 
@@ -20,6 +20,7 @@
     /// Sorted by key.
     objects: Vec<Object>,
     revision: Revision,
+    era: Era,
     /// Oldest first.
     history: Vec<Event>,
     /// Watches from before this revision find their history gone.
@@ -29,6 +30,13 @@
     watchers: Vec<oneshot::Sender<()>>,
 }
 
+/// A copy of the objects, from which the store can come back.
+#[derive(Clone)]
+pub struct Copy {
+    objects: Vec<Object>,
+    revision: Revision,
+}
+
 units::record! { eq:
     /// Calls by kind.
     #[derive(Copy, Default)]
@@ -65,6 +73,38 @@
         state.history.clear();
     }
 
+    /// A copy of the objects as they are.
+    #[must_use]
+    pub fn copy(&self) -> Copy {
+        let state = self.state.borrow();
+        Copy {
+            objects: state.objects.clone(),
+            revision: state.revision,
+        }
+    }
+
+    /// Comes back from `copy` in a new era: later changes are lost, and watches are cut.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.state.borrow_mut();
+        state.era.0 += 1;
+        let era = state.era;
+        let moved = |revision: Revision| {
+            let bare = Revision(revision.counter());
+            bare.in_era(era).expect("a bare counter")
+        };
+        state.objects = copy.objects;
+        for object in &mut state.objects {
+            object.revision = moved(object.revision);
+        }
+        state.revision = moved(copy.revision);
+        state.floor = state.revision;
+        state.history.clear();
+        for watcher in state.watchers.drain(..) {
+            // A watcher whose time ran out is gone.
+            let _ = watcher.send(());
+        }
+    }
+
     /// Calls so far.
     #[must_use]
     pub fn counts(&self) -> Counts {
@@ -175,6 +215,10 @@
         })
     }
 
+    fn era(&self) -> Era {
+        self.state.borrow().era
+    }
+
     async fn watch(
         &self,
         prefix: &str,
@@ -187,7 +231,7 @@
         loop {
             let woken = {
                 let mut state = self.state.borrow_mut();
-                if state.faults.gone || from < state.floor {
+                if state.faults.gone || from < state.floor || from.era() != state.era {
                     return Err(Error::Gone);
                 }
                 let events = if state.faults.silent_watches {
--- a/testing/platform/src/api.rs
+++ b/testing/platform/src/api.rs
@@ -73,13 +73,18 @@
     type Body = Body;
 
     async fn handle(self, request: http::Request<Incoming>) -> Answer {
-        self.route(request).await
+        let mut answer = self.route(request).await;
+        let era = self.shared.objects.borrow().era();
+        answer.headers_mut().insert(Self::ERA, era.into());
+        answer
     }
 }
 
 impl Api {
     const OBJECTS: &str = "/v1/objects";
     const WATCH: &str = "/v1/watch";
+    /// Header of all answers that names the era.
+    const ERA: header::HeaderName = header::HeaderName::from_static("store-era");
 
     pub(crate) fn new(shared: Shared) -> Self {
         Self { shared }
--- a/testing/platform/src/handle.rs
+++ b/testing/platform/src/handle.rs
@@ -1,7 +1,7 @@
 //! Access to the stand-in from within its process.
 
 use crate::shared::Shared;
-use crate::{Counts, Faults};
+use crate::{Copy, Counts, Faults};
 
 /// Switches faults and reads counts from within the process.
 #[derive(Clone)]
@@ -20,6 +20,18 @@
         self.shared.notify();
     }
 
+    /// A copy of the objects as they are.
+    #[must_use]
+    pub fn copy(&self) -> Copy {
+        self.shared.objects.borrow().copy()
+    }
+
+    /// Comes back from `copy` in a new era; later changes are lost.
+    pub fn restore(&self, copy: Copy) {
+        self.shared.objects.borrow_mut().restore(copy);
+        self.shared.notify();
+    }
+
     /// Calls so far.
     #[must_use]
     pub fn counts(&self) -> Counts {
--- a/testing/platform/src/lib.rs
+++ b/testing/platform/src/lib.rs
@@ -18,5 +18,6 @@
 pub use counts::Counts;
 pub use faults::Faults;
 pub use handle::Handle;
+pub use objects::Copy;
 pub use server::{Error, Server};
 pub use settings::Settings;
--- a/testing/platform/src/objects.rs
+++ b/testing/platform/src/objects.rs
@@ -51,6 +51,13 @@
     }
 }
 
+/// A copy of the objects, from which the store can come back.
+#[derive(Debug, Clone)]
+pub struct Copy {
+    list: Vec<Object>,
+    revision: u64,
+}
+
 /// The objects and the last events.
 #[derive(Debug)]
 pub(crate) struct Objects {
@@ -62,6 +69,8 @@
     capacity: usize,
     /// Events up to this revision are forgotten.
     floor: u64,
+    /// Number of times that the store has come back from a copy.
+    era: u64,
 }
 
 impl Objects {
@@ -72,9 +81,32 @@
             history: collections::VecDeque::new(),
             capacity,
             floor: 0,
+            era: 0,
+        }
+    }
+
+    /// Number of times that the store has come back from a copy.
+    pub(crate) fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// A copy of the objects as they are.
+    pub(crate) fn copy(&self) -> Copy {
+        Copy {
+            list: self.list.clone(),
+            revision: self.revision,
         }
     }
 
+    /// Comes back from `copy` in a new era; later changes are lost.
+    pub(crate) fn restore(&mut self, copy: Copy) {
+        self.list = copy.list;
+        self.revision = copy.revision;
+        self.floor = copy.revision;
+        self.history.clear();
+        self.era += 1;
+    }
+
     /// Revision of the last write.
     pub(crate) fn revision(&self) -> u64 {
         self.revision
