platform: a lease whose object a new era has lost gets no second holder

Cause: a contender that finds no object creates it at once, while a holder whose object was lost counts its period still. Now it waits a whole period from when it knew the era. The fencing token is a position with its era and does not go back. Test: lease_that_the_store_has_lost_gets_no_second_holder.

--- a/components/platform/src/lease.rs
+++ b/components/platform/src/lease.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::{Error, Key, Object, Revision, Store};
+use crate::{Era, Error, Key, Object, Revision, Store};
 
 units::record! { eq:
     /// Content of a lease object.
@@ -48,6 +48,8 @@
     last: Option<Revision>,
     /// Start of the first write whose answer is lost and that may still have taken effect.
     unsettled: Option<time::Instant>,
+    /// Era of the store, and since when it is known here.
+    era: Option<(Era, time::Instant)>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -82,6 +84,7 @@
             held: None,
             last: None,
             unsettled: None,
+            era: None,
         })
     }
 
@@ -159,6 +162,9 @@
         // Seen only now, which is long after `now` where a call was slow or this process paused.
         let seen = now + entered.elapsed();
         let value = self.encode()?;
+        if object.is_none() && !self.is_absence_certain(now, seen) {
+            return Ok(Observed::Other(Revision::default()));
+        }
         let Some(object) = object else {
             let written = self.store.create(&self.key, value).await;
             return self.settle_write(written, now).or_else(lost_race);
@@ -170,6 +176,20 @@
         self.settle_write(written, now).or_else(lost_race)
     }
 
+    /// Whether the absence of the object means that nobody holds the lease, for the attempt at `now` that
+    /// has found it at `seen`.
+    ///
+    /// A store that came back from a copy may have lost the object of a holder, who counts its period still.
+    fn is_absence_certain(&mut self, now: time::Instant, seen: time::Instant) -> bool {
+        let era = self.store.era();
+        let since = match self.era {
+            Some((known, since)) if known == era => since,
+            _ => seen,
+        };
+        self.era = Some((era, since));
+        era == Era::default() || now.saturating_duration_since(since) >= self.period
+    }
+
     /// Whether `object`, for which the attempt at `now` has asked and which it has got at `seen`,
     /// was seen unchanged for a whole period.
     fn is_expired(&mut self, object: &Object, now: time::Instant, seen: time::Instant) -> bool {
--- a/components/platform/tests/lease.rs
+++ b/components/platform/tests/lease.rs
@@ -131,3 +131,33 @@
     one.close().await.expect("the store answers");
     assert!(is_held(&other.attempt(now).await));
 }
+
+#[compio::test]
+async fn lease_that_the_store_has_lost_gets_no_second_holder() {
+    let store = fakes::Store::default();
+    let copy = store.copy();
+    store.restore(copy.clone());
+    let (mut one, mut other) = (contender(&store, "n1"), contender(&store, "n2"));
+    let start = time::Instant::now();
+    assert!(
+        !is_held(&one.attempt(start).await),
+        "a holder may be unknown here"
+    );
+    let held_at = start + PERIOD * 2;
+    assert!(is_held(&one.attempt(held_at).await));
+    let first = one.token(held_at).expect("it is held");
+    store.restore(copy);
+    let during = held_at + PERIOD / 2;
+    assert!(
+        !is_held(&other.attempt(during).await),
+        "the first holder counts its period still"
+    );
+    assert!(one.token(during).is_some());
+    let end = during + PERIOD * 2;
+    assert!(is_held(&other.attempt(end).await));
+    assert_eq!(one.token(end), None);
+    assert!(
+        other.token(end).expect("it is held") > first,
+        "the token goes back"
+    );
+}
