relay: a store in a new era replaces no newer version, and nodes hand on what they have kept

A store that comes back from a copy shows older values at newer positions. A feed keeps the value whose version is newer, at its old position; its head follows the store.

--- a/components/relay/src/feed.rs
+++ b/components/relay/src/feed.rs
@@ -12,6 +12,8 @@
 #[derive(Debug)]
 pub struct Feed {
     prefix: &'static str,
+    /// Version in the value of an object, which decides between values of different eras.
+    version: fn(&[u8]) -> Option<u64>,
     /// Sorted by key.
     entries: Vec<Entry>,
     /// Revision of the newest change; `None` until the first read.
@@ -44,9 +46,10 @@
 impl Feed {
     /// Creates a feed that has not been read yet.
     #[must_use]
-    pub fn new(prefix: &'static str) -> Self {
+    pub fn new(prefix: &'static str, version: fn(&[u8]) -> Option<u64>) -> Self {
         Self {
             prefix,
+            version,
             entries: Vec::new(),
             head: None,
             waiters: Vec::new(),
@@ -97,6 +100,7 @@
         for object in objects {
             match self.index_of(&object.key) {
                 Ok(index) if self.entries[index].object.revision >= object.revision => {}
+                Ok(index) if self.is_lost(index, &object) => {}
                 Ok(index) => self.entries[index].replace(object),
                 Err(index) => self.entries.insert(index, Entry::new(object)),
             }
@@ -140,6 +144,7 @@
         let revision = held.map(|held| held.revision);
         let newest = change.deltas.last().map(|delta| delta.revision);
         if newest.is_none() || newest <= revision {
+            self.adopt_lost(index, change);
             return true;
         }
         let starts = |delta: &Delta| delta.base.is_none() || delta.base == revision;
@@ -159,12 +164,42 @@
             value,
         };
         match index {
+            Ok(index) if self.is_lost(index, &object) => {}
             Ok(index) => self.entries[index].advance(object, &change.deltas),
             Err(index) => self.entries.insert(index, Entry::new(object)),
         }
         true
     }
 
+    /// Whether the store has lost the held value, and shows an older version in a newer era.
+    fn is_lost(&self, index: usize, shown: &Object) -> bool {
+        let held = &self.entries[index].object;
+        let is_restored = held.revision.era() < shown.revision.era();
+        is_restored && (self.version)(&held.value) > (self.version)(&shown.value)
+    }
+
+    /// Takes the full value in `change`, which another node has kept from an earlier era, if its version is
+    /// newer than the held one.
+    fn adopt_lost(&mut self, index: Result<usize, usize>, change: &Change) {
+        let full = change.deltas.last().filter(|delta| delta.base.is_none());
+        let (Ok(index), Some(delta)) = (index, full) else {
+            return;
+        };
+        let Some(value) = delta.decompress(&[]) else {
+            return;
+        };
+        let kept = Object {
+            key: change.key.clone(),
+            revision: delta.revision,
+            value,
+        };
+        let held = &self.entries[index].object;
+        let is_earlier = kept.revision.era() < held.revision.era();
+        if is_earlier && (self.version)(&kept.value) > (self.version)(&held.value) {
+            self.entries[index] = Entry::new(kept);
+        }
+    }
+
     fn advance_head(&mut self, head: Revision) {
         let before = self.head;
         self.head = self.head.max(Some(head));
--- a/components/relay/src/pull.rs
+++ b/components/relay/src/pull.rs
@@ -27,7 +27,7 @@
             wait = (wait * 2).min(self.intervals.answer_timeout);
             let now = time::Instant::now();
             let is_stale = self.freshness.borrow().is_stale(now, &self.intervals);
-            if is_stale || !self.is_loaded() {
+            if is_stale || !self.is_loaded() || self.needs_full_pull.get() {
                 self.start_pull_from_any();
             }
         }
--- a/components/relay/src/role.rs
+++ b/components/relay/src/role.rs
@@ -4,7 +4,7 @@
 use std::rc;
 use std::time;
 
-use platform::{Follower, Pace, Store};
+use platform::{Era, Follower, Pace, Store};
 
 use crate::feed_writer::FeedWriter;
 use crate::shared::{Answered, Shared, Watch};
@@ -24,7 +24,12 @@
         for (topic, feed) in self.topics.iter().zip(&self.feeds) {
             let listed = stop.guard(self.parts.store.list_stale(topic.prefix)).await;
             match listed {
-                Some(Ok(listing)) => feed.borrow_mut().merge(listing.objects),
+                Some(Ok(listing)) => {
+                    if stop.guard(self.wait_for_kept_changes()).await.is_none() {
+                        return;
+                    }
+                    feed.borrow_mut().merge(listing.objects);
+                }
                 Some(Err(error)) => log::info!(event = "first-read-failed",
                     prefix = topic.prefix, error:% = error;
                     "first read of the store failed; pulling from other nodes"),
@@ -33,6 +38,19 @@
         }
     }
 
+    /// Waits for the first answer of another node if the store may have come back from a copy, as the
+    /// others have kept what it has lost.
+    async fn wait_for_kept_changes(&self) {
+        let started = time::Instant::now();
+        let may_be_restored = self.parts.store.era() > Era::default();
+        while may_be_restored && !self.heard.get() {
+            if started.elapsed() >= self.intervals.stale_after {
+                return;
+            }
+            compio::time::sleep(Self::CHECK_INTERVAL / 10).await;
+        }
+    }
+
     /// Starts and ends the watches of this node as its responsibility changes.
     pub(crate) async fn run_role(self: rc::Rc<Self>, stop: kernel::Stop) {
         if stop.guard(self.wait_for_members()).await.is_none() {
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -35,6 +35,8 @@
     pub(crate) pulling: cell::RefCell<Vec<units::Address>>,
     /// Whether the next pull asks for the full feeds, because the base of a received delta is missing.
     pub(crate) needs_full_pull: cell::Cell<bool>,
+    /// Whether another node has answered a request.
+    pub(crate) heard: cell::Cell<bool>,
     counts: cell::Cell<Counts>,
     rank_cache: cell::RefCell<RankCache>,
 }
@@ -70,7 +72,9 @@
 
 impl<S: Store, L: peer::Link> Shared<S, L> {
     pub(crate) fn new(parts: Parts<S, L>, topics: Vec<Topic>) -> Self {
-        let feeds = topics.iter().map(|topic| Feed::new(topic.prefix));
+        let feeds = topics
+            .iter()
+            .map(|topic| Feed::new(topic.prefix, topic.version));
         Self {
             intervals: parts.settings.intervals(),
             feeds: feeds.map(cell::RefCell::new).collect(),
@@ -79,6 +83,7 @@
             spread_at: cell::Cell::default(),
             pulling: cell::RefCell::default(),
             needs_full_pull: cell::Cell::default(),
+            heard: cell::Cell::default(),
             counts: cell::Cell::default(),
             rank_cache: cell::RefCell::default(),
             topics,
@@ -279,6 +284,7 @@
         };
         self.record_message();
         let result = self.apply_parts(&reply.parts, Source::Reply(to));
+        self.heard.set(true);
         if result.complete {
             self.record_evidence(Evidence::of_reply(&reply, asked));
         }
@@ -329,6 +335,11 @@
 
     /// Logs that `feed` has taken changes after `before`.
     pub(crate) fn log_change(&self, feed: &Feed, before: Option<Revision>, source: Source<'_>) {
+        let era = |head: Option<Revision>| head.map(Revision::era);
+        if before.is_some() && era(before) < era(feed.head()) {
+            // Another node may have kept what the store has lost.
+            self.needs_full_pull.set(true);
+        }
         log::info!(event = "feed-changed", prefix = feed.prefix(), from:% = source, before:? = before,
             head:? = feed.head(), age_ms = units::millis(self.age());
             "the objects below a prefix have changed");
--- a/components/relay/tests/feed.rs
+++ b/components/relay/tests/feed.rs
@@ -30,7 +30,7 @@
 
 /// A feed that has read these revisions of `main`.
 fn feed(read: &[u64]) -> Feed {
-    let mut feed = Feed::new("config/");
+    let mut feed = Feed::new("config/", |_| None);
     for revision in read {
         let value = routes(u32::try_from(*revision).expect("small number"));
         feed.merge(vec![object("main", *revision, &value)]);
@@ -173,7 +173,7 @@
 
 #[test]
 fn merge_of_an_empty_prefix_sets_the_head() {
-    let mut feed = Feed::new("rollouts/");
+    let mut feed = Feed::new("rollouts/", |_| None);
     assert_eq!(feed.head(), None);
     feed.merge(Vec::new());
     assert_eq!(feed.head(), Some(Revision(0)));
@@ -188,3 +188,55 @@
         assert_eq!(parts.concat(), targets, "{count}");
     }
 }
+
+/// An object of an era whose value is a version.
+fn versioned(era: u16, counter: u64, version: u8) -> Object {
+    let revision = Revision(counter).in_era(platform::Era(era));
+    Object {
+        revision: revision.expect("it fits"),
+        ..object("main", 0, &[version])
+    }
+}
+
+/// A feed of values that are versions, which has read `objects`.
+fn versioned_feed(objects: &[Object]) -> Feed {
+    let mut feed = Feed::new("config/", |value| value.first().copied().map(u64::from));
+    for object in objects {
+        feed.merge(vec![object.clone()]);
+    }
+    feed
+}
+
+fn version(feed: &Feed) -> u8 {
+    feed.objects()[0].value[0]
+}
+
+#[test]
+fn store_in_a_new_era_replaces_no_newer_version() {
+    let cases = [
+        ("an older version", versioned(1, 3, 9), 11),
+        ("the same version, written again", versioned(1, 5, 11), 11),
+        ("a newer version", versioned(1, 6, 12), 12),
+    ];
+    for (name, shown, expected) in cases {
+        let kept = versioned(0, 8, 11);
+        let mut sender = versioned_feed(&[kept.clone(), shown.clone()]);
+        assert_eq!(version(&sender), expected, "{name}");
+        assert_eq!(
+            sender.head(),
+            Some(shown.revision),
+            "{name}: the head follows the store"
+        );
+        let mut starting = versioned_feed(&[]);
+        let head = sender.head().expect("it is read");
+        let outcome = starting.apply(None, head, &sender.changes(None));
+        assert_eq!(outcome, Outcome::Applied, "{name}");
+        starting.merge(vec![shown.clone()]);
+        assert_eq!(version(&starting), expected, "{name}: a node that starts");
+        let mut behind = versioned_feed(&[versioned(0, 7, 10), shown]);
+        behind.apply(None, head, &sender.changes(None));
+        assert_eq!(version(&behind), expected, "{name}: a node that was behind");
+        sender.merge(vec![versioned(1, 9, 13)]);
+        assert_eq!(version(&sender), 13, "{name}: a later version");
+    }
+}
--- a/components/relay/tests/mesh/fleet.rs
+++ b/components/relay/tests/mesh/fleet.rs
@@ -50,6 +50,7 @@
         prefix,
         wait: (prefix == ROLLOUTS).then(|| settings().apply.0),
         pause: time::Duration::from_millis(50),
+        version: |value| value.get(..8)?.try_into().ok().map(u64::from_be_bytes),
     }
 }
 
