moves: a move that has ended does not start again in a new era, and its end is written again

Cause: an order is known by the revision at which its object was created, which changes when the operator writes it again; and an end that the store has lost was never written again. Change: in a new era an order for the version that is known is the same one; an order from before it is ignored; a judge writes a lost end again.

--- a/components/moves/src/canary/orders.rs
+++ b/components/moves/src/canary/orders.rs
@@ -3,7 +3,7 @@
 use std::rc;
 use std::time;
 
-use platform::{Follow, Object, Store};
+use platform::{Follow, Object, Revision, Store};
 
 use super::service::Shared;
 use super::trial::Trial;
@@ -47,32 +47,59 @@
         };
         let mut trials = self.recorder.trials.borrow_mut();
         match Recorder::position(&trials, &order.service) {
+            Ok(index) if trials[index].revision >= object.revision => {}
             Ok(index) if trials[index].order.is_same(&order) => {
-                let trial = &mut trials[index];
-                if object.revision <= trial.revision {
-                    return;
-                }
-                trial.revision = object.revision;
-                let has_ended = !trial.order.phase.is_end() && order.phase.is_end();
-                trial.order.phase = order.phase;
-                if has_ended {
-                    self.apply_end(&trial.order);
-                }
+                self.apply_status(&mut trials[index], &order, object.revision);
+            }
+            Ok(index) if trials[index].is_restored(&order, object.revision) => {
+                self.apply_restored(&mut trials[index], &order, object);
             }
-            Ok(index) if trials[index].revision >= object.revision => {}
             index => {
                 log::info!(service = order.service.as_str(), version = order.version.as_str(),
                     phase:? = order.phase; "move ordered");
                 self.start(&order);
-                let trial = Trial::new(order, object.key.clone(), object.revision);
+                let mut trial = Trial::new(order, object.key.clone(), object.revision);
                 match index {
-                    Ok(index) => trials[index] = trial,
+                    Ok(index) => {
+                        trial.follow(&trials[index]);
+                        trials[index] = trial;
+                    }
                     Err(index) => trials.insert(index, trial),
                 }
             }
         }
     }
 
+    /// Applies the status of an order at `revision` to its trial.
+    ///
+    /// An end stays: a store that came back from a copy may show the state before it.
+    fn apply_status(&self, trial: &mut Trial, order: &Order, revision: Revision) {
+        trial.revision = revision;
+        if trial.order.phase.is_end() && !order.phase.is_end() {
+            trial.is_end_lost = true;
+            return;
+        }
+        let has_ended = !trial.order.phase.is_end() && order.phase.is_end();
+        trial.order.phase = order.phase;
+        trial.is_end_lost = false;
+        if has_ended {
+            self.apply_end(&trial.order);
+        }
+    }
+
+    /// Applies an order that a store in a new era shows beside the one that this node knows: the same one,
+    /// written again, or an earlier one.
+    fn apply_restored(&self, trial: &mut Trial, order: &Order, object: &Object) {
+        log::info!(event = "order-restored", service = order.service.as_str(),
+            version = order.version.as_str(), phase:? = order.phase, known = trial.order.version.as_str();
+            "the store shows an order again in a new era");
+        if order.version == trial.order.version {
+            trial.order.made = order.made;
+            trial.key = object.key.clone();
+            self.apply_status(trial, order, object.revision);
+        }
+    }
+
     fn start(&self, order: &Order) {
         if order.phase.is_end() {
             return self.apply_end(order);
--- a/components/moves/src/canary/service.rs
+++ b/components/moves/src/canary/service.rs
@@ -155,14 +155,28 @@
         let period = self.parts.settings.period.0;
         while stop.sleep(period).await {
             self.allow_known_versions();
-            let running: Vec<_> = {
-                let trials = self.recorder.trials.borrow();
-                let running = trials.iter().filter(|trial| !trial.order.phase.is_end());
-                running.map(|trial| trial.order.service.clone()).collect()
-            };
-            for service in running {
+            for service in self.services(|trial| !trial.order.phase.is_end()) {
                 self.tick(&service);
             }
+            for service in self.services(|trial| trial.is_end_lost) {
+                self.restore_end(&service);
+            }
+        }
+    }
+
+    /// Services whose trials satisfy `condition`.
+    fn services(&self, condition: impl Fn(&Trial) -> bool) -> Vec<CompactString> {
+        let trials = self.recorder.trials.borrow();
+        let chosen = trials.iter().filter(|trial| condition(trial));
+        chosen.map(|trial| trial.order.service.clone()).collect()
+    }
+
+    /// Writes an end that the store has lost again, if this node is a judge.
+    fn restore_end(self: &rc::Rc<Self>, service: &CompactString) {
+        let mut judges = self.judges(service).into_iter();
+        let rank = judges.position(|judge| judge.node == self.parts.node);
+        if let Some(rank) = rank {
+            self.update_status(service, rank);
         }
     }
 
--- a/components/moves/src/canary/status.rs
+++ b/components/moves/src/canary/status.rs
@@ -20,6 +20,7 @@
         let delay = self.parts.settings.write_after.0 * rank as u32;
         let write = self.with_trial(service, |trial| {
             let phase = match trial.end(is_ready) {
+                _ if trial.is_end_lost => trial.order.phase,
                 Some(end) => end,
                 None if trial.order.phase == Phase::Ordered => Phase::Running,
                 None => {
@@ -64,6 +65,7 @@
                     if trial.order.is_same(&order) && written > trial.revision {
                         trial.revision = written;
                         trial.order.phase = phase;
+                        trial.is_end_lost = false;
                         trial.decided_at = None;
                     }
                 });
--- a/components/moves/src/canary/trial.rs
+++ b/components/moves/src/canary/trial.rs
@@ -30,6 +30,10 @@
     pub(super) bad_reason: Option<CompactString>,
     /// Time at which this node decided on the status to be written.
     pub(super) decided_at: Option<time::Instant>,
+    /// Whether the move has ended and the store does not show that any more.
+    pub(super) is_end_lost: bool,
+    /// Earlier orders for the service, latest last.
+    earlier: Vec<Order>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -52,6 +56,8 @@
     const SLOW_FACTOR: f64 = 4.0;
     /// Milliseconds added to that limit: smaller differences come from the VM rather than the version.
     const SLOW_MIN_EXCESS_MS: f64 = 20.0;
+    /// Number of earlier orders that are kept.
+    const EARLIER_LIMIT: usize = 16;
     /// Requests after which the baseline latency is known.
     const BASELINE_MIN_REQUESTS: u32 = 5;
 
@@ -67,9 +73,29 @@
             judge: Judge::default(),
             bad_reason: None,
             decided_at: None,
+            is_end_lost: false,
+            earlier: Vec::new(),
         }
     }
 
+    /// Remembers the order of `before`, which this trial replaces, and those before it.
+    pub(super) fn follow(&mut self, before: &Self) {
+        self.earlier = before.earlier.clone();
+        self.earlier.push(before.order.clone());
+        let excess = self.earlier.len().saturating_sub(Self::EARLIER_LIMIT);
+        self.earlier.drain(..excess);
+    }
+
+    /// Whether a store that came back from a copy shows at `revision`, as `order`, the order of this
+    /// trial, written again, or an earlier one.
+    pub(super) fn is_restored(&self, order: &Order, revision: platform::Revision) -> bool {
+        if revision.era() == self.revision.era() {
+            return false;
+        }
+        let is_earlier = self.earlier.iter().any(|earlier| earlier.is_same(order));
+        is_earlier || order.version == self.order.version
+    }
+
     pub(super) fn elapsed(&self) -> time::Duration {
         self.started_at.elapsed()
     }
