relay: a full feed is asked for until it has come, whatever other prefixes hold

Found while reading: a part of an empty prefix counts from zero, as a full one does, and cleared the wish for a full feed of the configuration. The pull that asked for it clears it now.

--- a/components/relay/src/feed_writer.rs
+++ b/components/relay/src/feed_writer.rs
@@ -75,7 +75,7 @@
         let head = feed.borrow().head();
         feed.borrow_mut().merge(objects);
         if feed.borrow().head() != head {
-            self.log_change(&feed.borrow(), head, Source::Store);
+            self.record_change(&feed.borrow(), head, Source::Store);
             self.spread_changes(&before);
         }
     }
--- a/components/relay/src/pull.rs
+++ b/components/relay/src/pull.rs
@@ -20,7 +20,7 @@
     /// Number of pulls that may run at the same time.
     const PULLS: usize = 3;
 
-    /// Pulls from random nodes while the state of this node is stale or not loaded.
+    /// Pulls from random nodes while the state of this node is stale, or a full feed is missing.
     pub(crate) async fn run_pulls(self: rc::Rc<Self>, stop: kernel::Stop) {
         let mut wait = Self::FIRST_WAIT;
         while stop.sleep(wait).await {
@@ -119,6 +119,9 @@
         log::info!(event = "pull-ended", to:% = to, full = full, took_ms = units::millis(started.elapsed()),
             changed = pulled.as_ref().is_ok_and(|changed| *changed), error = error.as_deref().unwrap_or_default();
             "another node was asked for changes");
+        if full && pulled.is_ok() {
+            self.needs_full_pull.set(false);
+        }
         let changed = pulled.unwrap_or_default();
         if changed {
             self.spread_changes(&before);
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -216,15 +216,16 @@
 
     /// Latest time at which the answers of the store made all feeds complete; `None` if a watch has failed.
     ///
-    /// Only the watches with a schedule tell the time; the others are read again if they fail.
+    /// Only the watches with a schedule tell the time, if there are any: the others wait for longer.
     fn answered_at(&self) -> Option<time::Instant> {
-        let mut oldest = None;
+        let is_any_scheduled = self.topics.iter().any(|topic| topic.wait.is_none());
+        let mut oldest: Option<time::Instant> = None;
         for (watch, topic) in self.watches.borrow().iter().zip(&self.topics) {
             let Answered::At(at) = watch.answered.get() else {
                 return None;
             };
-            if topic.wait.is_none() {
-                oldest = Some(oldest.map_or(at, |oldest: time::Instant| oldest.min(at)));
+            if topic.wait.is_none() || !is_any_scheduled {
+                oldest = Some(oldest.map_or(at, |oldest| oldest.min(at)));
             }
         }
         oldest
@@ -316,7 +317,6 @@
                     "changes of another node could not be applied");
             }
             match outcome {
-                Outcome::Applied if part.after == 0 => self.needs_full_pull.set(false),
                 Outcome::Applied => {}
                 Outcome::Gap => result.complete = false,
                 Outcome::MissingBase => {
@@ -325,7 +325,7 @@
                 }
             }
             if feed.head() != before {
-                self.log_change(&feed, before, source);
+                self.record_change(&feed, before, source);
                 result.changed = true;
                 self.nudge_watch(index);
             }
@@ -333,11 +333,11 @@
         result
     }
 
-    /// Logs that `feed` has taken changes after `before`.
-    pub(crate) fn log_change(&self, feed: &Feed, before: Option<Revision>, source: Source<'_>) {
+    /// Logs that `feed` has taken changes after `before`, and asks for what other nodes have kept if it has
+    /// entered a new era.
+    pub(crate) fn record_change(&self, feed: &Feed, before: Option<Revision>, source: Source<'_>) {
         let era = |head: Option<Revision>| head.map(Revision::era);
         if before.is_some() && era(before) < era(feed.head()) {
-            // Another node may have kept what the store has lost.
             self.needs_full_pull.set(true);
         }
         log::info!(event = "feed-changed", prefix = feed.prefix(), from:% = source, before:? = before,
--- a/components/relay/tests/mesh/evidence.rs
+++ b/components/relay/tests/mesh/evidence.rs
@@ -146,3 +146,26 @@
     fleet.change_config();
     wait_in_time(&fleet, "slow link").await;
 }
+
+#[compio::test]
+async fn full_feed_is_asked_for_until_it_has_come() {
+    let fleet = Fleet::open(13, 4).await;
+    let node = others(&fleet)[0].clone();
+    let running = fleet.running(&node.node);
+    running.store.disconnected.set(true);
+    let kept = fleet.head();
+    let address = node.peer_address;
+    fleet
+        .network
+        .cut(move |from, to| from == address || to == address);
+    // More changes than the deltas that are kept.
+    for _ in 0..20 {
+        fleet.change_config();
+        compio::time::sleep(Duration::from_millis(60)).await;
+    }
+    assert_eq!(running.known_revision.get(), kept);
+    fleet.network.set_loss(0.5);
+    fleet.network.heal();
+    fleet.change_config();
+    fleet.wait_for_config("full feed over a lossy link").await;
+}
