kernel: a sleep does not go on once the stop is requested

Cause: Stop::sleep let a time of almost nothing win against a stop that was requested already, so that a follower whose first wait was drawn near zero called the store once more after it had been ended.

--- a/components/kernel/src/stop.rs
+++ b/components/kernel/src/stop.rs
@@ -45,9 +45,10 @@
         }
     }
 
-    /// Waits for `period`; `false` when the stop is requested first.
+    /// Waits for `period`; `false` when the stop is requested by then.
     pub async fn sleep(&self, period: std::time::Duration) -> bool {
-        self.guard(compio::time::sleep(period)).await.is_some()
+        let slept = self.guard(compio::time::sleep(period)).await;
+        slept.is_some() && !self.is_requested()
     }
 }
 
--- a/components/relay/tests/mesh/faults.rs
+++ b/components/relay/tests/mesh/faults.rs
@@ -128,7 +128,8 @@
     for node in &fleet.nodes {
         let calls = node.store.calls.get();
         let allowed = if is_watcher(&node.member.node) { 40 } else { 1 };
-        assert!(calls <= allowed, "{calls} calls of one node");
+        let dump = (node.dump)();
+        assert!(calls <= allowed, "{calls} calls of one node: {dump:?}");
     }
     fleet.store.set_faults(fakes::Faults::default());
     fleet.change_config();
