--- a/components/relay/src/role.rs
+++ b/components/relay/src/role.rs
@@ -10,6 +10,9 @@
 use crate::shared::{Answered, Shared, Watch};
 use crate::{Candidate, Topic};
 
+/// A follower that is about to run, with what it needs.
+type StartedFollower<S, L> = (Follower<S>, FeedWriter<S, L>, kernel::Stop);
+
 impl<S: Store, L: peer::Link> Shared<S, L> {
     /// Time between two checks whether this node has to watch the store.
     const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -21,11 +24,13 @@
     ///
     /// The watchers send the changes since then.
     pub(crate) async fn run_first_read(self: rc::Rc<Self>, stop: kernel::Stop) {
+        let started = time::Instant::now();
         for (topic, feed) in self.topics.iter().zip(&self.feeds) {
             let listed = stop.guard(self.parts.store.list_stale(topic.prefix)).await;
             match listed {
                 Some(Ok(listing)) => {
-                    if stop.guard(self.wait_for_kept_changes()).await.is_none() {
+                    let waited = stop.guard(self.wait_for_kept_changes(started)).await;
+                    if waited.is_none() {
                         return;
                     }
                     feed.borrow_mut().merge(listing.objects);
@@ -39,9 +44,8 @@
     }
 
     /// Waits for the first answer of another node if the store may have come back from a copy, as the
-    /// others have kept what it has lost.
-    async fn wait_for_kept_changes(&self) {
-        let started = time::Instant::now();
+    /// others have kept what it has lost; no longer than a state is fresh, from when this node `started`.
+    async fn wait_for_kept_changes(&self, started: time::Instant) {
         let may_be_restored = self.parts.store.era() > Era::default();
         while may_be_restored && !self.heard.get() {
             if started.elapsed() >= self.intervals.stale_after {
@@ -67,9 +71,7 @@
             if should_watch == candidate.watching {
                 continue;
             }
-            let age = self.freshness.borrow().age(now);
-            log::info!(event = "relay-watch", watching = should_watch, place:% = candidate.place,
-                age_ms = units::millis(age); "started or stopped watching the store");
+            self.log_role(should_watch, &candidate);
             if should_watch {
                 started = Some(now);
                 self.start_watches();
@@ -82,11 +84,18 @@
 
     /// Ends the watches of a substitute that the store does not answer; it starts again after some time.
     pub(crate) fn end_failed_substitute(&self) {
-        if self.candidate().behind.is_some() {
+        let candidate = self.candidate();
+        if candidate.behind.is_some() {
+            self.log_role(false, &candidate);
             self.watches.borrow_mut().clear();
         }
     }
 
+    fn log_role(&self, watching: bool, candidate: &Candidate) {
+        log::info!(event = "relay-watch", watching = watching, place:% = candidate.place,
+            age_ms = units::millis(self.age()); "started or stopped watching the store");
+    }
+
     /// Whether this node has to watch the store; it last `started` to do so at the given time.
     fn should_watch(
         &self,
@@ -179,8 +188,6 @@
     }
 }
 
-type StartedFollower<S, L> = (Follower<S>, FeedWriter<S, L>, kernel::Stop);
-
 /// Delay of a timer beyond which a line is logged.
 const LOGGED_DELAY: time::Duration = time::Duration::from_millis(200);
 
