--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -7,6 +7,7 @@
 use compact_str::{ToCompactString, format_compact};
 use http::StatusCode;
 
+use crate::eras::Eras;
 use crate::form::{Answer, Ask};
 use crate::{
     Breaker, Bucket, Counts, Era, Error, Events, Form, Key, Listing, Native, Object, Revision,
@@ -39,8 +40,7 @@
     writes: cell::RefCell<Bucket>,
     reads: cell::RefCell<Bucket>,
     breaker: cell::RefCell<Breaker>,
-    /// Era of the newest answer.
-    era: cell::Cell<Option<Era>>,
+    eras: Eras,
     counts: cell::Cell<Counts>,
 }
 
@@ -62,8 +62,6 @@
 }
 
 impl<F: Form> Client<F> {
-    /// Header of all answers that names the era of the store.
-    const ERA: http::HeaderName = http::HeaderName::from_static("store-era");
     /// Largest answer that is read, in bytes.
     const ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
@@ -86,7 +84,7 @@
             writes: cell::RefCell::new(Bucket::new(settings.writes, settings.burst, now)),
             reads: cell::RefCell::new(Bucket::new(settings.reads, settings.burst, now)),
             breaker: cell::RefCell::new(breaker),
-            era: cell::Cell::default(),
+            eras: Eras::default(),
             counts: cell::Cell::default(),
             settings,
         };
@@ -98,7 +96,10 @@
     /// Calls so far.
     #[must_use]
     pub fn counts(&self) -> Counts {
-        self.inner.counts.get()
+        Counts {
+            era: self.inner.eras.known().0.into(),
+            ..self.inner.counts.get()
+        }
     }
 
     /// Whether the circuit breaker refuses calls.
@@ -216,41 +217,12 @@
         let body = body.map_err(|_| Error::Unknown("the answer broke off".into()))?;
         Ok(Answer {
             status,
-            era: self.observe_era(&headers)?,
+            era: self.inner.eras.observe(&headers)?,
             headers,
             body: body.into(),
         })
     }
 
-    /// Era of an answer; one of an earlier era than another answer came too late to be used.
-    fn observe_era(&self, headers: &http::HeaderMap) -> Result<Era, Error> {
-        let known = self.era();
-        let Some(named) = headers.get(Self::ERA) else {
-            return Ok(known);
-        };
-        let named = named.to_str().ok().and_then(|text| text.parse().ok());
-        let era: Era = named.ok_or_else(|| Error::Unknown("the era is malformed".into()))?;
-        if era < known {
-            return Err(Error::Unknown("the answer is of an earlier era".into()));
-        }
-        let before = self.inner.era.replace(Some(era));
-        self.count(|counts| counts.era = era.0.into());
-        if before.is_some_and(|before| before < era) {
-            log::warn!(event = "store-era-changed", before = known.0, era = era.0;
-                "the store names a new era: it may have lost its latest changes");
-        }
-        Ok(era)
-    }
-
-    /// Refuses a write on the condition of a revision of an earlier era, which the store may have given
-    /// to another object since.
-    fn check_era(&self, expected: Revision) -> Result<(), Error> {
-        match expected.era() == self.era() {
-            true => Ok(()),
-            false => Err(Error::Conflict),
-        }
-    }
-
     fn request(&self, ask: Ask) -> Result<cyper::RequestBuilder, Error> {
         let url = format!("http://{}{}", self.inner.address, ask.path);
         let invalid = |error: cyper::Error| Error::Invalid(error.to_compact_string());
@@ -267,7 +239,7 @@
             .call(ask, Sort::Write, time::Duration::ZERO, add)
             .await?;
         let written = self.inner.form.written(&answer)?;
-        stamped(written.in_era(answer.era))
+        Eras::stamped(written.in_era(answer.era))
     }
 
     /// Lists the objects below `prefix` page by page; `ask` is the call for the page after a key.
@@ -285,7 +257,7 @@
             let ask = ask(after.as_ref());
             let answer = self.get(ask, |counts| counts.lists += 1).await?;
             let page = self.inner.form.page(prefix, &answer)?;
-            let listing = stamped(page.listing.in_era(answer.era))?;
+            let listing = Eras::stamped(page.listing.in_era(answer.era))?;
             if after.is_none() {
                 // Changes while the pages are read come with a watch from the first page.
                 whole.revision = listing.revision;
@@ -314,7 +286,7 @@
             _ => {
                 let era = answer.era;
                 let object = self.inner.form.object(key, answer)?;
-                stamped(object.in_era(era)).map(Some)
+                Eras::stamped(object.in_era(era)).map(Some)
             }
         }
     }
@@ -329,22 +301,22 @@
         expected: Revision,
         value: Vec<u8>,
     ) -> Result<Revision, Error> {
-        self.check_era(expected)?;
+        self.inner.eras.check_condition(expected)?;
         let ask = self.inner.form.update(key, expected, value);
         let written = self.write(ask).await?;
-        check_written_era(expected, written.era())?;
+        Eras::check_written(expected, written.era())?;
         Ok(written)
     }
 
     async fn remove(&self, key: &Key, expected: Revision) -> Result<(), Error> {
-        self.check_era(expected)?;
+        self.inner.eras.check_condition(expected)?;
         let ask = self.inner.form.remove(key, expected);
         let add = |counts: &mut Counts| counts.removes += 1;
         let answer = self
             .call(ask, Sort::Write, time::Duration::ZERO, add)
             .await?;
         self.inner.form.removed(&answer)?;
-        check_written_era(expected, answer.era)
+        Eras::check_written(expected, answer.era)
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
@@ -374,25 +346,11 @@
         if answer.era != from.era() {
             return Err(Error::Gone);
         }
-        stamped(self.inner.form.events(prefix, &answer)?.in_era(answer.era))
+        Eras::stamped(self.inner.form.events(prefix, &answer)?.in_era(answer.era))
     }
 
     fn era(&self) -> Era {
-        self.inner.era.get().unwrap_or_default()
-    }
-}
-
-/// A result with the era of its answer; malformed where a revision is too large.
-fn stamped<T>(result: Option<T>) -> Result<T, Error> {
-    result.ok_or_else(|| Error::Unknown("a revision is too large".into()))
-}
-
-/// Refuses the answer to a write whose condition was of an earlier era: the store may have compared the
-/// revision with that of another object.
-fn check_written_era(expected: Revision, era: Era) -> Result<(), Error> {
-    match expected.era() == era {
-        true => Ok(()),
-        false => Err(Error::Unknown("the era changed before the write".into())),
+        self.inner.eras.known()
     }
 }
 
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod client;
 mod counts;
 mod era;
+mod eras;
 mod error;
 mod follower;
 mod form;
--- a/components/relay/src/feed_writer.rs
+++ b/components/relay/src/feed_writer.rs
@@ -7,8 +7,9 @@
 use platform::{Error, Follow, Object, Store};
 
 use crate::Topic;
+use crate::answer::Answered;
 use crate::schedule;
-use crate::shared::{Answered, SERVICE, Shared};
+use crate::shared::{SERVICE, Shared};
 use crate::source::Source;
 
 /// Merges the objects that a watch of this node reads into a feed, and passes them on.
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! them has a current state. A wrong view of the members thus causes additional calls to the store,
 //! but never an outdated state.
 
+mod answer;
 mod candidate;
 mod counts;
 mod delta;
--- a/components/relay/src/role.rs
+++ b/components/relay/src/role.rs
@@ -6,8 +6,9 @@
 
 use platform::{Era, Follower, Pace, Store};
 
+use crate::answer::Answered;
 use crate::feed_writer::FeedWriter;
-use crate::shared::{Answered, Shared, Watch};
+use crate::shared::{Shared, Watch};
 use crate::{Candidate, Topic};
 
 /// A follower that is about to run, with what it needs.
