--- a/components/relay/src/settings.rs
+++ b/components/relay/src/settings.rs
@@ -52,8 +52,9 @@
                 findings.add(format!("{place}/{name}"), "zero", "at least 1");
             }
         }
-        if self.reads.0 <= 0.0 {
-            findings.add(format!("{place}/reads"), "no calls", "a rate above zero");
+        if self.reads.0 < 1.0 {
+            let problem = format!("a rate of {}", self.reads);
+            findings.add(format!("{place}/reads"), problem, "at least 1/s");
         }
         if self.apply.as_millis() == 0 {
             findings.add(format!("{place}/apply"), "no time", "a time above zero");
