relay: evidence is put into messages at one place, a pull from a node that may be missing is one function

Found while reading the whole change once more: the age and the place of the evidence were taken apart in the same two lines for pushes and for replies, and the two pulls of a reader each matched on a missing node. Two comments name their subject.

--- a/components/relay/src/evidence.rs
+++ b/components/relay/src/evidence.rs
@@ -19,7 +19,7 @@
 
 impl Evidence {
     /// Age in a message without evidence.
-    pub(crate) const UNKNOWN_AGE_MS: u64 = u64::MAX;
+    const UNKNOWN_AGE_MS: u64 = u64::MAX;
 
     /// Reads the evidence in a message, whose age is counted back from `reference`; `None` if there is none.
     fn from_wire(age_ms: u64, place: u32, reference: time::Instant) -> Option<Self> {
@@ -33,9 +33,12 @@
         })
     }
 
-    /// Age in milliseconds, as it is sent to other nodes.
-    pub(crate) fn age_ms(self) -> u64 {
-        units::millis(self.at.elapsed())
+    /// Age in milliseconds and place, as they are sent to other nodes.
+    pub(crate) fn to_wire(evidence: Option<Self>) -> (u64, u32) {
+        evidence.map_or((Self::UNKNOWN_AGE_MS, 0), |evidence| {
+            let age_ms = units::millis(evidence.at.elapsed());
+            (age_ms, evidence.place.to_wire())
+        })
     }
 
     /// Evidence of a push message.
--- a/components/relay/src/freshness.rs
+++ b/components/relay/src/freshness.rs
@@ -4,7 +4,7 @@
 
 use crate::{Candidate, Evidence, Intervals, Place};
 
-/// What a node knows of the completeness of its state.
+/// Evidence that the state of a node is complete, and the time when it last heard another node.
 #[derive(Debug, Clone)]
 pub struct Freshness {
     /// Time from which the state has to be complete while there is no evidence.
--- a/components/relay/src/intervals.rs
+++ b/components/relay/src/intervals.rs
@@ -28,7 +28,7 @@
     /// Derives intervals with which a change reaches all nodes within `apply`, even if the store stops
     /// answering the watchers just before it.
     ///
-    /// That is noticed after half of `apply`. Each `takeover_step` doubles the number of nodes that ask
+    /// The silence of the store is noticed after half of `apply`. Each `takeover_step` doubles the number of nodes that ask
     /// the store, so that all have asked after a quarter of `apply` more, and the last quarter is left for reading.
     #[must_use]
     pub fn new(apply: time::Duration) -> Self {
--- a/components/relay/src/pull.rs
+++ b/components/relay/src/pull.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use futures_util::future::{self, Either};
+use membership::Member;
 use platform::Store;
 use prost::Message;
 use rand::seq::IndexedRandom;
@@ -48,18 +49,10 @@
         let mut first = ranks.first(&self.parts.data_centre, 1);
         let first = first.find(|member| member.node != self.parts.node);
         let any = self.others().choose(&mut rand::rng()).cloned();
-        let first = async {
-            match first {
-                Some(member) => self.pull(member.peer_address).await,
-                None => false,
-            }
-        };
+        let first = self.pull_from(first);
         let any = async {
             compio::time::sleep(self.intervals.answer_timeout).await;
-            match any {
-                Some(member) => self.pull(member.peer_address).await,
-                None => false,
-            }
+            self.pull_from(any.as_ref()).await
         };
         match future::select(pin::pin!(first), pin::pin!(any)).await {
             Either::Left((true, _)) | Either::Right((true, _)) => true,
@@ -68,6 +61,14 @@
         }
     }
 
+    /// Pulls from `member`, if there is one; returns whether a feed changed.
+    async fn pull_from(self: &rc::Rc<Self>, member: Option<&rc::Rc<Member>>) -> bool {
+        match member {
+            Some(member) => self.pull(member.peer_address).await,
+            None => false,
+        }
+    }
+
     /// Starts a pull from `node`, whose message has shown that changes are missing here.
     pub(crate) fn start_pull_from(self: &rc::Rc<Self>, node: &units::Node) {
         let view = self.parts.members.get();
@@ -140,11 +141,11 @@
             Some(wire::request::Kind::Push(push)) => push.parts.iter().map(head).collect(),
             None => return incoming.answer.invalid(),
         };
-        let evidence = self.evidence();
+        let (age_ms, place) = Evidence::to_wire(self.evidence());
         let reply = wire::Reply {
             parts: self.parts_after(&heads),
-            age_ms: evidence.map_or(Evidence::UNKNOWN_AGE_MS, Evidence::age_ms),
-            place: evidence.map_or(0, |evidence| evidence.place.to_wire()),
+            age_ms,
+            place,
         };
         incoming.answer.send(reply.encode_to_vec());
         if let Some(wire::request::Kind::Push(push)) = request.kind {
--- a/components/relay/src/spread.rs
+++ b/components/relay/src/spread.rs
@@ -21,11 +21,11 @@
 
 impl Message {
     fn push(&self, centre: bool, targets: &[units::Address]) -> wire::Push {
-        let evidence = self.evidence;
+        let (age_ms, place) = Evidence::to_wire(self.evidence);
         wire::Push {
             parts: self.parts.clone(),
-            age_ms: evidence.map_or(Evidence::UNKNOWN_AGE_MS, Evidence::age_ms),
-            place: evidence.map_or(0, |evidence| evidence.place.to_wire()),
+            age_ms,
+            place,
             centre,
             targets: targets.iter().map(ToString::to_string).collect(),
         }
