--- a/components/admission/src/bulkhead.rs
+++ b/components/admission/src/bulkhead.rs
@@ -10,7 +10,7 @@
 /// While less than half of the limit is in use, a service is not restricted. Above that, each service is
 /// restricted to an equal share of the limit, so that a slow service leaves capacity for others.
 #[derive(Debug, Clone)]
-pub struct Quota {
+pub struct Bulkhead {
     limit: usize,
     state: rc::Rc<cell::RefCell<State>>,
 }
@@ -29,8 +29,8 @@
     state: rc::Rc<cell::RefCell<State>>,
 }
 
-impl Quota {
-    /// Creates a quota of `limit` requests for all services together.
+impl Bulkhead {
+    /// Creates a bulkhead of `limit` requests for all services together.
     #[must_use]
     pub fn new(limit: usize) -> Self {
         Self {
--- a/components/admission/src/reason.rs
+++ b/components/admission/src/reason.rs
@@ -51,6 +51,12 @@
     /// The owner that has to record the idempotency key cannot be reached.
     #[error("key-not-noted")]
     KeyNotNoted,
+    /// The data centre of the backend server is evacuated.
+    #[error("evacuated")]
+    Evacuated,
+    /// The workspace has used its share of the backend server.
+    #[error("workspace-over-share")]
+    WorkspaceOverShare,
     /// This owner has no record of the idempotency key.
     #[error("key-not-found")]
     KeyNotFound,
--- a/components/admission/src/request.rs
+++ b/components/admission/src/request.rs
@@ -11,6 +11,8 @@
 pub struct Request {
     /// Caller; callers share the backend server evenly.
     pub caller: CompactString,
+    /// Workspace that the request belongs to; empty without one.
+    pub workspace: CompactString,
     /// Requested service.
     pub service: CompactString,
     /// Requested version.
--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use admission::{
-    Advertised, Announced, Gate, Lanes, Order, Permit, Quota, Reason, Request, Settings,
+    Advertised, Announced, Bulkhead, Gate, Lanes, Order, Permit, Reason, Request, Settings,
 };
 use futures_util::FutureExt;
 use membership::{Backend, Phase};
@@ -26,6 +26,7 @@
 
 fn request(alone: bool, left: Duration) -> Request {
     Request {
+        workspace: "".into(),
         caller: "c".into(),
         service: "menus".into(),
         version: "v1".into(),
@@ -193,24 +194,24 @@
 }
 
 #[test]
-fn quota_leaves_capacity_for_others() {
-    let quota = Quota::new(10);
+fn bulkhead_leaves_capacity_for_others() {
+    let bulkhead = Bulkhead::new(10);
     let slow: Vec<_> = (0..20)
-        .filter_map(|_| quota.acquire(&"slow".into()))
+        .filter_map(|_| bulkhead.acquire(&"slow".into()))
         .collect();
     assert_eq!(slow.len(), 10);
     drop(slow);
-    let other = quota.acquire(&"other".into());
+    let other = bulkhead.acquire(&"other".into());
     let slow: Vec<_> = (0..20)
-        .filter_map(|_| quota.acquire(&"slow".into()))
+        .filter_map(|_| bulkhead.acquire(&"slow".into()))
         .collect();
     assert_eq!((other.is_some(), slow.len()), (true, 5));
     let more: Vec<_> = (0..20)
-        .filter_map(|_| quota.acquire(&"other".into()))
+        .filter_map(|_| bulkhead.acquire(&"other".into()))
         .collect();
     assert_eq!(more.len(), 4);
     drop((other, slow, more));
-    assert_eq!(quota.total(), 0);
+    assert_eq!(bulkhead.total(), 0);
 }
 
 #[compio::test]
--- a/components/config/src/list.rs
+++ b/components/config/src/list.rs
@@ -5,7 +5,7 @@
 use prost::Message;
 use xxhash_rust::xxh3;
 
-use crate::{Route, Service};
+use crate::{Route, Service, Workspace};
 
 /// A resource with a name of its own.
 pub(crate) trait Resource: Clone {
@@ -36,6 +36,16 @@
     }
 }
 
+impl Resource for Workspace {
+    fn name(&self) -> &str {
+        &self.name
+    }
+
+    fn hash(&self) -> u64 {
+        xxh3::xxh3_64(&self.encode().encode_to_vec())
+    }
+}
+
 /// Resources of one kind; clones share them until one of the clones changes.
 ///
 /// The digest is the sum of the hashes, so that a change costs the hashes of what it touches
--- a/components/config/src/route.rs
+++ b/components/config/src/route.rs
@@ -48,6 +48,13 @@
         /// Services that share the requests; empty where `service` gets all of them.
         #[serde(default)]
         pub split: Vec<Part>,
+        /// Whether its requests need no key where the configuration has workspaces.
+        #[serde(default)]
+        pub public: bool,
+        /// Regions that its requests stay in; empty for all.
+        #[serde(default)]
+        #[schemars(with = "Vec<String>")]
+        pub homes: Vec<CompactString>,
     }
 }
 
@@ -180,6 +187,8 @@
             target: units::Period::from_millis(u64::from(wire.target_ms)),
             priority: wire.priority,
             split: wire.split.iter().map(Part::decode).collect(),
+            public: wire.public,
+            homes: wire.homes.iter().map(CompactString::from).collect(),
         }
     }
 
@@ -199,6 +208,8 @@
             target_ms: u32::try_from(self.target.as_millis()).unwrap_or(u32::MAX),
             priority: self.priority,
             split: self.split.iter().map(Part::encode).collect(),
+            public: self.public,
+            homes: self.homes.iter().map(CompactString::to_string).collect(),
         }
     }
 }
--- a/components/config/src/service.rs
+++ b/components/config/src/service.rs
@@ -29,6 +29,13 @@
         #[serde(default)]
         #[schemars(with = "String")]
         pub health_path: CompactString,
+        /// Requests a second that a backend server bears while it warms up; zero where it needs no
+        /// warm-up.
+        #[serde(default)]
+        pub warmup_rate: units::Rate,
+        /// How long a backend server warms up after its start.
+        #[serde(default)]
+        pub warmup: units::Period,
     }
 }
 
@@ -88,6 +95,8 @@
             revision: units::Version(wire.revision),
             connections: wire.connections,
             health_path: wire.health_path.as_str().into(),
+            warmup_rate: units::Rate(wire.warmup_rate),
+            warmup: units::Period::from_millis(u64::from(wire.warmup_ms)),
         }
     }
 
@@ -100,6 +109,8 @@
             revision: self.revision.0,
             connections: self.connections,
             health_path: self.health_path.to_string(),
+            warmup_rate: self.warmup_rate.0,
+            warmup_ms: u32::try_from(self.warmup.as_millis()).unwrap_or(u32::MAX),
         }
     }
 }
--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -2,12 +2,15 @@
 
 mod check;
 
+use std::rc;
+
 use schema::config as wire;
 use xxhash_rust::xxh3;
 
+use crate::keys::Keys;
 use crate::list::List;
 use crate::settled::Settled;
-use crate::{Applied, Change, Findings, Put, Refusal, Remove, Route, Service};
+use crate::{Applied, Change, Findings, Put, Refusal, Remove, Route, Service, Workspace, key};
 
 /// The whole configuration at one version; immutable once built.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -15,6 +18,9 @@
     version: units::Version,
     services: List<Service>,
     routes: List<Route>,
+    workspaces: List<Workspace>,
+    /// Index of the keys of the workspaces.
+    keys: rc::Rc<Keys>,
     settled: Settled,
 }
 
@@ -35,6 +41,7 @@
             services: List::new(services),
             routes: List::new(routes),
             settled: Settled::default(),
+            ..Self::default()
         };
         let mut findings = Findings::default();
         snapshot.check_order(&mut findings);
@@ -42,6 +49,27 @@
         findings.into_result(snapshot)
     }
 
+    /// The same configuration with these workspaces.
+    ///
+    /// # Errors
+    /// Everything that is wrong with the workspaces.
+    pub fn with_workspaces(mut self, mut workspaces: Vec<Workspace>) -> Result<Self, Findings> {
+        workspaces.sort_by(|one, other| one.name.cmp(&other.name));
+        self.workspaces = List::new(workspaces);
+        let mut findings = Findings::default();
+        self.check_order(&mut findings);
+        self.index_keys(&mut findings);
+        findings.into_result(self)
+    }
+
+    /// Checks the workspaces, and indexes their keys.
+    fn index_keys(&mut self, findings: &mut Findings) {
+        for workspace in self.workspaces.as_slice() {
+            workspace.check(&format!("/workspaces/{}", workspace.name), findings);
+        }
+        self.keys = rc::Rc::new(Keys::new(self.workspaces.as_slice(), findings));
+    }
+
     /// Version of the configuration.
     #[must_use]
     pub fn version(&self) -> units::Version {
@@ -72,6 +100,25 @@
         self.routes.get(name)
     }
 
+    /// Workspaces, sorted by name; without any, requests need no key.
+    #[must_use]
+    pub fn workspaces(&self) -> &[Workspace] {
+        self.workspaces.as_slice()
+    }
+
+    /// The workspace called `name`.
+    #[must_use]
+    pub fn workspace(&self, name: &str) -> Option<&Workspace> {
+        self.workspaces.get(name)
+    }
+
+    /// The workspace that holds the key with this digest.
+    #[must_use]
+    pub fn workspace_of(&self, key: &key::Digest) -> Option<&Workspace> {
+        let index = self.keys.find(key)?;
+        self.workspaces().get(index)
+    }
+
     /// The version at which `operation` was accepted, if it is among the remembered ones.
     #[must_use]
     pub fn settled(&self, operation: &units::Operation) -> Option<units::Version> {
@@ -138,7 +185,8 @@
         let parts = [
             self.version.0,
             self.services.digest(),
-            self.routes.digest(),
+            // Without workspaces the digest is that of nodes that do not know of them.
+            self.routes.digest().wrapping_add(self.workspaces.digest()),
             self.settled.digest(),
         ];
         xxh3::xxh3_64(&parts.map(u64::to_le_bytes).concat())
@@ -172,13 +220,24 @@
             route
         });
         let routes = List::new(routes.collect());
+        let workspaces = wire
+            .workspaces
+            .iter()
+            .enumerate()
+            .map(|(index, workspace)| {
+                Workspace::decode(workspace, &format!("/workspaces/{index}"), &mut findings)
+            });
+        let workspaces = List::new(workspaces.collect());
         let settled = decode_settled(&wire.settled, &mut findings);
-        let snapshot = Self {
+        let mut snapshot = Self {
             version: units::Version(wire.version),
             services,
             routes,
+            workspaces,
             settled,
+            ..Self::default()
         };
+        snapshot.index_keys(&mut findings);
         snapshot.check_order(&mut findings);
         snapshot.check_whole(&mut findings);
         if findings.is_empty() && snapshot.digest() != wire.digest {
@@ -204,6 +263,7 @@
             services: self.services().iter().map(Service::encode).collect(),
             routes: self.routes().iter().map(Route::encode).collect(),
             settled: settled.collect(),
+            workspaces: self.workspaces().iter().map(Workspace::encode).collect(),
             digest: 0,
         }
     }
--- a/components/config/src/snapshot/check.rs
+++ b/components/config/src/snapshot/check.rs
@@ -134,6 +134,7 @@
         let orders = [
             ("/services", self.services.is_sorted()),
             ("/routes", self.routes.is_sorted()),
+            ("/workspaces", self.workspaces.is_sorted()),
         ];
         for (place, sorted) in orders {
             if !sorted {
--- a/node/src/call/arrival.rs
+++ b/node/src/call/arrival.rs
@@ -35,6 +35,10 @@
     pub(crate) called_again: units::Share,
     /// Caller that sends the request.
     pub(crate) caller: CompactString,
+    /// Workspace that the caller's key belongs to; empty without one.
+    pub(crate) workspace: CompactString,
+    /// Rank of that workspace among workspaces; zero is the most urgent.
+    pub(crate) workspace_priority: u32,
     /// Whether the request may run more than once.
     pub(crate) idempotent: bool,
     /// Idempotency key, if the request needs one.
@@ -111,6 +115,8 @@
             attempt: attempt.unwrap_or(1).max(1),
             called_again,
             caller,
+            workspace: CompactString::default(),
+            workspace_priority: 0,
             idempotent,
             key,
             key_attempt: metadata.key_attempt,
@@ -121,6 +127,16 @@
         })
     }
 
+    /// Returns the rank of the request at an owner: that of its workspace first, then that of its
+    /// route.
+    pub(crate) fn priority(&self) -> u32 {
+        /// Ranks of routes within one rank of workspaces.
+        const ROUTE_RANKS: u32 = 1 << 16;
+        let route = self.route.priority.min(ROUTE_RANKS - 1);
+        let workspace = self.workspace_priority.saturating_mul(ROUTE_RANKS);
+        workspace.saturating_add(route)
+    }
+
     /// Builds the method, URI and headers for one attempt.
     pub(crate) fn head(&self) -> http::request::Parts {
         let (mut parts, ()) = http::Request::new(()).into_parts();
--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -29,6 +29,8 @@
         pub version: CompactString,
         /// Caller that sends the request.
         pub caller: CompactString,
+        /// Workspace that the request belongs to; empty without one.
+        pub workspace: CompactString,
         /// Whether the request repeats another one or was caused by a repeated run.
         pub repeat: admission::Repeat,
         /// Whether the request was in flight at a backend server that crashed.
@@ -91,6 +93,9 @@
         Headers::set(headers, Headers::SERVICE, &self.service);
         Headers::set(headers, Headers::VERSION, &self.version);
         Headers::set(headers, Headers::CALLER, &self.caller);
+        if !self.workspace.is_empty() {
+            Headers::set(headers, Headers::WORKSPACE, &self.workspace);
+        }
         let target = self.target.saturating_duration_since(now);
         Headers::set_number(headers, Headers::TARGET_MS, units::millis(target));
         Headers::set_number(headers, Headers::ROUTE, self.route);
@@ -169,6 +174,7 @@
             service: text(Headers::SERVICE)?,
             version: text(Headers::VERSION)?,
             caller: text(Headers::CALLER)?,
+            workspace: Headers::text(headers, &Headers::WORKSPACE).unwrap_or_default(),
             repeat: admission::Repeat {
                 resent: headers.contains_key(Headers::RESENT),
                 called_again: read_u32(Headers::CALLED_AGAIN)
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -38,6 +38,8 @@
     pub const VERSION: HeaderName = HeaderName::from_static("radishgap-version");
     /// Between nodes: caller that sends the request.
     pub const CALLER: HeaderName = HeaderName::from_static("radishgap-caller");
+    /// Between nodes: workspace that the request belongs to.
+    pub const WORKSPACE: HeaderName = HeaderName::from_static("radishgap-workspace");
     /// Between nodes: time left until a response is wanted, in milliseconds.
     pub const TARGET_MS: HeaderName = HeaderName::from_static("radishgap-target-ms");
     /// Between nodes: hash of the route name.
@@ -67,7 +69,7 @@
     pub const CONFIGURATION: HeaderName = HeaderName::from_static("radishgap-configuration");
 
     /// Headers that are exchanged only between nodes.
-    const INTERNAL: [HeaderName; 15] = [
+    const INTERNAL: [HeaderName; 16] = [
         Self::BACKEND_STATUS,
         Self::CONFIGURATION,
         Self::ROUTE,
@@ -76,6 +78,7 @@
         Self::SERVICE,
         Self::VERSION,
         Self::CALLER,
+        Self::WORKSPACE,
         Self::KEY_RECALL,
         Self::KEY_COVER_MS,
         Self::KEY_BACKUP,
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -16,7 +16,7 @@
 use std::rc;
 use std::time;
 
-use admission::Quota;
+use admission::Bulkhead;
 use compact_str::CompactString;
 use hyper::body::Incoming;
 use routing::{Directory, Endpoint, Group, Observer, RoundRobin, Table};
@@ -42,7 +42,7 @@
     context: Context<D>,
     observer: O,
     owner: Owner<L, D>,
-    quota: Quota,
+    bulkhead: Bulkhead,
     state: cell::RefCell<State>,
     counts: cell::Cell<Counts>,
     /// Number of the last id issued.
@@ -95,7 +95,7 @@
         let shared = Shared {
             observer,
             owner,
-            quota: Quota::new(settings.admission.ingress_requests),
+            bulkhead: Bulkhead::new(settings.admission.ingress_requests),
             state: cell::RefCell::new(state),
             counts: cell::Cell::default(),
             sequence: cell::Cell::new(0),
@@ -228,7 +228,7 @@
         if arrival.time_left().is_zero() {
             return Err(Problem::refused(Reason::Deadline));
         }
-        let Some(quota_entry) = self.shared.quota.acquire(&arrival.service) else {
+        let Some(bulkhead_entry) = self.shared.bulkhead.acquire(&arrival.service) else {
             return Err(Problem::retryable(Reason::Refused(
                 admission::Reason::OverShare,
             )));
@@ -245,7 +245,7 @@
         };
         match compio::time::timeout_at(arrival.deadline, run).await {
             Ok(Ok(mut answer)) => {
-                answer.delivery.quota_entry = Some(quota_entry);
+                answer.delivery.bulkhead_entry = Some(bulkhead_entry);
                 Ok(answer)
             }
             Ok(Err(problem)) => Err(progress.final_problem(problem)),
--- a/node/src/call/ingress/attempt.rs
+++ b/node/src/call/ingress/attempt.rs
@@ -31,7 +31,8 @@
                 .unwrap_or(arrival.deadline),
             route: hash_text(&arrival.route.name),
             target: arrival.target,
-            priority: arrival.route.priority,
+            priority: arrival.priority(),
+            workspace: arrival.workspace.clone(),
             attempt: arrival.attempt.saturating_add(attempts - 1),
             depth: arrival.depth,
             service: endpoint.service.clone(),
@@ -82,7 +83,7 @@
                     payload: arrival.payload.clone(),
                     route: arrival.route.name.clone(),
                     status: parts.status,
-                    quota_entry: None,
+                    bulkhead_entry: None,
                 };
                 Ok(Answer {
                     parts,
--- a/node/src/call/ingress/delivery.rs
+++ b/node/src/call/ingress/delivery.rs
@@ -20,8 +20,8 @@
     /// Name of the route.
     pub(super) route: CompactString,
     pub(super) status: http::StatusCode,
-    /// Place in the quota, held until the body ends.
-    pub(super) quota_entry: Option<admission::Entry>,
+    /// Place in the bulkhead, held until the body ends.
+    pub(super) bulkhead_entry: Option<admission::Entry>,
 }
 
 impl<L: peer::Link, O: Observer, D: Dialect> BodyObserver for Delivery<L, O, D> {
--- a/node/src/call/owner/run.rs
+++ b/node/src/call/owner/run.rs
@@ -74,6 +74,7 @@
         let alone = self.must_run_alone(job, fingerprint).await?;
         let request = Request {
             caller: job.envelope.caller.clone(),
+            workspace: job.envelope.workspace.clone(),
             service: job.envelope.service.clone(),
             version: job.envelope.version.clone(),
             route: job.envelope.route,
--- a/node/src/call/reason.rs
+++ b/node/src/call/reason.rs
@@ -33,6 +33,14 @@
     Shed,
     /// The version of the backend server is withheld.
     Withheld,
+    /// No workspace holds the key that the caller sent, or the caller sent none.
+    KeyRefused,
+    /// The node cannot tell whether the key of the request is still valid.
+    EvidenceTooOld,
+    /// The workspace has used its quota.
+    QuotaExceeded,
+    /// No node grants quota at present.
+    QuotaUnavailable,
     /// A request with the key may have run at an owner that is gone.
     KeyUnknown,
     /// A request with the key ran, and its response is no longer kept.
@@ -45,7 +53,7 @@
 
 impl Reason {
     /// Reasons of healthy owners that only refuse the request.
-    const REFUSALS: [&'static str; 21] = [
+    const REFUSALS: [&'static str; 23] = [
         "no-backend-server",
         "other-backend-server",
         "starting",
@@ -67,6 +75,8 @@
         "backend-server-refused",
         "withheld",
         "body-broken",
+        "evacuated",
+        "workspace-over-share",
     ];
 
     /// Further reasons of owners, caused by their backend server or a connection.
@@ -100,6 +110,10 @@
             Self::Failure => "backend-server-failed",
             Self::Shed => "backend-server-refused",
             Self::Withheld => "withheld",
+            Self::KeyRefused => "key-refused",
+            Self::EvidenceTooOld => "evidence-too-old",
+            Self::QuotaExceeded => "quota-exceeded",
+            Self::QuotaUnavailable => "quota-unavailable",
             Self::KeyUnknown => "key-unknown",
             Self::KeyAnswered => "key-answered",
             Self::Mismatched => "mismatched",
@@ -178,6 +192,8 @@
         Reason::KeyNotFound => "key-not-found",
         Reason::KeyNoted => "key-noted",
         Reason::KeyNotNoted => "key-not-noted",
+        Reason::Evacuated => "evacuated",
+        Reason::WorkspaceOverShare => "workspace-over-share",
     }
 }
 
--- a/node/src/call/status.rs
+++ b/node/src/call/status.rs
@@ -7,6 +7,8 @@
 pub(crate) fn status(reason: Reason) -> http::StatusCode {
     use http::StatusCode as Code;
     match reason.as_str() {
+        "key-refused" => Code::UNAUTHORIZED,
+        "quota-exceeded" => Code::TOO_MANY_REQUESTS,
         "no-route" => Code::NOT_FOUND,
         "malformed" | "body-broken" => Code::BAD_REQUEST,
         "method" => Code::NOT_IMPLEMENTED,
