config, ctl, platform: a check of a configuration before it is sent

Cause: operators learn what is wrong with a change from its refusal, and what is valid but can't be meant from callers.

--- a/components/program/src/lib.rs
+++ b/components/program/src/lib.rs
@@ -5,7 +5,7 @@
 use std::path;
 use std::process;
 
-use clap::{Arg, ArgAction, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use futures_util::future;
 use settings::Document;
 
@@ -39,7 +39,14 @@
 /// # Errors
 /// The code to exit with: success after `--check` of right settings, [`USAGE`] for wrong ones.
 pub fn load<T: Document>(command: Command) -> Result<T, process::ExitCode> {
-    let matches = command.get_matches();
+    load_matched(&command.get_matches())
+}
+
+/// Loads the settings that the parsed command line names.
+///
+/// # Errors
+/// As of [`load`].
+pub fn load_matched<T: Document>(matches: &ArgMatches) -> Result<T, process::ExitCode> {
     let file = matches.get_one::<path::PathBuf>("settings");
     let file = file.cloned().unwrap_or_default();
     match settings::load::<T>(&file) {
--- a/ctl/src/cli.rs
+++ b/ctl/src/cli.rs
@@ -12,7 +12,8 @@
   2  wrong usage or a wrong file; nothing was sent
   3  the answer was lost: the outcome is unknown, and the printed operation id settles it
   4  what was waited for did not come in time
-  5  of `diff`: the node holds something else";
+  5  of `diff`: the node holds something else
+  6  of `check`: the file is valid, with warnings";
 
 /// The whole command line.
 #[must_use]
@@ -27,6 +28,7 @@
         .args(global())
         .subcommands([
             apply(),
+            check(),
             diff(),
             status(),
             operation(),
@@ -88,6 +90,18 @@
         .arg(operation_option())
 }
 
+fn check() -> Command {
+    Command::new("check")
+        .about("Checks a file before it is sent: errors, entries that never match, contradicting limits, and what differs from the version in force")
+        .arg(file())
+        .arg(
+            Arg::new("offline")
+                .long("offline")
+                .action(ArgAction::SetTrue)
+                .help("Check the file by itself, without a node"),
+        )
+}
+
 fn diff() -> Command {
     Command::new("diff")
         .about("Compares a file with what the node holds; exit code 0 without differences, else 5")
--- a/ctl/src/cmd/mod.rs
+++ b/ctl/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one file each.
 
 mod apply;
+mod check;
 mod diff;
 mod dump;
 mod explain;
@@ -14,6 +15,7 @@
 use std::path;
 
 use clap::ArgMatches;
+use config::Snapshot;
 use error_stack::Report;
 
 use crate::console::{Console, Format};
@@ -40,7 +42,9 @@
     }
     let token = token(globals)?;
     let document = match name {
-        "apply" | "diff" => Some(Document::load(one::<path::PathBuf>(arguments, "file")?)?),
+        "apply" | "check" | "diff" => {
+            Some(Document::load(one::<path::PathBuf>(arguments, "file")?)?)
+        }
         _ => None,
     };
     if name == "move" {
@@ -49,12 +53,22 @@
     if globals.get_flag("check") {
         return Ok(Exit::Done);
     }
+    if let ("check", Some(document)) = (name, &document)
+        && arguments.get_flag("offline")
+    {
+        return Ok(check::show(
+            console(globals)?,
+            document,
+            &Snapshot::default(),
+        ));
+    }
     let context = Context {
         client: Client::open(node(name, globals)?, token.as_deref()).await?,
         console: console(globals)?,
     };
     match (name, document) {
         ("apply", Some(document)) => apply::run(&context, arguments, &document).await,
+        ("check", Some(document)) => check::run(&context, &document).await,
         ("diff", Some(document)) => diff::run(&context, &document).await,
         ("status", _) => status::run(&context, arguments).await,
         ("operation", _) => operation::run(&context, arguments).await,
--- a/ctl/src/exit.rs
+++ b/ctl/src/exit.rs
@@ -17,6 +17,8 @@
     Timeout = 4,
     /// Of `diff`: the node holds something else. Not 1 as of diff(1), so that it differs from a failure.
     Differs = 5,
+    /// Of `check`: the system would accept the file, with warnings.
+    Warned = 6,
 }
 
 impl From<Exit> for process::ExitCode {
--- a/ctl/src/view/mod.rs
+++ b/ctl/src/view/mod.rs
@@ -1,6 +1,7 @@
 //! What commands print.
 
 mod applied;
+mod checked;
 mod configuration;
 mod difference;
 mod dump;
@@ -8,6 +9,7 @@
 mod status;
 
 pub use applied::Applied;
+pub use checked::Checked;
 pub use configuration::Configuration;
 pub use difference::{Difference, Line};
 pub use dump::Dump;
--- a/ctl/tests/commands.rs
+++ b/ctl/tests/commands.rs
@@ -252,6 +252,28 @@
     ]);
 }
 
+#[test]
+fn check_exit_codes() {
+    let routed = file(
+        "routed.json",
+        r#"{"services":[{"name":"a","weights":[{"version":"v1","share":"100%"}]}],
+            "routes":[{"name":"r","path_prefix":"/r/","service":"a","target":"2s","timeout":"3s"}]}"#,
+    );
+    let unused = good("unused.json");
+    let dangling = file(
+        "dangling.json",
+        r#"{"routes":[{"name":"r","path_prefix":"/r/","service":"a"}]}"#,
+    );
+    let unreachable = ["check", &unused, "--offline", "--node", "127.0.0.1:1"];
+    check(&[
+        (vec!["check", &routed], 0, "no problem was found"),
+        (vec!["check", &routed], 0, "+ service a: v1 100%"),
+        (vec!["check", &unused], 6, "never matches: /services/a"),
+        (vec!["check", &dangling], 1, "there is no service `a`"),
+        (unreachable.to_vec(), 6, "never matches: /services/a"),
+    ]);
+}
+
 #[test]
 fn query_exit_codes() {
     let status = |rest: &[&'static str]| [&["status", "--version"], rest].concat();
