node, relay, platform: keys of workspaces are checked, and withdrawn ones stop within a bound

Cause: a request with a key ran unauthenticated, its key reached the backend server, and a node out of touch had no proof that a key is still valid.

--- a/components/platform/src/follower.rs
+++ b/components/platform/src/follower.rs
@@ -5,6 +5,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::{self, Either};
+use units::Uptime;
 
 use crate::{Backoff, Error, Event, Nudge, Object, Revision, Store};
 
@@ -25,6 +26,11 @@
     /// The store has answered: what is taken next makes the objects complete up to `at`.
     fn answered(&self, _at: time::Instant) {}
 
+    /// What has been taken is all that the store acknowledged before `at`. That is no later than when the
+    /// call was sent whose answer shows it: an answer may have lain in a socket for long. A watch that
+    /// has told of nothing shows it for its whole wait.
+    fn complete(&self, _at: Uptime) {}
+
     /// Longest wait of the next watch, if it differs from that of the pace.
     fn next_wait(&self) -> Option<time::Duration> {
         None
@@ -129,16 +135,17 @@
     }
 
     async fn list<F: Follow>(&self, reader: &F) -> Result<Revision, Error> {
-        let asked_at = time::Instant::now();
+        let (asked_at, sent) = (time::Instant::now(), Uptime::now());
         let listing = self.store.list(reader.prefix()).await?;
         reader.answered(asked_at);
         reader.take(listing.objects);
+        reader.complete(sent);
         Ok(listing.revision)
     }
 
     /// Reads the changes after `from`, or everything if that history is gone.
     async fn catch_up<F: Follow>(&self, reader: &F, from: Revision) -> Result<Revision, Error> {
-        let asked_at = time::Instant::now();
+        let (asked_at, sent) = (time::Instant::now(), Uptime::now());
         let watched = self
             .store
             .watch(reader.prefix(), from, time::Duration::ZERO);
@@ -149,6 +156,7 @@
         reader.answered(asked_at);
         let revision = events.revision.max(from);
         take_puts(reader, events.events);
+        reader.complete(sent);
         Ok(revision)
     }
 
@@ -159,6 +167,7 @@
         from: Revision,
     ) -> Result<Option<Revision>, Error> {
         let wait = reader.next_wait().unwrap_or(self.pace.wait);
+        let sent = Uptime::now();
         let watched = self.store.watch(reader.prefix(), from, wait);
         let asked = async {
             if self.asked.receive().await.is_none() {
@@ -175,7 +184,10 @@
             }
         };
         reader.answered(time::Instant::now());
-        if take_puts(reader, events.events) {
+        let is_empty = events.events.is_empty();
+        let has_puts = take_puts(reader, events.events);
+        reader.complete(proven_by_watch(sent, wait, is_empty, Uptime::now()));
+        if has_puts {
             compio::time::sleep(self.pace.pause).await;
             // What was heard of before is there; a change that is not is heard of again.
             self.forget_asked();
@@ -204,6 +216,20 @@
     }
 }
 
+/// Time up to which a watch that was sent at `sent` and answered by `now` shows that nothing is missing.
+///
+/// The store tells of a change at once, so that a watch that `is_empty` and has lasted for its `wait` was
+/// answered at its end.
+#[must_use]
+pub fn proven_by_watch(sent: Uptime, wait: time::Duration, is_empty: bool, now: Uptime) -> Uptime {
+    // The wait is sent in whole milliseconds.
+    let wait = time::Duration::from_millis(units::millis(wait));
+    match is_empty && now.saturating_since(sent) >= wait {
+        true => sent + wait,
+        false => sent,
+    }
+}
+
 /// Hands the changed objects to `reader`; returns whether there are any.
 fn take_puts<F: Follow>(reader: &F, events: Vec<Event>) -> bool {
     let puts = events.into_iter().filter_map(|event| match event {
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -29,7 +29,7 @@
 pub use counts::Counts;
 pub use era::Era;
 pub use error::Error;
-pub use follower::{Follow, Follower, Pace};
+pub use follower::{Follow, Follower, Pace, proven_by_watch};
 pub use form::{Answer, Ask, Form, Page};
 pub use lease::{Lease, Observed, Record};
 pub use native::Native;
--- a/components/relay/src/answer.rs
+++ b/components/relay/src/answer.rs
@@ -30,6 +30,9 @@
     pub(crate) fn record_evidence(&self, evidence: Option<Evidence>) {
         if let Some(evidence) = evidence {
             self.freshness.borrow_mut().record(evidence);
+            let complete_at = units::Uptime::now().checked_sub(evidence.at.elapsed());
+            self.certainty
+                .record_complete(complete_at.unwrap_or_default());
         }
     }
 
--- a/components/relay/src/counts.rs
+++ b/components/relay/src/counts.rs
@@ -10,6 +10,10 @@
         pub pushed: u64,
         /// Pull messages sent.
         pub pulled: u64,
+        /// Questions to other nodes how certain their configuration is.
+        pub asked: u64,
+        /// Reads of the store because no other node could prove enough.
+        pub proofs_read: u64,
         /// Push and pull messages that received no answer.
         pub failed: u64,
         /// Messages and parts that could not be decoded.
--- a/components/relay/src/dump.rs
+++ b/components/relay/src/dump.rs
@@ -15,6 +15,9 @@
         pub place: Place,
         /// Milliseconds since the state was last known to be complete.
         pub age_ms: u64,
+        /// Milliseconds since the configuration in force was proven to be complete; `None` if it never was,
+        /// or nothing asks for a proof.
+        pub certain_age_ms: Option<u64>,
         /// Position of the node whose answer from the store shows that; `None` while there is no evidence.
         pub evidence: Option<Place>,
         /// Newest known revision of each prefix.
--- a/components/relay/src/feed_writer.rs
+++ b/components/relay/src/feed_writer.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use platform::{Error, Follow, Object, Store};
+use units::Uptime;
 
 use crate::Topic;
 use crate::answer::Answered;
@@ -36,6 +37,10 @@
         self.shared.record_answer();
     }
 
+    fn complete(&self, at: Uptime) {
+        self.shared.record_read_proof(self.topic.prefix, at);
+    }
+
     fn next_wait(&self) -> Option<time::Duration> {
         match self.topic.wait {
             Some(_) => None,
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod candidate;
+mod certainty;
 mod counts;
 mod delta;
 mod dump;
@@ -19,7 +20,9 @@
 mod freshness;
 mod intervals;
 mod place;
+mod proof;
 mod pull;
+mod question;
 mod relay;
 mod replica;
 mod role;
@@ -32,6 +35,7 @@
 mod tree;
 
 pub use candidate::Candidate;
+pub use certainty::{Certainty, Limits};
 pub use counts::Counts;
 pub use delta::Delta;
 pub use dump::{Dump, Head};
@@ -40,6 +44,7 @@
 pub use freshness::Freshness;
 pub use intervals::Intervals;
 pub use place::Place;
+pub use proof::Proof;
 pub use relay::{Parts, Relay};
 pub use replica::Replica;
 pub use schedule::next_wait;
--- a/components/relay/src/pull.rs
+++ b/components/relay/src/pull.rs
@@ -97,18 +97,11 @@
     async fn pull(self: &rc::Rc<Self>, to: units::Address) -> bool {
         let before = self.heads();
         let full = self.needs_full_pull.get();
-        let heads = self.feeds.iter().filter_map(|feed| {
-            let feed = feed.borrow();
-            if full {
-                return None;
-            }
-            Some(wire::Head {
-                prefix: feed.prefix().to_owned(),
-                revision: feed.head()?.0,
-            })
-        });
         let pull = wire::Pull {
-            heads: heads.collect(),
+            heads: match full {
+                true => Vec::new(),
+                false => self.known_heads(),
+            },
         };
         self.count(|counts| counts.pulled += 1);
         let started = time::Instant::now();
@@ -130,6 +123,18 @@
         changed
     }
 
+    /// Heads of the feeds that have been read, as they are sent to other nodes.
+    pub(crate) fn known_heads(&self) -> Vec<wire::Head> {
+        let heads = self.feeds.iter().filter_map(|feed| {
+            let feed = feed.borrow();
+            Some(wire::Head {
+                prefix: feed.prefix().to_owned(),
+                revision: feed.head()?.0,
+            })
+        });
+        heads.collect()
+    }
+
     /// Handles a request of another node.
     pub(crate) fn serve(self: &rc::Rc<Self>, incoming: peer::Incoming) {
         let Ok(request) = wire::Request::decode(incoming.payload.as_slice()) else {
@@ -146,6 +151,7 @@
             parts: self.parts_after(&heads),
             age_ms,
             place,
+            certain_age_ms: self.proof_to_wire(),
         };
         incoming.answer.send(reply.encode_to_vec());
         if let Some(wire::request::Kind::Push(push)) = request.kind {
--- a/components/relay/src/relay.rs
+++ b/components/relay/src/relay.rs
@@ -6,7 +6,7 @@
 use platform::Store;
 
 use crate::shared::{SERVICE, Shared};
-use crate::{Counts, Dump, Replica, Settings, Topic};
+use crate::{Certainty, Counts, Dump, Replica, Settings, Topic};
 
 /// Distributes what a few nodes read below some prefixes of the store to all nodes.
 pub struct Relay<S, L> {
@@ -55,6 +55,12 @@
         Replica::new(self.shared.clone())
     }
 
+    /// How certain it is that what is in force below the prefix of the first topic is the newest.
+    #[must_use]
+    pub fn certainty(&self) -> Certainty {
+        self.shared.certainty.clone()
+    }
+
     /// Returns a function that reads the state, also while the relay runs.
     pub fn dump(&self) -> impl Fn() -> Dump + use<S, L> {
         let shared = self.shared.clone();
@@ -78,6 +84,7 @@
             compio::runtime::spawn(shared.clone().run_role(stop.clone())),
             compio::runtime::spawn(shared.clone().run_heartbeats(stop.clone())),
             compio::runtime::spawn(shared.clone().run_pulls(stop.clone())),
+            compio::runtime::spawn(shared.clone().run_questions(stop.clone())),
         ];
         let mut incoming = self.incoming;
         while let Some(Some(request)) = stop.guard(incoming.receive()).await {
--- a/components/relay/src/replica.rs
+++ b/components/relay/src/replica.rs
@@ -37,6 +37,13 @@
         }
     }
 
+    /// Records that the reader takes the changes up to `revision`: it does so before any other task runs.
+    fn apply(&self, prefix: &str, revision: Revision) {
+        if self.shared.is_proven(prefix) {
+            self.shared.certainty.apply(revision);
+        }
+    }
+
     /// Fetches a change that another node is known to have: from other nodes, then from the store.
     async fn refresh(&self, prefix: &str) -> Result<(), Error> {
         if self.shared.pull_changes().await {
@@ -89,6 +96,7 @@
         }
         let listing = wait_for_newer(feed, None).await;
         self.read.set(Some(listing.revision));
+        self.apply(prefix, listing.revision);
         Ok(listing)
     }
 
@@ -115,6 +123,7 @@
                     let events = objects.into_iter().map(Event::Put);
                     let revision = feed.head().unwrap_or(from);
                     self.read.set(self.read.get().max(Some(revision)));
+                    self.apply(prefix, revision);
                     return Ok(Events {
                         revision,
                         events: events.collect(),
--- a/components/relay/src/role.rs
+++ b/components/relay/src/role.rs
@@ -35,6 +35,7 @@
                         return;
                     }
                     feed.borrow_mut().merge(listing.objects);
+                    self.record_head(&feed.borrow());
                 }
                 Some(Err(error)) => log::info!(event = "first-read-failed",
                     prefix = topic.prefix, error:% = error;
--- a/components/relay/src/settings.rs
+++ b/components/relay/src/settings.rs
@@ -3,7 +3,7 @@
 use findings::Findings;
 use serde::{Deserialize, Serialize};
 
-use crate::Intervals;
+use crate::{Intervals, Limits};
 
 units::record! {
     /// Settings of the relay, the same on all nodes.
@@ -12,6 +12,9 @@
     pub struct Settings {
         /// Time within which a change has to reach all nodes; the relay derives its intervals from it.
         pub apply: units::Period,
+        /// Time after which a withdrawn key must not work on any node, in touch or not; zero where nodes
+        /// do not ask each other how certain their configuration is.
+        pub revocation: units::Period,
         /// Number of nodes in the fleet that watch the store, spread over the data centres.
         pub watchers: usize,
         /// First backoff after a failed call to the store; it doubles up to `retry_most`.
@@ -29,6 +32,7 @@
     fn default() -> Self {
         Self {
             apply: units::Period::from_secs(2),
+            revocation: units::Period::default(),
             watchers: 3,
             retry_least: units::Period::from_millis(100),
             retry_most: units::Period::from_millis(800),
@@ -45,6 +49,15 @@
         Intervals::new(self.apply.0)
     }
 
+    /// Ages up to which the configuration of a node counts.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        Limits {
+            current: self.intervals().stale_after,
+            revocation: self.revocation.0,
+        }
+    }
+
     /// Adds findings for rules that the schema cannot express; `place` is the settings' JSON pointer.
     pub fn check(&self, place: &str, findings: &mut Findings) {
         for (name, number) in [("watchers", self.watchers), ("fanout", self.fanout)] {
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -8,13 +8,14 @@
 use platform::{Revision, Store};
 use prost::Message;
 use schema::relay as wire;
+use units::Uptime;
 
 use crate::answer::Answered;
 use crate::relay::Parts;
 use crate::source::Source;
 use crate::{
-    Candidate, Counts, Dump, Evidence, Feed, Freshness, Head, Intervals, Outcome, Place, Topic,
-    encoding,
+    Candidate, Certainty, Counts, Dump, Evidence, Feed, Freshness, Head, Intervals, Outcome, Place,
+    Topic, encoding,
 };
 
 /// Name of the service, also in requests between nodes.
@@ -28,6 +29,10 @@
     /// One feed for each topic, in the same order.
     pub(crate) feeds: Vec<cell::RefCell<Feed>>,
     pub(crate) freshness: cell::RefCell<Freshness>,
+    /// How certain it is that the feed of the first topic is complete and in force.
+    pub(crate) certainty: Certainty,
+    /// When this node last read the store for a proof.
+    pub(crate) proven_by_store: cell::Cell<Option<time::Instant>>,
     /// Watches of this node, one for each feed; empty while it does not watch the store.
     pub(crate) watches: cell::RefCell<Vec<Watch>>,
     /// Time of the latest message that this node distributed in its data centre.
@@ -68,6 +73,8 @@
             intervals: parts.settings.intervals(),
             feeds: feeds.map(cell::RefCell::new).collect(),
             freshness: cell::RefCell::new(Freshness::new(time::Instant::now())),
+            certainty: Certainty::new(parts.settings.limits()),
+            proven_by_store: cell::Cell::default(),
             watches: cell::RefCell::default(),
             spread_at: cell::Cell::default(),
             pulling: cell::RefCell::default(),
@@ -96,6 +103,7 @@
             watching: self.is_watching(),
             place: self.place(),
             age_ms: units::millis(self.age()),
+            certain_age_ms: self.certainty.age().map(units::millis),
             evidence: self.evidence().map(|evidence| evidence.place),
             heads: heads.collect(),
             counts: self.counts(),
@@ -209,7 +217,7 @@
     ) -> Result<bool, peer::Error> {
         let request = wire::Request { kind: Some(kind) }.encode_to_vec();
         let link = &self.parts.link;
-        let asked = time::Instant::now();
+        let (asked, asked_at) = (time::Instant::now(), Uptime::now());
         let answer = link.call(to, SERVICE, request, timeout).await;
         let answer = answer.inspect_err(|_| self.count(|counts| counts.failed += 1))?;
         let Ok(reply) = wire::Reply::decode(answer.as_slice()) else {
@@ -221,6 +229,7 @@
         self.heard.set(true);
         if result.complete {
             self.record_evidence(Evidence::of_reply(&reply, asked));
+            self.record_proof(&reply, asked_at);
         }
         Ok(result.changed)
     }
@@ -273,11 +282,19 @@
         if before.is_some() && era(before) < era(feed.head()) {
             self.needs_full_pull.set(true);
         }
+        self.record_head(feed);
         log::info!(event = "feed-changed", prefix = feed.prefix(), from:% = source, before:? = before,
             head:? = feed.head(), age_ms = units::millis(self.age());
             "the objects below a prefix have changed");
     }
 
+    /// Records how far a feed has got.
+    pub(crate) fn record_head(&self, feed: &Feed) {
+        if self.is_proven(feed.prefix()) {
+            self.certainty.record_head(feed.head());
+        }
+    }
+
     /// Makes the watch of a feed read again after another node knew of a change first, as the watch may
     /// have stopped delivering events.
     fn nudge_watch(&self, index: usize) {
--- a/node/examples/path.rs
+++ b/node/examples/path.rs
@@ -139,6 +139,7 @@
         node: format!("n{index}").parse().expect("a node id"),
         data_centre: "ba".parse().expect("a data centre"),
         holder,
+        certainty: relay::Certainty::default(),
         members,
         withheld: routing::Withheld::default(),
         splits: routing::Splits::default(),
--- a/node/src/assembly/requests.rs
+++ b/node/src/assembly/requests.rs
@@ -17,6 +17,7 @@
         node: settings.node.clone(),
         data_centre: settings.data_centre.clone(),
         holder: builder.find(names::CONFIGURATION)?,
+        certainty: relay::Certainty::default(),
         members: builder.find(names::VIEW)?,
         withheld: builder.find(names::WITHHELD)?,
         splits: routing::Splits::default(),
--- a/node/src/call/arrival.rs
+++ b/node/src/call/arrival.rs
@@ -8,7 +8,7 @@
 use http::{Method, header};
 use upstream::Payload;
 
-use super::{Headers, Problem, Reason, RequestMetadata};
+use super::{Credential, Headers, Problem, Reason, RequestMetadata};
 
 /// A request received from a caller, with the route that matches it.
 pub(crate) struct Arrival {
@@ -39,6 +39,8 @@
     pub(crate) workspace: CompactString,
     /// Rank of that workspace among workspaces; zero is the most urgent.
     pub(crate) workspace_priority: u32,
+    /// Key by which the caller is known.
+    pub(crate) credential: Credential,
     /// Whether the request may run more than once.
     pub(crate) idempotent: bool,
     /// Idempotency key, if the request needs one.
@@ -117,6 +119,7 @@
             caller,
             workspace: CompactString::default(),
             workspace_priority: 0,
+            credential: Credential::default(),
             idempotent,
             key,
             key_attempt: metadata.key_attempt,
--- a/node/src/call/context.rs
+++ b/node/src/call/context.rs
@@ -13,6 +13,8 @@
     pub data_centre: units::DataCentre,
     /// Configuration in force.
     pub holder: distribution::Holder,
+    /// How certain it is that the configuration in force is the newest one.
+    pub certainty: relay::Certainty,
     /// Members of the mesh.
     pub members: membership::Reader,
     /// Versions that receive no traffic at present.
--- a/node/src/call/counts.rs
+++ b/node/src/call/counts.rs
@@ -27,6 +27,10 @@
     pub ejected: u64,
     /// Responses that belonged to another request; always zero.
     pub mismatched: u64,
+    /// Requests refused because no workspace holds their key.
+    pub keys_refused: u64,
+    /// Requests refused because this node could not tell whether their key is valid.
+    pub evidence_too_old: u64,
     /// Requests that were sent again although they may have run and must not run twice; always
     /// zero.
     pub repeated: u64,
--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -93,9 +93,6 @@
         Headers::set(headers, Headers::SERVICE, &self.service);
         Headers::set(headers, Headers::VERSION, &self.version);
         Headers::set(headers, Headers::CALLER, &self.caller);
-        if !self.workspace.is_empty() {
-            Headers::set(headers, Headers::WORKSPACE, &self.workspace);
-        }
         let target = self.target.saturating_duration_since(now);
         Headers::set_number(headers, Headers::TARGET_MS, units::millis(target));
         Headers::set_number(headers, Headers::ROUTE, self.route);
@@ -135,6 +132,9 @@
         Headers::set_number(headers, Headers::DEADLINE_MS, units::millis(time_left));
         Headers::set_number(headers, Headers::ATTEMPT, self.attempt.into());
         Headers::set_number(headers, Headers::DEPTH, self.depth.into());
+        if !self.workspace.is_empty() {
+            Headers::set(headers, Headers::WORKSPACE, &self.workspace);
+        }
     }
 
     /// Reads the envelope from the headers of a request from another node.
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod backend_status;
+mod credential;
 mod delivery;
 mod handler;
 mod history;
@@ -190,7 +191,7 @@
         id: &CompactString,
         metadata: RequestMetadata,
     ) -> Result<Arrival, Problem> {
-        let (head, body) = request.into_parts();
+        let (mut head, body) = request.into_parts();
         let host = Arrival::check(&head)?;
         self.refresh(time::Instant::now());
         let table = self.shared.state.borrow().table.clone();
@@ -199,6 +200,7 @@
         }
         let route = table.find(&host, head.uri.path());
         let route = route.ok_or(Problem::refused(Reason::NoRoute))?.clone();
+        let credential = self.identify(&mut head.headers, &route)?;
         let baseline = self.shared.state.borrow_mut().baseline(&route.name);
         let context = &self.shared.context;
         let caller = context.dialect.caller(&context.node, &head);
@@ -216,6 +218,7 @@
             replay_limit,
             self.shared.owner.repeats(),
         )?;
+        self.assign_workspace(&mut arrival, credential);
         if let Some(timeout) = timeout.filter(|_| context.settings.infer_first_attempts) {
             let spent = arrival.baseline.observe_timeout(timeout);
             arrival.subtract_time_spent(spent);
--- a/node/src/call/ingress/attempt.rs
+++ b/node/src/call/ingress/attempt.rs
@@ -56,6 +56,7 @@
         envelope: Envelope,
         progress: &Progress,
     ) -> Result<Answer<L, O, D>, Problem> {
+        self.check_credential(arrival)?;
         self.count(|counts| {
             counts.attempts += 1;
             counts.retries += u64::from(envelope.attempt > arrival.attempt);
--- a/node/src/call/native.rs
+++ b/node/src/call/native.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 
-use super::{Dialect, Envelope, Headers, Problem, Reason, RequestMetadata};
+use super::{Credential, Dialect, Envelope, Headers, Problem, Reason, RequestMetadata};
 
 /// Native protocol dialect, with the headers of [`Headers`].
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -66,6 +66,12 @@
         })
     }
 
+    /// Reads `authorization: Bearer KEY`.
+    fn take_credential(&self, headers: &mut http::HeaderMap) -> Credential {
+        headers.remove(Headers::WORKSPACE);
+        Credential::take(headers, "Bearer")
+    }
+
     /// Returns the caller's address, prefixed with the node if the address is local to it.
     fn caller(&self, node: &units::Node, head: &http::request::Parts) -> CompactString {
         let peer = head.extensions.get::<web::Peer>();
--- a/node/src/call/reason.rs
+++ b/node/src/call/reason.rs
@@ -159,7 +159,9 @@
     /// Returns whether no other backend server could take the request.
     #[must_use]
     pub fn is_final(self) -> bool {
-        const FINAL: [&str; 7] = [
+        const FINAL: [&str; 9] = [
+            "key-refused",
+            "evidence-too-old",
             "retry-budget-spent",
             "quarantined",
             "key-reused",
--- a/node/tests/call/fleet.rs
+++ b/node/tests/call/fleet.rs
@@ -220,6 +220,7 @@
             node: id.clone(),
             data_centre: data_centre.clone(),
             holder: self.holder.clone(),
+            certainty: relay::Certainty::default(),
             members: self.members.clone(),
             withheld: routing::Withheld::default(),
             splits: routing::Splits::default(),
