--- a/components/relay/tests/mesh/fleet.rs
+++ b/components/relay/tests/mesh/fleet.rs
@@ -25,6 +25,8 @@
     pub(crate) nodes: Vec<Running>,
     centres: usize,
     joined: bool,
+    /// Time after which a withdrawn key must not work; zero if nodes need not know.
+    revocation: time::Duration,
 }
 
 /// A running node.
@@ -33,6 +35,7 @@
     pub(crate) store: NodeStore,
     pub(crate) known_revision: rc::Rc<cell::Cell<u64>>,
     pub(crate) dump: Box<dyn Fn() -> relay::Dump>,
+    pub(crate) certainty: relay::Certainty,
     replica: Replica<NodeStore, fakes::Link>,
     trigger: kernel::Trigger,
 }
@@ -76,6 +79,15 @@
 
     /// Starts nodes without waiting; `joined` is whether they know each other.
     pub(crate) fn open_unsynced(count: usize, centres: usize, joined: bool) -> Self {
+        Self::open_with(count, centres, joined, time::Duration::ZERO)
+    }
+
+    /// Starts nodes at which withdrawn keys must not work after `revocation`.
+    pub(crate) fn open_strict(count: usize, centres: usize, revocation: time::Duration) -> Self {
+        Self::open_with(count, centres, true, revocation)
+    }
+
+    fn open_with(count: usize, centres: usize, joined: bool, revocation: time::Duration) -> Self {
         let mut fleet = Self {
             store: fakes::Store::default(),
             network: fakes::Network::new(7),
@@ -83,6 +95,7 @@
             nodes: Vec::new(),
             centres,
             joined,
+            revocation,
         };
         fleet.change_config();
         let members: Vec<_> = (0..count).map(|number| fleet.member(number)).collect();
@@ -116,11 +129,15 @@
             link,
             members: self.members.clone(),
             joined: Box::new(move || joined),
-            settings: settings(),
+            settings: Settings {
+                revocation: units::Period(self.revocation),
+                ..settings()
+            },
         };
         let relay = Relay::new(parts, [CONFIG, ROLLOUTS].map(topic).into(), incoming);
         let replica = relay.replica();
         let dump = Box::new(relay.dump());
+        let certainty = relay.certainty();
         let (trigger, stop) = kernel::stop();
         compio::runtime::spawn(kernel::Service::run(relay, stop)).detach();
         let known_revision = rc::Rc::new(cell::Cell::new(0));
@@ -130,6 +147,7 @@
             store,
             known_revision,
             dump,
+            certainty,
             replica,
             trigger,
         });
@@ -198,6 +216,14 @@
         first.cloned().collect()
     }
 
+    /// A node that does not watch the store while there are no faults.
+    pub(crate) fn not_watching(&self) -> &Running {
+        let watchers = self.watchers();
+        let mut nodes = self.nodes.iter();
+        let is_other = |node: &&Running| watchers.iter().all(|one| one.node != node.member.node);
+        nodes.rfind(is_other).expect("more nodes than watchers")
+    }
+
     pub(crate) fn running(&self, node: &units::Node) -> &Running {
         let mut nodes = self.nodes.iter();
         nodes
--- a/components/relay/tests/mesh/main.rs
+++ b/components/relay/tests/mesh/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the relays of a fleet, with an in-memory network and store.
 
 mod calls;
+mod certainty;
 mod evidence;
 mod faults;
 mod fleet;
