node: tests of requests with and without keys

Cause: who passes with which key, and what the backend server sees, was not tested. Change: tables of requests at an ingress with and without a backend server, at one without a proof, and where the configuration has no workspaces.

--- a/node/tests/call/main.rs
+++ b/node/tests/call/main.rs
@@ -13,3 +13,4 @@
 mod need;
 mod poison;
 mod routes;
+mod workspaces;
