config, ctl: workspaces in the product's own interface

Cause: workspaces could be read from a whole configuration only. Change: changes put and remove workspaces; a key in two workspaces, a rate below zero and a burst without a rate are findings with their places; files of radishgapctl give keys as text or as digests, and are turned into digests before anything is sent; diff and read show the number of keys and a mark, files digests.

--- a/components/config/src/change.rs
+++ b/components/config/src/change.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 use schema::config as wire;
 
-use crate::{Findings, Limits, Route, Service};
+use crate::{Findings, Limits, Route, Service, Workspace};
 
 units::record! {
     /// A change that is accepted whole or refused whole.
@@ -24,6 +24,8 @@
         Service(Service, Option<units::Version>),
         /// A route, and the revision it must have.
         Route(Route, Option<units::Version>),
+        /// A workspace, and the revision it must have.
+        Workspace(Workspace, Option<units::Version>),
     }
 
     /// A resource to remove.
@@ -32,6 +34,8 @@
         Service(CompactString, Option<units::Version>),
         /// The route of this name, and the revision it must have.
         Route(CompactString, Option<units::Version>),
+        /// The workspace of this name, and the revision it must have.
+        Workspace(CompactString, Option<units::Version>),
     }
 }
 
@@ -71,6 +75,13 @@
         check_count(self.puts.len() + self.removes.len(), findings);
     }
 
+    /// Whether the change puts or removes a workspace.
+    pub(crate) fn has_workspaces(&self) -> bool {
+        let puts = |put: &Put| matches!(put, Put::Workspace(..));
+        let removes = |remove: &Remove| matches!(remove, Remove::Workspace(..));
+        self.puts.iter().any(puts) || self.removes.iter().any(removes)
+    }
+
     /// The wire form.
     #[must_use]
     pub fn encode(&self) -> wire::Change {
@@ -106,6 +117,7 @@
         match self {
             Self::Service(..) => format!("/puts/{index}/service"),
             Self::Route(..) => format!("/puts/{index}/route"),
+            Self::Workspace(..) => format!("/puts/{index}/workspace"),
         }
     }
 
@@ -120,8 +132,13 @@
                 let route = Route::decode(route, &format!("{place}/route"), findings);
                 Some(Self::Route(route, expected))
             }
+            Some(wire::put::Resource::Workspace(workspace)) => {
+                let place = format!("{place}/workspace");
+                let workspace = Workspace::decode(workspace, &place, findings);
+                Some(Self::Workspace(workspace, expected))
+            }
             None => {
-                findings.add(place, "no resource", "a service or a route");
+                findings.add(place, "no resource", "a service, a route or a workspace");
                 None
             }
         }
@@ -133,6 +150,9 @@
                 (wire::put::Resource::Service(service.encode()), expected)
             }
             Self::Route(route, expected) => (wire::put::Resource::Route(route.encode()), expected),
+            Self::Workspace(workspace, expected) => {
+                (wire::put::Resource::Workspace(workspace.encode()), expected)
+            }
         };
         wire::Put {
             resource: Some(resource),
@@ -148,9 +168,10 @@
         match wire::remove::Kind::try_from(wire.kind) {
             Ok(wire::remove::Kind::Service) => Some(Self::Service(name, expected)),
             Ok(wire::remove::Kind::Route) => Some(Self::Route(name, expected)),
+            Ok(wire::remove::Kind::Workspace) => Some(Self::Workspace(name, expected)),
             Ok(wire::remove::Kind::Unspecified) | Err(_) => {
                 let problem = format!("unknown kind {}", wire.kind);
-                findings.add(format!("{place}/kind"), problem, "1 or 2");
+                findings.add(format!("{place}/kind"), problem, "1, 2 or 3");
                 None
             }
         }
@@ -160,6 +181,7 @@
         let (kind, name, expected) = match self {
             Self::Service(name, expected) => (wire::remove::Kind::Service, name, expected),
             Self::Route(name, expected) => (wire::remove::Kind::Route, name, expected),
+            Self::Workspace(name, expected) => (wire::remove::Kind::Workspace, name, expected),
         };
         wire::Remove {
             kind: kind.into(),
--- a/components/config/src/limits.rs
+++ b/components/config/src/limits.rs
@@ -8,6 +8,8 @@
     pub const SERVICES: usize = 4_000;
     /// Most routes.
     pub const ROUTES: usize = 16_000;
+    /// Most workspaces.
+    pub const WORKSPACES: usize = 16_000;
     /// Most versions of one service that take traffic at a time.
     pub const WEIGHTS: usize = 8;
     /// Longest path prefix or host, in bytes.
--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -156,6 +156,9 @@
         next.check_resources(change, &mut findings);
         next.check_touched(change, &mut findings);
         next.check_counts(&mut findings);
+        if change.has_workspaces() {
+            next.keys = rc::Rc::new(Keys::new(next.workspaces(), &mut findings));
+        }
         findings
             .into_result(Applied::Accepted(next))
             .map_err(Refusal::Invalid)
@@ -282,11 +285,19 @@
             .unwrap_or_default()
     }
 
+    /// Revision of a workspace; zero where there is none.
+    fn workspace_revision(&self, name: &str) -> units::Version {
+        self.workspace(name)
+            .map(|workspace| workspace.revision)
+            .unwrap_or_default()
+    }
+
     fn merge(&mut self, change: &Change) {
         for remove in &change.removes {
             match remove {
                 Remove::Service(name, _) => self.services.remove(name),
                 Remove::Route(name, _) => self.routes.remove(name),
+                Remove::Workspace(name, _) => self.workspaces.remove(name),
             }
         }
         for put in &change.puts {
@@ -301,6 +312,12 @@
                     route.revision = self.version;
                     self.routes.put(route);
                 }
+                Put::Workspace(workspace, _) => {
+                    let mut workspace = workspace.clone();
+                    workspace.keys.sort_unstable();
+                    workspace.revision = self.version;
+                    self.workspaces.put(workspace);
+                }
             }
         }
         self.settled.push(change.operation.clone(), self.version);
--- a/components/config/src/snapshot/check.rs
+++ b/components/config/src/snapshot/check.rs
@@ -11,6 +11,9 @@
             let (held, expected) = match put {
                 Put::Service(service, expected) => (self.service_revision(&service.name), expected),
                 Put::Route(route, expected) => (self.route_revision(&route.name), expected),
+                Put::Workspace(workspace, expected) => {
+                    (self.workspace_revision(&workspace.name), expected)
+                }
             };
             compare(&put.place(index), held, *expected, &mut findings);
         }
@@ -18,6 +21,7 @@
             let (held, expected) = match remove {
                 Remove::Service(name, expected) => (self.service_revision(name), expected),
                 Remove::Route(name, expected) => (self.route_revision(name), expected),
+                Remove::Workspace(name, expected) => (self.workspace_revision(name), expected),
             };
             let place = format!("/removes/{index}");
             if held == units::Version(0) {
@@ -37,6 +41,10 @@
             match put {
                 Put::Service(service, _) => service.check(&place, findings),
                 Put::Route(route, _) => route.check(&place, findings),
+                Put::Workspace(workspace, _) => {
+                    workspace.check(&place, findings);
+                    workspace.check_given(&place, findings);
+                }
             }
             let twice = change.puts[..index]
                 .iter()
@@ -67,7 +75,7 @@
         let gone = |name: &str| {
             let removed = change.removes.iter().any(|one| match one {
                 Remove::Service(removed, _) => removed == name,
-                Remove::Route(..) => false,
+                Remove::Route(..) | Remove::Workspace(..) => false,
             });
             removed && self.service(name).is_none()
         };
@@ -103,6 +111,11 @@
 
     pub(super) fn check_counts(&self, findings: &mut Findings) {
         let (services, routes) = (self.services().len(), self.routes().len());
+        let workspaces = self.workspaces().len();
+        if workspaces > Limits::WORKSPACES {
+            let expected = format!("at most {}", Limits::WORKSPACES);
+            findings.add("/workspaces", format!("{workspaces} workspaces"), expected);
+        }
         if services > Limits::SERVICES {
             let expected = format!("at most {}", Limits::SERVICES);
             findings.add("/services", format!("{services} services"), expected);
@@ -169,6 +182,7 @@
     match (one, other) {
         (Put::Service(one, _), Put::Service(other, _)) => one.name == other.name,
         (Put::Route(one, _), Put::Route(other, _)) => one.name == other.name,
+        (Put::Workspace(one, _), Put::Workspace(other, _)) => one.name == other.name,
         _ => false,
     }
 }
--- a/components/config/src/workspace.rs
+++ b/components/config/src/workspace.rs
@@ -2,26 +2,38 @@
 
 use compact_str::CompactString;
 use schema::config as wire;
+use serde::{Deserialize, Serialize};
 
 use crate::{Findings, key};
 
 units::record! {
     /// A customer of the mesh, known by the keys that its callers send.
-    #[derive(Default)]
+    #[derive(Default, Serialize, Deserialize, schemars::JsonSchema)]
+    #[serde(deny_unknown_fields)]
     pub struct Workspace {
         /// Name, unique among workspaces.
+        #[schemars(with = "String")]
         pub name: CompactString,
-        /// Digests of its keys, sorted.
+        /// Digests of its keys, sorted; a file may give a key as its text or as `sha256:` and the
+        /// digits of its digest.
+        #[serde(default)]
+        #[schemars(with = "Vec<String>")]
         pub keys: Vec<key::Digest>,
         /// Requests a second over all nodes together; zero for no limit.
+        #[serde(default)]
         pub rate: units::Rate,
         /// Requests above the rate that may come at once.
+        #[serde(default)]
         pub burst: u32,
         /// Rank among workspaces, before that of the route; zero is the most urgent.
+        #[serde(default)]
         pub priority: u32,
         /// Regions that its requests stay in; empty for all.
+        #[serde(default)]
+        #[schemars(with = "Vec<String>")]
         pub homes: Vec<CompactString>,
         /// Version of the configuration in which it last changed; set by the system.
+        #[serde(default)]
         pub revision: units::Version,
     }
 }
@@ -43,6 +55,23 @@
         }
     }
 
+    /// Adds to `findings` what an operator who changes the workspace has hardly meant.
+    pub fn check_given(&self, place: &str, findings: &mut Findings) {
+        if self.burst > 0 && self.rate.0 == 0.0 {
+            let problem = format!("a burst of {} without a rate", self.burst);
+            findings.add(format!("{place}/burst"), problem, "a rate, or no burst");
+        }
+        let mut keys = self.keys.clone();
+        keys.sort_unstable();
+        if keys.windows(2).any(|pair| pair[0] == pair[1]) {
+            findings.add(
+                format!("{place}/keys"),
+                "a key stands twice",
+                "each key once",
+            );
+        }
+    }
+
     /// Reads the wire form; what cannot be read is a finding below `place`.
     pub fn decode(wire: &wire::Workspace, place: &str, findings: &mut Findings) -> Self {
         let mut keys = Vec::with_capacity(wire.keys.len());
--- a/ctl/src/document.rs
+++ b/ctl/src/document.rs
@@ -4,7 +4,7 @@
 use std::path;
 
 use compact_str::CompactString;
-use config::{Change, Put, Remove, Route, Service};
+use config::{Change, Put, Remove, Route, Service, Workspace};
 use error_stack::Report;
 use findings::Findings;
 
@@ -21,6 +21,9 @@
         /// Routes to create or replace.
         #[serde(default)]
         pub routes: Vec<Route>,
+        /// Workspaces to create or replace.
+        #[serde(default)]
+        pub workspaces: Vec<Workspace>,
         /// Resources to remove.
         #[serde(default)]
         pub remove: Removal,
@@ -38,6 +41,10 @@
         #[serde(default)]
         #[schemars(with = "Vec<String>")]
         pub routes: Vec<CompactString>,
+        /// Names of workspaces.
+        #[serde(default)]
+        #[schemars(with = "Vec<String>")]
+        pub workspaces: Vec<CompactString>,
     }
 }
 
@@ -49,6 +56,14 @@
         for (index, route) in self.routes.iter().enumerate() {
             route.check(&format!("/routes/{index}"), findings);
         }
+        for (index, workspace) in self.workspaces.iter().enumerate() {
+            let place = format!("/workspaces/{index}");
+            workspace.check(&place, findings);
+            workspace.check_given(&place, findings);
+        }
+        let workspaces = self.workspaces.iter().map(|one| &one.name);
+        check_unique("/workspaces", workspaces.collect(), findings);
+        self.check_shared_keys(findings);
         let services = self.services.iter().map(|one| &one.name);
         check_unique("/services", services.collect(), findings);
         let routes = self.routes.iter().map(|one| &one.name);
@@ -100,14 +115,20 @@
             let expected = expected(route.revision);
             Put::Route(route.clone(), expected)
         });
+        let workspaces = self.workspaces.iter().map(|workspace| {
+            let expected = expected(workspace.revision);
+            Put::Workspace(workspace.clone(), expected)
+        });
+        let gone_workspaces = self.remove.workspaces.iter().cloned();
         let gone_services = self.remove.services.iter().cloned();
         let gone_routes = self.remove.routes.iter().cloned();
         Change {
             operation,
-            puts: services.chain(routes).collect(),
+            puts: services.chain(routes).chain(workspaces).collect(),
             removes: gone_services
                 .map(|name| Remove::Service(name, None))
                 .chain(gone_routes.map(|name| Remove::Route(name, None)))
+                .chain(gone_workspaces.map(|name| Remove::Workspace(name, None)))
                 .collect(),
             author: CompactString::const_new("radishgapctl"),
         }
@@ -134,10 +155,12 @@
             return place.to_owned();
         };
         let (name, index) = if list == "puts" {
-            split(index, self.services.len(), "/services", "/routes")
+            let lengths = [self.services.len(), self.routes.len()];
+            split(index, lengths, ["/services", "/routes", "/workspaces"])
         } else {
-            let services = self.remove.services.len();
-            split(index, services, "/remove/services", "/remove/routes")
+            let lengths = [self.remove.services.len(), self.remove.routes.len()];
+            let names = ["/remove/services", "/remove/routes", "/remove/workspaces"];
+            split(index, lengths, names)
         };
         // What follows names the kind of resource once more, which the list's name says already.
         let field = rest.split_once('/').map_or("", |(_, field)| field);
@@ -148,23 +171,38 @@
         }
     }
 
+    /// Reports keys that stand in two workspaces of the file.
+    fn check_shared_keys(&self, findings: &mut Findings) {
+        for (index, workspace) in self.workspaces.iter().enumerate() {
+            let before = &self.workspaces[..index];
+            for (place, key) in workspace.keys.iter().enumerate() {
+                if let Some(other) = before.iter().find(|other| other.keys.contains(key)) {
+                    let problem = format!("it is a key of `{}`, too", other.name);
+                    let place = format!("/workspaces/{index}/keys/{place}");
+                    findings.add(place, problem, "each key in one workspace");
+                }
+            }
+        }
+    }
+
     fn count(&self) -> usize {
-        let puts = self.services.len() + self.routes.len();
-        puts + self.remove.services.len() + self.remove.routes.len()
+        let puts = self.services.len() + self.routes.len() + self.workspaces.len();
+        let services_and_routes = self.remove.services.len() + self.remove.routes.len();
+        puts + services_and_routes + self.remove.workspaces.len()
     }
 }
 
-/// The list that holds entry `index` of two lists put together, and the index in it.
-fn split(
-    index: usize,
-    first: usize,
-    one: &'static str,
-    other: &'static str,
-) -> (&'static str, usize) {
-    match index.checked_sub(first) {
-        None => (one, index),
-        Some(rest) => (other, rest),
+/// The list that holds entry `index` of three lists put together, and the index in it; `lengths` are
+/// those of the first two.
+fn split(index: usize, lengths: [usize; 2], names: [&'static str; 3]) -> (&'static str, usize) {
+    let mut index = index;
+    for (length, name) in lengths.into_iter().zip(names) {
+        match index.checked_sub(length) {
+            None => return (name, index),
+            Some(rest) => index = rest,
+        }
     }
+    (names[2], index)
 }
 
 /// A revision in the file is the one that the system must still hold.
--- a/ctl/src/view/configuration.rs
+++ b/ctl/src/view/configuration.rs
@@ -1,6 +1,6 @@
 //! The configuration that a node holds.
 
-use config::{Route, Service};
+use config::{Route, Service, Workspace};
 
 use crate::console;
 
@@ -21,6 +21,9 @@
         pub services: Vec<Service>,
         /// Routes, sorted by name.
         pub routes: Vec<Route>,
+        /// Workspaces, sorted by name.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        pub workspaces: Vec<Workspace>,
     }
 }
 
@@ -31,6 +34,7 @@
             configuration: Resources {
                 services: snapshot.services().to_vec(),
                 routes: snapshot.routes().to_vec(),
+                workspaces: snapshot.workspaces().to_vec(),
             },
         }
     }
@@ -46,6 +50,15 @@
         table.text()
     }
 
+    fn workspaces(&self) -> String {
+        let mut table = console::Table::new(&["WORKSPACE", "TERMS", "REVISION"]);
+        for workspace in &self.configuration.workspaces {
+            let revision = workspace.revision.to_string();
+            table.row([workspace.name.to_string(), terms(workspace), revision]);
+        }
+        table.text()
+    }
+
     fn routes(&self) -> String {
         let header = ["ROUTE", "HOST", "PATH", "SERVICE", "TIMEOUT", "REVISION"];
         let mut table = console::Table::new(&header);
@@ -67,6 +80,34 @@
     }
 }
 
+/// Everything that a workspace says, on one line; of its keys only their number and a mark that changes
+/// with them.
+pub(super) fn terms(workspace: &Workspace) -> String {
+    let mut keys = workspace.keys.clone();
+    keys.sort_unstable();
+    let bytes: Vec<_> = keys
+        .iter()
+        .flat_map(config::key::Digest::as_bytes)
+        .copied()
+        .collect();
+    let mark = xxhash_rust::xxh3::xxh3_64(&bytes) as u32;
+    let mark = match keys.is_empty() {
+        true => String::new(),
+        false => format!(" ({mark:08x})"),
+    };
+    let homes = match workspace.homes.is_empty() {
+        true => "all".to_owned(),
+        false => workspace.homes.join(", "),
+    };
+    format!(
+        "keys {}{mark}, rate {}, burst {}, priority {}, homes {homes}",
+        keys.len(),
+        workspace.rate,
+        workspace.burst,
+        workspace.priority
+    )
+}
+
 /// Shares of a service's versions, such as `v1 99%, v2 1%`.
 pub(super) fn shares(service: &Service) -> String {
     let share = |weight: &config::Weight| format!("{} {}", weight.version, weight.share);
@@ -77,6 +118,10 @@
 impl console::Show for Configuration {
     fn table(&self) -> String {
         let version = format!("version {}", self.version);
-        [version, self.services(), self.routes()].join("\n\n")
+        let mut parts = vec![version, self.services(), self.routes()];
+        if !self.configuration.workspaces.is_empty() {
+            parts.push(self.workspaces());
+        }
+        parts.join("\n\n")
     }
 }
--- a/ctl/src/view/difference.rs
+++ b/ctl/src/view/difference.rs
@@ -2,7 +2,7 @@
 
 use config::{Route, Snapshot};
 
-use super::configuration::shares;
+use super::configuration::{shares, terms};
 use crate::console;
 use crate::document::Document;
 
@@ -19,7 +19,7 @@
     /// A resource that differs.
     #[derive(serde::Serialize)]
     pub struct Line {
-        /// `service` or `route`.
+        /// `service`, `route` or `workspace`.
         pub kind: &'static str,
         /// Its name.
         pub name: String,
@@ -51,6 +51,15 @@
             let held = held.route(name).map(rule);
             lines.extend(line("route", name, held, None));
         }
+        for workspace in &document.workspaces {
+            let held = held.workspace(&workspace.name).map(terms);
+            let wanted = Some(terms(workspace));
+            lines.extend(line("workspace", &workspace.name, held, wanted));
+        }
+        for name in &document.remove.workspaces {
+            let held = held.workspace(name).map(terms);
+            lines.extend(line("workspace", name, held, None));
+        }
         Self {
             version: held.version().0,
             lines,
@@ -86,8 +95,9 @@
     } else {
         &route.host
     };
+    let public = if route.public { ", public" } else { "" };
     format!(
-        "{host}{} -> {}, timeout {}, idempotency {:?}, max_body {}",
+        "{host}{} -> {}, timeout {}, idempotency {:?}, max_body {}{public}",
         route.path_prefix, route.service, route.timeout, route.idempotency, route.max_body
     )
 }
