admission, node, platform: owners limit the rate of a backend server that warms up

Cause: a cold backend server got its full share after its start, and fell over. Change: admission::Warmup, a token bucket at the service's rate beside the one of advertised rates; announcements say how long it lasts, a possible restart counts as cold until an announcement; ingresses learn turns as before. The gate refuses and drains while its data centre is evacuated (nothing sets that yet).

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -17,7 +17,7 @@
 use crate::waiting::Waiting;
 use crate::{
     Advertised, Announced, Change, Limit, Permit, RateLimiter, Reason, Refusal, Request, Settings,
-    Usage,
+    Usage, Warmup,
 };
 
 /// Admission gate that decides when a request may run at the backend server; clones share the state.
@@ -48,6 +48,8 @@
             expires: None,
             limit,
             rate_limiter: RateLimiter::new(time::Instant::now()),
+            warmup: Warmup::new(time::Instant::now()),
+            evacuated: false,
             instance: None,
             runtimes: Runtimes::default(),
             running: 0,
@@ -143,13 +145,69 @@
         state.instance == Some(instance) && state.rate_limiter.adopt(rate, time::Instant::now())
     }
 
-    /// Promises a turn to the next request of a sender and returns the time until then; `None` if the
-    /// backend server advertises no rate.
+    /// Sets the rate of a backend server that warms up, and the usual time of a warm-up.
+    pub fn configure_warmup(&self, rate: units::Rate, period: time::Duration) {
+        let mut state = self.shared.state.borrow_mut();
+        let changed = state.warmup.configure(rate, period, time::Instant::now());
+        drop(state);
+        if changed {
+            self.dispatch();
+        }
+    }
+
+    /// Applies what an announcement of the start `instance` says of its warm-up.
+    pub fn hear_warmup(&self, instance: u64, left: Option<time::Duration>) {
+        let mut state = self.shared.state.borrow_mut();
+        state.warmup.announce(instance, left, time::Instant::now());
+    }
+
+    /// Records that the backend server may have restarted, so that it may be cold.
+    pub fn suspect_restart(&self) {
+        let mut state = self.shared.state.borrow_mut();
+        state.warmup.suspect_restart(time::Instant::now());
+    }
+
+    /// Whether the service of the backend server has a warm-up.
+    #[must_use]
+    pub fn warms_up(&self) -> bool {
+        self.shared.state.borrow().warmup.is_configured()
+    }
+
+    /// Whether the backend server is limited because it warms up, or may do so.
+    #[must_use]
+    pub fn is_cold(&self) -> bool {
+        let state = self.shared.state.borrow();
+        state.warmup.is_cold(time::Instant::now())
+    }
+
+    /// Begins or ends the evacuation of the data centre: no request is started in it, and queued ones are
+    /// refused. After it, the backend server may be cold until it announces itself.
+    pub fn set_evacuated(&self, evacuated: bool) {
+        let mut state = self.shared.state.borrow_mut();
+        if state.evacuated == evacuated {
+            return;
+        }
+        state.evacuated = evacuated;
+        let refused = if evacuated {
+            state.drain_waiting()
+        } else {
+            state.warmup.await_announcement(time::Instant::now());
+            Vec::new()
+        };
+        drop(state);
+        let refusal = Refusal::new(Reason::Evacuated, Self::PHASE_RETRY_AFTER);
+        for waiter in refused {
+            let _ = waiter.sender.send(Err(refusal));
+        }
+    }
+
+    /// Promises a turn to the next request of a sender and returns the time until then; `None` if no rate
+    /// limit applies.
     #[must_use]
     pub fn reserve_turn(&self) -> Option<time::Duration> {
         let mut state = self.shared.state.borrow_mut();
         let ahead = state.waiting.len();
-        state.rate_limiter.reserve_turn(ahead, time::Instant::now())
+        state.reserve_turn(ahead, time::Instant::now())
     }
 
     /// Arrivals under the rate that the backend server advertises.
@@ -201,6 +259,8 @@
             waiting: state.waiting.len() + state.waiting_alone.len(),
             latency_ms: state.limit.latency().as_secs_f64() * 1_000.0,
             rate: state.rate_limiter.rate().map(|rate| rate.0),
+            cold: state.warmup.is_cold(time::Instant::now()),
+            evacuated: state.evacuated,
             counts: state.counts,
         }
     }
@@ -297,7 +357,7 @@
     fn schedule_dispatch(&self) {
         let mut state = self.shared.state.borrow_mut();
         let now = time::Instant::now();
-        let wait = state.rate_limiter.wait(0, now);
+        let wait = state.turn_wait(0, now);
         let is_queue_empty = state.waiting.is_empty() && state.waiting_alone.is_empty();
         let at = now + wait;
         let latest = at + Self::WAKEUP_SLACK;
--- a/components/admission/src/gate/dump.rs
+++ b/components/admission/src/gate/dump.rs
@@ -20,6 +20,10 @@
     pub latency_ms: f64,
     /// Rate that the backend server advertises, in requests per second.
     pub rate: Option<f64>,
+    /// Whether the backend server is limited because it warms up, or may do so.
+    pub cold: bool,
+    /// Whether the data centre is evacuated.
+    pub evacuated: bool,
     /// Counters since the start.
     pub counts: Counts,
 }
--- a/components/admission/src/gate/state.rs
+++ b/components/admission/src/gate/state.rs
@@ -10,6 +10,7 @@
 use crate::waiting::Waiting;
 use crate::{
     Announced, Limit, Occupancy, Permit, RateLimiter, Reason, Refusal, Request, Settings, Urgency,
+    Warmup,
 };
 
 /// State of a gate.
@@ -19,6 +20,10 @@
     pub(super) expires: Option<time::Instant>,
     pub(super) limit: Limit,
     pub(super) rate_limiter: RateLimiter,
+    /// Rate limit while the backend server warms up.
+    pub(super) warmup: Warmup,
+    /// Whether the data centre is evacuated.
+    pub(super) evacuated: bool,
     /// Start of the backend server to which the rate limiter applies.
     pub(super) instance: Option<u64>,
     pub(super) runtimes: Runtimes,
@@ -57,6 +62,7 @@
     ) -> Result<(), Refusal> {
         let reason = match &self.announced {
             _ if self.stopping => Reason::Stopping,
+            _ if self.evacuated => Reason::Evacuated,
             _ if self.has_expired(now) => Reason::NoBackend,
             None => Reason::NoBackend,
             Some(one) if !request.matches(one) => Reason::Mismatch,
@@ -100,12 +106,12 @@
         max_wait: time::Duration,
         now: time::Instant,
     ) -> Result<(), Refusal> {
-        if self.rate_limiter.rate().is_none() {
+        if !self.is_limited(now) {
             return Ok(());
         }
         let urgency = self.urgency(request);
         let ahead = self.waiting.ahead(&urgency, now);
-        let wait = self.rate_limiter.wait(ahead, now);
+        let wait = self.turn_wait(ahead, now);
         if is_turn_in_time(&urgency, wait, max_wait, now) {
             return Ok(());
         }
@@ -119,16 +125,17 @@
         max_wait: time::Duration,
         now: time::Instant,
     ) -> Vec<(Waiter, Refusal)> {
-        if self.rate_limiter.rate().is_none() {
+        if !self.is_limited(now) {
             return Vec::new();
         }
-        let rate_limiter = &self.rate_limiter;
+        let (rate_limiter, warmup) = (&self.rate_limiter, &self.warmup);
         let fits = |urgency: &Urgency, ahead| {
-            is_turn_in_time(urgency, rate_limiter.wait(ahead, now), max_wait, now)
+            let wait = rate_limiter.wait(ahead, now).max(warmup.wait(ahead, now));
+            is_turn_in_time(urgency, wait, max_wait, now)
         };
         let shed = self.waiting.shed_unless(now, fits);
         self.counts.refused_limited += shed.len() as u64;
-        let wait = self.rate_limiter.wait(self.waiting.len(), now);
+        let wait = self.turn_wait(self.waiting.len(), now);
         let refusals = shed.into_iter();
         refusals
             .map(|waiter| {
@@ -141,10 +148,31 @@
     /// Refusal because of the rate limit, with the time until the turn promised to a retry.
     fn refuse_limited(&mut self, route: u64, wait: time::Duration, now: time::Instant) -> Refusal {
         let ahead = self.waiting.len();
-        let turn = self.rate_limiter.reserve_turn(ahead, now).unwrap_or(wait);
+        let turn = self.reserve_turn(ahead, now).unwrap_or(wait);
         Refusal::with_occupancy(Reason::Limited, turn, self.occupancy(route, wait))
     }
 
+    /// Whether a rate limit applies.
+    fn is_limited(&self, now: time::Instant) -> bool {
+        self.rate_limiter.rate().is_some() || self.warmup.is_cold(now)
+    }
+
+    /// Time until a request with `ahead` others before it has a turn under all rate limits.
+    pub(super) fn turn_wait(&self, ahead: usize, now: time::Instant) -> time::Duration {
+        let wait = self.rate_limiter.wait(ahead, now);
+        wait.max(self.warmup.wait(ahead, now))
+    }
+
+    /// Promises a turn to a retry under all rate limits; `None` if none applies.
+    pub(super) fn reserve_turn(
+        &mut self,
+        ahead: usize,
+        now: time::Instant,
+    ) -> Option<time::Duration> {
+        let advertised = self.rate_limiter.reserve_turn(ahead, now);
+        advertised.max(self.warmup.reserve_turn(ahead, now))
+    }
+
     /// Refusal of a request of `route` for lack of capacity, with the expected `wait`.
     pub(super) fn refuse(&self, reason: Reason, route: u64, wait: time::Duration) -> Refusal {
         Refusal::with_occupancy(reason, self.retry_after(), self.occupancy(route, wait))
@@ -200,7 +228,7 @@
 
     /// Whether a request may run at once.
     pub(super) fn may_run(&self, alone: bool, now: time::Instant) -> bool {
-        self.has_slot(alone) && self.rate_limiter.is_open(now)
+        self.has_slot(alone) && self.turn_wait(0, now).is_zero()
     }
 
     /// Whether a slot is free for a request, regardless of the rate limit.
@@ -226,7 +254,9 @@
                 "invariant violated: a request runs above the limit");
         }
         self.running += 1;
-        self.rate_limiter.consume(time::Instant::now());
+        let now = time::Instant::now();
+        self.rate_limiter.consume(now);
+        self.warmup.consume(now);
         self.alone |= alone;
         self.counts.admitted += 1;
         self.counts.admitted_alone += u64::from(alone);
@@ -285,7 +315,7 @@
     pub(super) fn pop_runnable(&mut self) -> Option<(Waiter, bool)> {
         let now = time::Instant::now();
         let is_available = self.announced.is_some() && !self.has_expired(now);
-        if self.alone || !is_available || !self.rate_limiter.is_open(now) {
+        if self.alone || !is_available || !self.turn_wait(0, now).is_zero() {
             return None;
         }
         while let Some(waiter) = self.waiting_alone.front() {
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -32,6 +32,7 @@
 mod urgency;
 mod usage;
 mod waiting;
+mod warmup;
 
 pub use advertised::Advertised;
 pub use allowance::Allowance;
@@ -63,3 +64,4 @@
 pub use urgency::{Queue, Urgency};
 pub use usage::Usage;
 pub use waiting::Order;
+pub use warmup::Warmup;
--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -380,3 +380,73 @@
     gate.announce(Some(&announced(Phase::Ready, "v1", 1)));
     assert!(waiting.await.is_ok());
 }
+
+/// Requests per second of a cold backend server.
+const COLD_RATE: units::Rate = units::Rate(20.0);
+
+#[compio::test]
+async fn admit_cold_backend_server_waits_for_turn() {
+    let gate = gate(64);
+    gate.configure_warmup(COLD_RATE, LONG);
+    gate.hear_warmup(1, Some(LONG));
+    let permits = admit_all(&gate, 200, Duration::from_millis(1_000)).await;
+    let bound = COLD_RATE.0 * 1.5 + 1.0;
+    #[allow(clippy::cast_precision_loss)]
+    let admitted = permits as f64;
+    assert!(admitted <= bound, "{admitted} admitted in a second");
+    assert!(admitted > COLD_RATE.0 / 2.0, "{admitted} admitted");
+}
+
+#[compio::test]
+async fn admit_unknown_is_cold_until_announced() {
+    let gate = gate(64);
+    gate.configure_warmup(COLD_RATE, LONG);
+    gate.hear_warmup(1, Some(Duration::ZERO));
+    assert!(!gate.is_cold());
+    gate.suspect_restart();
+    gate.hear_warmup(1, Some(Duration::ZERO));
+    assert!(gate.is_cold());
+    let wait = admission::Warmup::STALE_ANNOUNCEMENT_LIMIT;
+    compio::time::sleep(wait).await;
+    gate.hear_warmup(1, Some(Duration::ZERO));
+    assert!(!gate.is_cold());
+}
+
+#[compio::test]
+async fn admit_evacuated_refuses_new_and_queued() {
+    let gate = gate(1);
+    gate.configure_warmup(COLD_RATE, LONG);
+    gate.hear_warmup(1, Some(Duration::ZERO));
+    let running = gate.admit(&request(false, LONG)).await.expect("a slot");
+    let queued = {
+        let gate = gate.clone();
+        compio::runtime::spawn(async move { gate.admit(&request(false, LONG)).await.map(drop) })
+    };
+    compio::time::sleep(Duration::from_millis(5)).await;
+    gate.set_evacuated(true);
+    let refusal = queued.await.expect("no panic").expect_err("a refusal");
+    assert_eq!(refusal.reason, Reason::Evacuated);
+    let reason = refused(&gate, &request(false, LONG));
+    assert_eq!(reason, Some(Reason::Evacuated));
+    drop(running);
+    gate.set_evacuated(false);
+    assert!(gate.is_cold(), "it may have become cold meanwhile");
+    gate.hear_warmup(1, Some(Duration::ZERO));
+    assert_eq!(refused(&gate, &request(false, LONG)), None);
+}
+
+/// Number of `count` requests, sent together, that are admitted within `time`.
+async fn admit_all(gate: &Gate, count: usize, time: Duration) -> usize {
+    let admitted = Rc::new(std::cell::Cell::new(0));
+    for _ in 0..count {
+        let (gate, admitted) = (gate.clone(), admitted.clone());
+        compio::runtime::spawn(async move {
+            if gate.admit(&request(false, LONG)).await.is_ok() {
+                admitted.set(admitted.get() + 1);
+            }
+        })
+        .detach();
+    }
+    compio::time::sleep(time).await;
+    admitted.get()
+}
--- a/node/src/announce/desk.rs
+++ b/node/src/announce/desk.rs
@@ -60,6 +60,8 @@
     }
 
     async fn take(&mut self, message: Message) {
+        let instance = message.notice.backend.instance;
+        self.owner.hear_warmup(instance, message.notice.warmup_left);
         let announced = self.owner.apply_leaving(Announced {
             id: message.notice.id,
             address: message.notice.address,
--- a/node/src/announce/notice.rs
+++ b/node/src/announce/notice.rs
@@ -1,5 +1,7 @@
 //! A checked announcement.
 
+use std::time;
+
 use config::Findings;
 use membership::{Backend, Phase};
 use schema::announce as wire;
@@ -17,6 +19,8 @@
         pub healthy: bool,
         /// Its own view of its load.
         pub load: units::Share,
+        /// How long it still warms up; `None` where it does not say.
+        pub warmup_left: Option<time::Duration>,
     }
 }
 
@@ -55,6 +59,7 @@
                 },
                 healthy: wire.healthy,
                 load: load.unwrap_or_default(),
+                warmup_left: None,
             }),
             _ => Err(findings),
         }
--- a/node/src/call/counts.rs
+++ b/node/src/call/counts.rs
@@ -51,6 +51,8 @@
     pub resent: u64,
     /// Repeated requests refused because the retry budget of the service was spent.
     pub over_budget: u64,
+    /// Times at which the rate limit of a warm-up of the backend server began.
+    pub warmups: u64,
     /// Requests sent that the backend server rejected without running them.
     pub shed: u64,
     /// Responses of the backend server.
--- a/node/src/call/ingress/backend_status.rs
+++ b/node/src/call/ingress/backend_status.rs
@@ -27,9 +27,11 @@
         let state = &mut *self.shared.state.borrow_mut();
         match backend_status {
             Some(backend_status) => {
-                match backend_status.rate {
-                    Some(_) => endpoint.set_turn(backend_status.turn, now),
-                    None => endpoint.clear_turn(),
+                // A backend server that warms up has turns, but advertises no rate.
+                let has_turns = backend_status.rate.is_some() || !backend_status.turn.is_zero();
+                match has_turns {
+                    true => endpoint.set_turn(backend_status.turn, now),
+                    false => endpoint.clear_turn(),
                 }
                 state.reports.record(&endpoint.node, &backend_status, now);
                 if backend_status.leaving {
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -10,6 +10,7 @@
 mod retry_budget;
 mod run;
 mod signals;
+mod warmup;
 
 use std::cell;
 use std::rc;
@@ -44,6 +45,8 @@
     records: KeyRecords,
     shared_suspects: SharedSuspects<L>,
     repeats: Repeats,
+    /// Version of the configuration from which the gate has its rate of a warm-up.
+    warmup_version: cell::Cell<units::Version>,
     /// Number of owners of the service, cached until the membership or the backend server changes.
     owners: cell::Cell<Option<retry_budget::OwnerCount>>,
     backend: cell::RefCell<Option<Backend>>,
@@ -116,6 +119,7 @@
             gate: Gate::new(settings.clone()),
             records: KeyRecords::new(settings.clone(), time::Instant::now()),
             shared_suspects: SharedSuspects::new(link, settings),
+            warmup_version: cell::Cell::default(),
             owners: cell::Cell::default(),
             backend: cell::RefCell::default(),
             suspected_crash: cell::RefCell::default(),
@@ -136,6 +140,7 @@
         let announced = announced.map(|announced| self.apply_leaving(announced.clone()));
         let announced = announced.as_ref();
         self.connect_to(announced);
+        self.configure_warmup(announced);
         if let Some(announced) = announced {
             self.withdraw_false_crash(announced, time::Instant::now());
         }
--- a/node/src/call/owner/crash.rs
+++ b/node/src/call/owner/crash.rs
@@ -18,7 +18,7 @@
 
 impl<L: peer::Link, D: Dialect> Owner<L, D> {
     /// Time after a crash for which an announcement of the same instance may predate the crash.
-    const STALE_ANNOUNCEMENT_LIMIT: time::Duration = time::Duration::from_millis(300);
+    const STALE_ANNOUNCEMENT_LIMIT: time::Duration = admission::Warmup::STALE_ANNOUNCEMENT_LIMIT;
 
     /// Withdraws a crash if the backend server has responded since and still announces the same
     /// instance.
--- a/node/src/call/owner/execution.rs
+++ b/node/src/call/owner/execution.rs
@@ -95,11 +95,20 @@
             }
             Cause::Broken if backend.server.is_up().await => failure.into(),
             Cause::Broken => {
+                self.owner.suspect_restart();
                 let fingerprint = self.fingerprint.value();
                 self.owner
                     .report_crash(fingerprint, backend.instance, alone);
                 Problem::unknown(Reason::Crashed)
             }
+            Cause::Connect => {
+                // All connections may be in use, which says nothing of a restart.
+                let warms_up = self.owner.shared.gate.warms_up();
+                if warms_up && !backend.server.is_up().await {
+                    self.owner.suspect_restart();
+                }
+                failure.into()
+            }
             _ => failure.into(),
         }
     }
--- a/node/src/call/owner/run.rs
+++ b/node/src/call/owner/run.rs
@@ -72,6 +72,7 @@
             return Ok(None);
         }
         let alone = self.must_run_alone(job, fingerprint).await?;
+        self.refresh_warmup();
         let request = Request {
             caller: job.envelope.caller.clone(),
             workspace: job.envelope.workspace.clone(),
--- a/node/src/call/owner/signals.rs
+++ b/node/src/call/owner/signals.rs
@@ -86,7 +86,8 @@
             turn: promised.or_else(|| gate.reserve_turn()).unwrap_or_default(),
             leaving: self.shared.leaving.get() == Some(instance),
         };
-        (backend_status.rate.is_some() || backend_status.leaving).then_some(backend_status)
+        let is_told = backend_status.rate.is_some() || backend_status.leaving || gate.is_cold();
+        is_told.then_some(backend_status)
     }
 
     /// Applies the rate limit known to an ingress, until the backend server has responded itself.
