relay, routing, node, platform: evacuation of data centres, regions in which requests stay

Cause: requests reached backend servers of evacuated data centres, and regions of routes bound nothing. Change: the relay follows removed objects of topics that ask for it; node::evacuation tells the request path; the ingress leaves out what is evacuated or no home, the owner refuses and drains while its data centre is evacuated.

--- a/components/platform/src/follower.rs
+++ b/components/platform/src/follower.rs
@@ -6,7 +6,7 @@
 use futures_util::FutureExt;
 use futures_util::future::{self, Either};
 
-use crate::{Backoff, Error, Event, Nudge, Object, Revision, Store};
+use crate::{Backoff, Error, Event, Listing, Nudge, Object, Revision, Store};
 
 /// Takes what a [`Follower`] reads.
 pub trait Follow {
@@ -19,6 +19,19 @@
     /// Takes objects as they are now, oldest change first.
     fn take(&self, objects: Vec<Object>);
 
+    /// Takes everything below the prefix.
+    fn take_listing(&self, listing: Listing) {
+        self.take(listing.objects);
+    }
+
+    /// Whether changes are taken with [`Follow::take_events`], removed objects among them.
+    fn follows_removals(&self) -> bool {
+        false
+    }
+
+    /// Takes changes, oldest first, if removed objects are followed.
+    fn take_events(&self, _events: Vec<Event>) {}
+
     /// Everything below the prefix has been read.
     fn listed(&self) {}
 
@@ -51,7 +64,7 @@
 
 /// Follows the objects below a prefix: reads them, then watches them, and starts over when a call fails.
 ///
-/// Objects that are removed are not told of: what is followed here outlives its object.
+/// Objects that are removed are told of only to readers that follow removals.
 pub struct Follower<S> {
     store: S,
     pace: Pace,
@@ -132,8 +145,9 @@
         let asked_at = time::Instant::now();
         let listing = self.store.list(reader.prefix()).await?;
         reader.answered(asked_at);
-        reader.take(listing.objects);
-        Ok(listing.revision)
+        let revision = listing.revision;
+        reader.take_listing(listing);
+        Ok(revision)
     }
 
     /// Reads the changes after `from`, or everything if that history is gone.
@@ -148,7 +162,7 @@
         };
         reader.answered(asked_at);
         let revision = events.revision.max(from);
-        take_puts(reader, events.events);
+        take_changes(reader, events.events);
         Ok(revision)
     }
 
@@ -175,7 +189,7 @@
             }
         };
         reader.answered(time::Instant::now());
-        if take_puts(reader, events.events) {
+        if take_changes(reader, events.events) {
             compio::time::sleep(self.pace.pause).await;
             // What was heard of before is there; a change that is not is heard of again.
             self.forget_asked();
@@ -204,8 +218,15 @@
     }
 }
 
-/// Hands the changed objects to `reader`; returns whether there are any.
-fn take_puts<F: Follow>(reader: &F, events: Vec<Event>) -> bool {
+/// Hands the changes that `reader` follows to it; returns whether there are any.
+fn take_changes<F: Follow>(reader: &F, events: Vec<Event>) -> bool {
+    if reader.follows_removals() {
+        let has_events = !events.is_empty();
+        if has_events {
+            reader.take_events(events);
+        }
+        return has_events;
+    }
     let puts = events.into_iter().filter_map(|event| match event {
         Event::Put(object) => Some(object),
         Event::Removed(..) => None,
--- a/components/relay/src/encoding.rs
+++ b/components/relay/src/encoding.rs
@@ -10,6 +10,7 @@
 /// A part with the full feed has no lower bound: its `after` is zero.
 pub(crate) fn encode(feed: &Feed, after: Option<Revision>) -> Option<wire::Part> {
     let head = feed.head()?;
+    let after = feed.lower_bound(after);
     let changes = feed.changes(after).into_iter();
     Some(wire::Part {
         prefix: feed.prefix().to_owned(),
@@ -29,6 +30,7 @@
     wire::Object {
         key: change.key.to_string(),
         steps: steps.collect(),
+        removed: change.removed.unwrap_or_default().0,
     }
 }
 
@@ -49,6 +51,7 @@
     Some(Change {
         key: object.key.parse().ok()?,
         deltas: deltas.collect::<Option<_>>()?,
+        removed: revision(object.removed),
     })
 }
 
--- a/components/relay/src/entry.rs
+++ b/components/relay/src/entry.rs
@@ -1,6 +1,6 @@
 //! Objects with their latest deltas.
 
-use platform::{Object, Revision};
+use platform::{Key, Object, Revision};
 
 use crate::Delta;
 
@@ -10,6 +10,8 @@
     pub(crate) object: Object,
     /// Each delta is based on the revision of the one before; the last one yields the object.
     deltas: Vec<Delta>,
+    /// Whether the object has been removed, at its revision.
+    pub(crate) removed: bool,
 }
 
 impl Entry {
@@ -18,11 +20,34 @@
 
     pub(crate) fn new(object: Object) -> Self {
         let deltas = Vec::new();
-        Self { object, deltas }
+        let removed = false;
+        Self {
+            object,
+            deltas,
+            removed,
+        }
+    }
+
+    /// Creates the tombstone of an object that was removed at `revision`.
+    pub(crate) fn tombstone(key: Key, revision: Revision) -> Self {
+        let value = Vec::new();
+        let object = Object {
+            key,
+            revision,
+            value,
+        };
+        Self {
+            removed: true,
+            ..Self::new(object)
+        }
     }
 
     /// Replaces the object by a newer value read from the store.
     pub(crate) fn replace(&mut self, object: Object) {
+        if self.removed {
+            *self = Self::new(object);
+            return;
+        }
         let base = Some((self.object.revision, self.object.value.as_slice()));
         match Delta::new(base, object.revision, &object.value) {
             Some(delta) => self.push(delta),
@@ -41,11 +66,15 @@
             None => self.deltas.clear(),
         }
         self.object = object;
+        self.removed = false;
     }
 
     /// Deltas for a node that has all changes up to `after`; the full value if the deltas do not
     /// reach back that far.
     pub(crate) fn deltas_after(&self, after: Option<Revision>) -> Vec<Delta> {
+        if self.removed {
+            return Vec::new();
+        }
         let is_next = |delta: &Delta| {
             let base = delta.base.unwrap_or_default();
             after.is_some_and(|after| base <= after && after < delta.revision)
--- a/components/relay/src/feed.rs
+++ b/components/relay/src/feed.rs
@@ -1,5 +1,7 @@
 //! Local copy of the objects below one prefix.
 
+mod removals;
+
 use futures_channel::oneshot;
 use platform::{Key, Object, Revision};
 
@@ -14,7 +16,11 @@
     prefix: &'static str,
     /// Version in the value of an object, which decides between values of different eras.
     version: fn(&[u8]) -> Option<u64>,
-    /// Sorted by key.
+    /// Whether removed objects are followed.
+    removals: bool,
+    /// Revision from which removed objects are known; earlier ones may be forgotten.
+    removals_from: Revision,
+    /// Sorted by key; removed objects stay as tombstones.
     entries: Vec<Entry>,
     /// Revision of the newest change; `None` until the first read.
     head: Option<Revision>,
@@ -27,8 +33,10 @@
     pub struct Change {
         /// Key of the object.
         pub key: Key,
-        /// Deltas, each based on the value before it.
+        /// Deltas, each based on the value before it; none if the object has been removed.
         pub deltas: Vec<Delta>,
+        /// Revision of the removal, if the object has been removed.
+        pub removed: Option<Revision>,
     }
 
     /// Result of applying the changes that another node sent.
@@ -50,6 +58,8 @@
         Self {
             prefix,
             version,
+            removals: false,
+            removals_from: Revision::default(),
             entries: Vec::new(),
             head: None,
             waiters: Vec::new(),
@@ -71,14 +81,16 @@
     /// All objects, sorted by key.
     #[must_use]
     pub fn objects(&self) -> Vec<Object> {
-        let objects = self.entries.iter().map(|entry| entry.object.clone());
-        objects.collect()
+        let present = self.entries.iter().filter(|entry| !entry.removed);
+        present.map(|entry| entry.object.clone()).collect()
     }
 
     /// Objects that changed after `after`, oldest change first.
     #[must_use]
     pub fn objects_after(&self, after: Revision) -> Vec<Object> {
-        let entries = self.entries_after(Some(after));
+        let entries = self
+            .entries_after(Some(after))
+            .filter(|entry| !entry.removed);
         let mut found: Vec<_> = entries.map(|entry| entry.object.clone()).collect();
         found.sort_by_key(|object| object.revision);
         found
@@ -90,6 +102,7 @@
         let changes = self.entries_after(after).map(|entry| Change {
             key: entry.object.key.clone(),
             deltas: entry.deltas_after(after),
+            removed: entry.removed.then_some(entry.object.revision),
         });
         changes.collect()
     }
@@ -97,15 +110,20 @@
     /// Merges objects read from the store: all below the prefix, or those that changed since the head.
     pub fn merge(&mut self, objects: Vec<Object>) {
         let newest = objects.iter().map(|object| object.revision).max();
+        self.merge_objects(objects);
+        self.advance_head(newest.unwrap_or_default());
+    }
+
+    fn merge_objects(&mut self, objects: Vec<Object>) {
         for object in objects {
             match self.index_of(&object.key) {
                 Ok(index) if self.entries[index].object.revision >= object.revision => {}
                 Ok(index) if self.is_lost(index, &object) => {}
                 Ok(index) => self.entries[index].replace(object),
+                Err(_) if self.is_known_removed(object.revision) => {}
                 Err(index) => self.entries.insert(index, Entry::new(object)),
             }
         }
-        self.advance_head(newest.unwrap_or_default());
     }
 
     /// Applies the changes of another node after `after` and up to `head`.
@@ -125,6 +143,9 @@
                 return Outcome::MissingBase;
             }
         }
+        if after.is_none() {
+            self.remove_unlisted(head, |key| changes.iter().any(|change| change.key == *key));
+        }
         self.advance_head(head);
         Outcome::Applied
     }
@@ -139,6 +160,10 @@
 
     /// Applies the deltas of `change`; `false` if its base is missing or a delta cannot be decoded.
     fn apply_change(&mut self, change: &Change) -> bool {
+        if let Some(removed) = change.removed {
+            self.remove(&change.key, removed);
+            return true;
+        }
         let index = self.index_of(&change.key);
         let held = index.ok().map(|index| &self.entries[index].object);
         let revision = held.map(|held| held.revision);
@@ -166,6 +191,7 @@
         match index {
             Ok(index) if self.is_lost(index, &object) => {}
             Ok(index) => self.entries[index].advance(object, &change.deltas),
+            Err(_) if self.is_known_removed(object.revision) => {}
             Err(index) => self.entries.insert(index, Entry::new(object)),
         }
         true
--- a/components/relay/src/feed_writer.rs
+++ b/components/relay/src/feed_writer.rs
@@ -4,13 +4,13 @@
 use std::rc;
 use std::time;
 
-use platform::{Error, Follow, Object, Store};
+use platform::{Error, Event, Follow, Listing, Object, Store};
 
-use crate::Topic;
 use crate::answer::Answered;
 use crate::schedule;
 use crate::shared::{SERVICE, Shared};
 use crate::source::Source;
+use crate::{Feed, Topic};
 
 /// Merges the objects that a watch of this node reads into a feed, and passes them on.
 pub(crate) struct FeedWriter<S, L> {
@@ -28,7 +28,22 @@
     }
 
     fn take(&self, objects: Vec<Object>) {
-        self.shared.merge_read(self.topic.prefix, objects);
+        self.shared
+            .merge_read(self.topic.prefix, |feed| feed.merge(objects));
+    }
+
+    fn take_listing(&self, listing: Listing) {
+        self.shared
+            .merge_read(self.topic.prefix, |feed| feed.merge_listing(listing));
+    }
+
+    fn follows_removals(&self) -> bool {
+        self.topic.removals
+    }
+
+    fn take_events(&self, events: Vec<Event>) {
+        self.shared
+            .merge_read(self.topic.prefix, |feed| feed.merge_events(events));
     }
 
     fn answered(&self, at: time::Instant) {
@@ -67,14 +82,14 @@
         )
     }
 
-    /// Merges objects read below `prefix`; every change up to the newest of them must be included.
-    pub(crate) fn merge_read(self: &rc::Rc<Self>, prefix: &str, objects: Vec<Object>) {
+    /// Merges what was read below `prefix`; every change up to the newest of them must be included.
+    pub(crate) fn merge_read(self: &rc::Rc<Self>, prefix: &str, merge: impl FnOnce(&mut Feed)) {
         let before = self.heads();
         let Some(feed) = self.feed(prefix) else {
             return;
         };
         let head = feed.borrow().head();
-        feed.borrow_mut().merge(objects);
+        merge(&mut feed.borrow_mut());
         if feed.borrow().head() != head {
             self.record_change(&feed.borrow(), head, Source::Store);
             self.spread_changes(&before);
--- a/components/relay/src/replica.rs
+++ b/components/relay/src/replica.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use futures_util::future::{self, Either};
-use platform::{Era, Error, Event, Events, Key, Listing, Object, Revision, Store};
+use platform::{Era, Error, Events, Key, Listing, Object, Revision, Store};
 
 use crate::Feed;
 use crate::shared::Shared;
@@ -48,7 +48,8 @@
         log::info!(event = "store-read", prefix = prefix, took_ms = units::millis(started.elapsed()),
             answered = listing.is_ok(); "the store was read for a change that another node has");
         let listing = listing?;
-        self.shared.merge_read(prefix, listing.objects);
+        self.shared
+            .merge_read(prefix, |feed| feed.merge_listing(listing));
         Ok(())
     }
 }
@@ -109,16 +110,12 @@
         loop {
             let changed = {
                 let mut feed = feed.borrow_mut();
-                let objects = feed.objects_after(from);
+                let events = feed.events_after(from);
                 let remaining = deadline.saturating_duration_since(time::Instant::now());
-                if !objects.is_empty() || remaining.is_zero() {
-                    let events = objects.into_iter().map(Event::Put);
+                if !events.is_empty() || remaining.is_zero() {
                     let revision = feed.head().unwrap_or(from);
                     self.read.set(self.read.get().max(Some(revision)));
-                    return Ok(Events {
-                        revision,
-                        events: events.collect(),
-                    });
+                    return Ok(Events { revision, events });
                 }
                 compio::time::timeout(remaining, feed.subscribe())
             };
--- a/components/relay/src/role.rs
+++ b/components/relay/src/role.rs
@@ -34,7 +34,7 @@
                     if waited.is_none() {
                         return;
                     }
-                    feed.borrow_mut().merge(listing.objects);
+                    feed.borrow_mut().merge_listing(listing);
                 }
                 Some(Err(error)) => log::info!(event = "first-read-failed",
                     prefix = topic.prefix, error:% = error;
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -63,7 +63,10 @@
     pub(crate) fn new(parts: Parts<S, L>, topics: Vec<Topic>) -> Self {
         let feeds = topics
             .iter()
-            .map(|topic| Feed::new(topic.prefix, topic.version));
+            .map(|topic| match Feed::new(topic.prefix, topic.version) {
+                feed if topic.removals => feed.with_removals(),
+                feed => feed,
+            });
         Self {
             intervals: parts.settings.intervals(),
             feeds: feeds.map(cell::RefCell::new).collect(),
--- a/components/relay/src/topic.rs
+++ b/components/relay/src/topic.rs
@@ -16,4 +16,6 @@
     /// Version in the value of an object; `None` if it has none. A store that comes back from a copy shows
     /// older versions at newer revisions.
     pub version: fn(&[u8]) -> Option<u64>,
+    /// Whether removed objects are followed, too.
+    pub removals: bool,
 }
--- a/components/relay/tests/feed.rs
+++ b/components/relay/tests/feed.rs
@@ -1,6 +1,6 @@
 //! Tests of feeds and of the distribution tree.
 
-use platform::{Object, Revision};
+use platform::{Event, Listing, Object, Revision};
 use relay::{Change, Delta, Feed, Outcome, split};
 
 fn object(name: &str, revision: u64, value: &[u8]) -> Object {
@@ -163,6 +163,7 @@
     let change = Change {
         key: "config/main".parse().expect("valid key"),
         deltas: vec![delta],
+        removed: None,
     };
     assert_eq!(
         feed.apply(Some(Revision(5)), Revision(7), &[change]),
@@ -240,3 +241,162 @@
         assert_eq!(version(&sender), 13, "{name}: a later version");
     }
 }
+
+/// A feed of data centres that follows removed objects.
+fn marks() -> Feed {
+    Feed::new("marks/", |_| None).with_removals()
+}
+
+fn mark(name: &str, revision: u64) -> Object {
+    Object {
+        key: format!("marks/{name}").parse().expect("valid key"),
+        revision: Revision(revision),
+        value: b"{}".to_vec(),
+    }
+}
+
+fn listing(revision: u64, objects: Vec<Object>) -> Listing {
+    let revision = Revision(revision);
+    Listing { revision, objects }
+}
+
+fn removed(name: &str, revision: u64) -> Event {
+    let key = format!("marks/{name}").parse().expect("valid key");
+    Event::Removed(key, Revision(revision))
+}
+
+fn names(feed: &Feed) -> Vec<String> {
+    let objects = feed.objects().into_iter();
+    objects.map(|object| object.key.to_string()).collect()
+}
+
+/// Sends what `sender` has after the head of `receiver`, as a pull does.
+fn send(sender: &Feed, receiver: &mut Feed) -> Outcome {
+    let after = sender.lower_bound(receiver.head());
+    let head = sender.head().expect("read");
+    receiver.apply(after, head, &sender.changes(after))
+}
+
+#[test]
+fn merge_events_removed_object_is_gone() {
+    let mut feed = marks();
+    feed.merge_listing(listing(10, vec![mark("a", 5), mark("b", 6)]));
+    feed.merge_events(vec![removed("a", 12), Event::Put(mark("c", 13))]);
+    assert_eq!(names(&feed), ["marks/b", "marks/c"]);
+    assert_eq!(feed.head(), Some(Revision(13)));
+    let events = feed.events_after(Revision(10));
+    assert_eq!(events, [removed("a", 12), Event::Put(mark("c", 13))]);
+}
+
+#[test]
+fn merge_events_removed_and_created_again() {
+    let mut feed = marks();
+    feed.merge_listing(listing(10, vec![mark("a", 5)]));
+    feed.merge_events(vec![removed("a", 12), Event::Put(mark("a", 14))]);
+    assert_eq!(names(&feed), ["marks/a"]);
+    feed.merge_events(vec![removed("a", 12)]);
+    assert_eq!(names(&feed), ["marks/a"], "the removal is older");
+}
+
+#[test]
+fn merge_listing_lacks_removed_object() {
+    let mut feed = marks();
+    feed.merge_listing(listing(10, vec![mark("a", 5)]));
+    feed.merge_listing(listing(20, Vec::new()));
+    assert_eq!(names(&feed), [String::new(); 0]);
+    assert_eq!(feed.head(), Some(Revision(20)));
+    assert_eq!(feed.events_after(Revision(10)), [removed("a", 20)]);
+}
+
+#[test]
+fn merge_listing_older_than_head_brings_nothing_back() {
+    let mut feed = marks();
+    feed.merge_listing(listing(20, Vec::new()));
+    feed.merge_listing(listing(10, vec![mark("a", 5)]));
+    assert_eq!(names(&feed), [String::new(); 0]);
+    feed.merge_events(vec![Event::Put(mark("b", 25))]);
+    feed.merge_listing(listing(22, Vec::new()));
+    assert_eq!(names(&feed), ["marks/b"], "newer than the listing");
+}
+
+#[test]
+fn apply_removed_object_by_push_and_pull() {
+    let mut sender = marks();
+    sender.merge_listing(listing(10, vec![mark("a", 5)]));
+    let mut receiver = marks();
+    assert_eq!(send(&sender, &mut receiver), Outcome::Applied);
+    assert_eq!(names(&receiver), ["marks/a"]);
+    sender.merge_events(vec![removed("a", 12)]);
+    assert_eq!(send(&sender, &mut receiver), Outcome::Applied);
+    assert_eq!(names(&receiver), [String::new(); 0]);
+    assert_eq!(receiver.head(), Some(Revision(12)));
+    sender.merge_events(vec![Event::Put(mark("a", 15))]);
+    assert_eq!(send(&sender, &mut receiver), Outcome::Applied);
+    assert_eq!(names(&receiver), ["marks/a"]);
+}
+
+/// Guards against a removal that is lost because the node that was cut off meets only nodes that started
+/// after it.
+#[test]
+fn apply_full_state_of_node_started_after_removal() {
+    let mut cut_off = marks();
+    cut_off.merge_listing(listing(10, vec![mark("a", 5)]));
+    let mut started = marks();
+    started.merge_listing(listing(30, Vec::new()));
+    assert_eq!(started.lower_bound(cut_off.head()), None);
+    assert_eq!(send(&started, &mut cut_off), Outcome::Applied);
+    assert_eq!(names(&cut_off), [String::new(); 0]);
+}
+
+/// Guards against a node that was cut off and brings a removed object back to the others.
+#[test]
+fn apply_stale_object_of_node_cut_off() {
+    let mut cut_off = marks();
+    cut_off.merge_listing(listing(10, vec![mark("a", 5)]));
+    let mut started = marks();
+    started.merge_listing(listing(30, Vec::new()));
+    let head = cut_off.head().expect("read");
+    started.apply(None, head, &cut_off.changes(None));
+    assert_eq!(names(&started), [String::new(); 0]);
+    assert_eq!(started.head(), Some(Revision(30)));
+}
+
+#[test]
+fn apply_of_tombstones_with_other_revisions() {
+    let mut watched = marks();
+    watched.merge_listing(listing(10, vec![mark("a", 5)]));
+    let mut listed = marks();
+    assert_eq!(send(&watched, &mut listed), Outcome::Applied);
+    watched.merge_events(vec![removed("a", 12)]);
+    listed.merge_listing(listing(20, Vec::new()));
+    assert_eq!(send(&listed, &mut watched), Outcome::Applied);
+    listed.merge_events(vec![Event::Put(mark("a", 25))]);
+    assert_eq!(send(&listed, &mut watched), Outcome::Applied);
+    assert_eq!(names(&watched), ["marks/a"]);
+}
+
+#[test]
+fn merge_events_many_removals_are_bounded() {
+    let mut sender = marks();
+    sender.merge_listing(listing(1, Vec::new()));
+    let mut behind = marks();
+    behind.merge_listing(listing(1, Vec::new()));
+    behind.merge_events(vec![Event::Put(mark("n0", 2))]);
+    for number in 0..1_000_u64 {
+        let name = format!("n{number}");
+        sender.merge_events(vec![Event::Put(mark(&name, 2 + 2 * number))]);
+        sender.merge_events(vec![removed(&name, 3 + 2 * number)]);
+    }
+    assert!(sender.changes(None).len() < 100);
+    assert_eq!(send(&sender, &mut behind), Outcome::Applied);
+    assert_eq!(names(&behind), [String::new(); 0]);
+}
+
+#[test]
+fn merge_events_without_removals_keeps_removed_object() {
+    let mut feed = feed(&[5]);
+    let key = "config/main".parse().expect("valid key");
+    feed.merge_events(vec![Event::Removed(key, Revision(9))]);
+    assert_eq!(revisions(&feed), [5]);
+    assert_eq!(feed.head(), Some(Revision(5)));
+}
--- a/components/relay/tests/mesh/fleet.rs
+++ b/components/relay/tests/mesh/fleet.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use membership::{Member, Ranks, Reader, State, View};
-use platform::{Revision, Store as _};
+use platform::{Event, Revision, Store as _};
 use relay::{Parts, Relay, Replica, Settings, Topic};
 
 use crate::store::NodeStore;
@@ -32,6 +32,8 @@
     pub(crate) member: rc::Rc<Member>,
     pub(crate) store: NodeStore,
     pub(crate) known_revision: rc::Rc<cell::Cell<u64>>,
+    /// Keys of the orders, as a reader of the replica sees them.
+    pub(crate) known_orders: rc::Rc<cell::RefCell<Vec<String>>>,
     pub(crate) dump: Box<dyn Fn() -> relay::Dump>,
     replica: Replica<NodeStore, fakes::Link>,
     trigger: kernel::Trigger,
@@ -51,6 +53,7 @@
         wait: (prefix == ROLLOUTS).then(|| settings().apply.0),
         pause: time::Duration::from_millis(50),
         version: |value| value.get(..8)?.try_into().ok().map(u64::from_be_bytes),
+        removals: prefix == ROLLOUTS,
     }
 }
 
@@ -120,15 +123,19 @@
         };
         let relay = Relay::new(parts, [CONFIG, ROLLOUTS].map(topic).into(), incoming);
         let replica = relay.replica();
+        let orders = relay.replica();
         let dump = Box::new(relay.dump());
         let (trigger, stop) = kernel::stop();
         compio::runtime::spawn(kernel::Service::run(relay, stop)).detach();
         let known_revision = rc::Rc::new(cell::Cell::new(0));
         compio::runtime::spawn(record_revisions(replica.clone(), known_revision.clone())).detach();
+        let known_orders = rc::Rc::default();
+        compio::runtime::spawn(record_orders(orders, rc::Rc::clone(&known_orders))).detach();
         self.nodes.push(Running {
             member,
             store,
             known_revision,
+            known_orders,
             dump,
             replica,
             trigger,
@@ -258,3 +265,36 @@
         from = events.revision;
     }
 }
+
+/// Follows the orders and stores their keys in `known`.
+async fn record_orders(
+    replica: Replica<NodeStore, fakes::Link>,
+    known: rc::Rc<cell::RefCell<Vec<String>>>,
+) {
+    let Ok(listing) = replica.list(ROLLOUTS).await else {
+        return;
+    };
+    let keys = listing.objects.iter().map(|object| object.key.to_string());
+    known.borrow_mut().extend(keys);
+    let mut from = listing.revision;
+    loop {
+        let Ok(events) = replica
+            .watch(ROLLOUTS, from, time::Duration::from_secs(60))
+            .await
+        else {
+            return;
+        };
+        for event in events.events {
+            let key = match &event {
+                Event::Put(object) => &object.key,
+                Event::Removed(key, _) => key,
+            };
+            let key = key.to_string();
+            known.borrow_mut().retain(|one| *one != key);
+            if let Event::Put(_) = event {
+                known.borrow_mut().push(key);
+            }
+        }
+        from = events.revision;
+    }
+}
--- a/components/relay/tests/mesh/main.rs
+++ b/components/relay/tests/mesh/main.rs
@@ -4,4 +4,5 @@
 mod evidence;
 mod faults;
 mod fleet;
+mod removals;
 mod store;
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -248,6 +248,19 @@
         self.owners.key_owners(group, key, view, window, now)
     }
 
+    /// As [`Directory::key_owners`], among the backend servers of `group`, which are some of a version's.
+    #[must_use]
+    pub fn key_owners_within(
+        &self,
+        group: &Group,
+        key: u64,
+        view: &View,
+        window: time::Duration,
+        now: time::Instant,
+    ) -> Option<KeyOwners> {
+        self.owners.key_owners(group, key, view, window, now)
+    }
+
     /// Returns all ready backend servers, sorted by node.
     #[must_use]
     pub fn endpoints(&self) -> &[rc::Rc<Endpoint>] {
--- a/node/examples/path.rs
+++ b/node/examples/path.rs
@@ -143,6 +143,8 @@
         withheld: routing::Withheld::default(),
         splits: routing::Splits::default(),
         focus: routing::Focus::default(),
+        evacuations: routing::Evacuations::default(),
+        regions: routing::Regions::default(),
         settings: Rc::new(Settings::default()),
     };
     let owner = Owner::new(context.clone(), Alone);
--- a/node/src/assembly/requests.rs
+++ b/node/src/assembly/requests.rs
@@ -21,6 +21,8 @@
         withheld: builder.find(names::WITHHELD)?,
         splits: routing::Splits::default(),
         focus: builder.find(names::FOCUS)?,
+        evacuations: routing::Evacuations::default(),
+        regions: routing::Regions::default(),
         dialect: Native,
         settings: rc::Rc::new(settings.requests.clone()),
     };
--- a/node/src/call/context.rs
+++ b/node/src/call/context.rs
@@ -21,6 +21,10 @@
     pub splits: routing::Splits,
     /// Versions that use only some of their backend servers.
     pub focus: routing::Focus,
+    /// Evacuated data centres.
+    pub evacuations: routing::Evacuations,
+    /// Regions of data centres.
+    pub regions: routing::Regions,
     /// Protocol dialect of callers and backend servers.
     pub dialect: D,
     /// Settings of the request path.
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod backend_status;
+mod confines;
 mod delivery;
 mod handler;
 mod history;
--- a/node/src/call/ingress/selection.rs
+++ b/node/src/call/ingress/selection.rs
@@ -1,12 +1,14 @@
 //! Choice of the backend server for an attempt.
 
+use std::cell;
 use std::rc;
 use std::time;
 
 use compact_str::CompactString;
-use config::Service;
+use config::{Service, Snapshot};
 use routing::{Endpoint, Group, Observer};
 
+use super::confines::Confines;
 use super::history::History;
 use super::{Arrival, Dialect, Ingress, Problem, Reason, State, Target, hash_text};
 
@@ -127,11 +129,12 @@
             let splits = &self.shared.context.splits;
             splits.draw(&service.name, point)
         });
+        let confines = self.confines(arrival, &snapshot);
         let group = match drawn {
-            Some(drawn) => state.draw_unlisted(service, &drawn, is_allowed),
-            None => state.draw(service, point, is_allowed),
+            Some(drawn) => state.draw_unlisted(service, &drawn, is_allowed, &confines),
+            None => state.draw(service, point, is_allowed, &confines),
         };
-        let group = group.ok_or_else(no_backend)?;
+        let group = group.ok_or_else(|| confines.problem())?;
         let focus = self
             .shared
             .context
@@ -143,6 +146,19 @@
         })
     }
 
+    /// Returns the data centres to which a request may be sent.
+    fn confines<'c>(&'c self, arrival: &'c Arrival, snapshot: &'c Snapshot) -> Confines<'c> {
+        let context = &self.shared.context;
+        let workspace = snapshot.workspace(&arrival.workspace);
+        let workspace = workspace.map_or(&[][..], |workspace| &workspace.homes);
+        Confines {
+            evacuations: &context.evacuations,
+            regions: &context.regions,
+            homes: [&arrival.route.homes, workspace],
+            evacuated: cell::Cell::default(),
+        }
+    }
+
     /// Finds the owner that runs a request with `key`.
     pub(super) fn key_owner(
         &self,
@@ -154,9 +170,13 @@
         let point = (hash_text(key) >> 11) as f64 / (1_u64 << 53) as f64;
         let group = self.draw_group(arrival, point, None)?;
         let now = time::Instant::now();
-        let owners = self
-            .find_key_owner(&group.service, &group.version, key, now)
-            .ok_or_else(no_backend)?;
+        let snapshot = self.shared.context.holder.get();
+        let owners = if self.confines(arrival, &snapshot).is_narrow() {
+            self.find_key_owner_within(&group, key, now)
+        } else {
+            self.find_key_owner(&group.service, &group.version, key, now)
+        };
+        let owners = owners.ok_or_else(no_backend)?;
         if owners.owner.is_leaving() {
             return Err(no_backend());
         }
@@ -203,6 +223,19 @@
         directory.key_owners(service, version, hash_text(key), &view, window, now)
     }
 
+    fn find_key_owner_within(
+        &self,
+        group: &Group,
+        key: &CompactString,
+        now: time::Instant,
+    ) -> Option<routing::KeyOwners> {
+        let view = self.shared.context.members.get();
+        let window = self.shared.context.settings.choice.key_window.0;
+        let state = self.shared.state.borrow();
+        let directory = &state.directory;
+        directory.key_owners_within(group, hash_text(key), &view, window, now)
+    }
+
     /// Returns the previous owners in `owners`, except `node`, which is asked in any case.
     fn previous_owners(
         &self,
@@ -269,25 +302,33 @@
         service: &Service,
         drawn: &routing::Draw,
         is_allowed: impl Fn(&str) -> bool,
+        confines: &Confines<'_>,
     ) -> Option<rc::Rc<Group>> {
         use routing::Draw;
         let directory = &self.directory;
         let name = &service.name;
+        let narrow = |group| confines.narrow(group);
         match drawn {
             Draw::Unknown => None,
-            Draw::Established(versions) => directory.merged_group(name, |version| {
-                is_allowed(version) && versions.iter().any(|one| one == version)
-            }),
+            Draw::Established(versions) => {
+                let established = directory.merged_group(name, |version| {
+                    is_allowed(version) && versions.iter().any(|one| one == version)
+                });
+                established.and_then(narrow)
+            }
             Draw::Trial(trial) => {
                 let trial_group =
                     directory.merged_group(name, |version| is_allowed(version) && version == trial);
-                trial_group.or_else(|| directory.merged_group(name, &is_allowed))
+                let all = || directory.merged_group(name, &is_allowed);
+                let trial_group = trial_group.and_then(narrow);
+                trial_group.or_else(|| all().and_then(narrow))
             }
             Draw::Others { trial, takes_over } => {
                 let others =
                     directory.merged_group(name, |version| is_allowed(version) && version != trial);
                 let trial = || directory.merged_group(name, &is_allowed);
-                others.or_else(|| takes_over.then(trial).flatten())
+                let others = others.and_then(narrow);
+                others.or_else(|| takes_over.then(trial).flatten().and_then(narrow))
             }
         }
     }
@@ -298,15 +339,18 @@
         service: &Service,
         point: f64,
         is_allowed: impl Fn(&str) -> bool,
+        confines: &Confines<'_>,
     ) -> Option<rc::Rc<Group>> {
+        let find = |version: &str| {
+            let group = self.directory.find(&service.name, version)?;
+            confines.narrow(group.clone())
+        };
         let drawn = routing::draw(service, point, &is_allowed)?;
-        if let Some(group) = self.directory.find(&service.name, &drawn.version) {
-            return Some(group.clone());
+        if let Some(group) = find(&drawn.version) {
+            return Some(group);
         }
-        let is_usable = |version: &str| {
-            is_allowed(version) && self.directory.find(&service.name, version).is_some()
-        };
+        let is_usable = |version: &str| is_allowed(version) && find(version).is_some();
         let other = routing::fall_back(service, drawn, is_usable)?;
-        self.directory.find(&service.name, &other.version).cloned()
+        find(&other.version)
     }
 }
--- a/node/src/call/owner/warmup.rs
+++ b/node/src/call/owner/warmup.rs
@@ -15,6 +15,11 @@
         self.log_warmup(was_cold, "announced");
     }
 
+    /// Begins or ends the evacuation of the data centre of this node.
+    pub fn set_evacuated(&self, evacuated: bool) {
+        self.shared.gate.set_evacuated(evacuated);
+    }
+
     /// Records that the backend server may have restarted: until it announces itself, it counts as cold.
     pub(super) fn suspect_restart(&self) {
         let was_cold = self.shared.gate.is_cold();
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod assembly;
 pub mod call;
 pub mod dump;
+pub mod evacuation;
 pub mod metrics;
 pub mod operator;
 pub mod settings;
--- a/node/tests/call/fleet.rs
+++ b/node/tests/call/fleet.rs
@@ -224,6 +224,8 @@
             withheld: routing::Withheld::default(),
             splits: routing::Splits::default(),
             focus: routing::Focus::default(),
+            evacuations: routing::Evacuations::default(),
+            regions: routing::Regions::default(),
             dialect: node::call::Native,
             settings: self.settings.clone(),
         };
