--- a/components/platform/src/follower.rs
+++ b/components/platform/src/follower.rs
@@ -7,7 +7,7 @@
 use futures_util::future::{self, Either};
 use units::Uptime;
 
-use crate::{Backoff, Error, Event, Nudge, Object, Revision, Store};
+use crate::{Backoff, Error, Event, Listing, Nudge, Object, Revision, Store};
 
 /// Takes what a [`Follower`] reads.
 pub trait Follow {
@@ -20,6 +20,19 @@
     /// Takes objects as they are now, oldest change first.
     fn take(&self, objects: Vec<Object>);
 
+    /// Takes everything below the prefix.
+    fn take_listing(&self, listing: Listing) {
+        self.take(listing.objects);
+    }
+
+    /// Whether changes are taken with [`Follow::take_events`], removed objects among them.
+    fn follows_removals(&self) -> bool {
+        false
+    }
+
+    /// Takes changes, oldest first, if removed objects are followed.
+    fn take_events(&self, _events: Vec<Event>) {}
+
     /// Everything below the prefix has been read.
     fn listed(&self) {}
 
@@ -57,7 +70,7 @@
 
 /// Follows the objects below a prefix: reads them, then watches them, and starts over when a call fails.
 ///
-/// Objects that are removed are not told of: what is followed here outlives its object.
+/// Objects that are removed are told of only to readers that follow removals.
 pub struct Follower<S> {
     store: S,
     pace: Pace,
@@ -138,9 +151,10 @@
         let (asked_at, sent) = (time::Instant::now(), Uptime::now());
         let listing = self.store.list(reader.prefix()).await?;
         reader.answered(asked_at);
-        reader.take(listing.objects);
+        let revision = listing.revision;
+        reader.take_listing(listing);
         reader.complete(sent);
-        Ok(listing.revision)
+        Ok(revision)
     }
 
     /// Reads the changes after `from`, or everything if that history is gone.
@@ -155,7 +169,7 @@
         };
         reader.answered(asked_at);
         let revision = events.revision.max(from);
-        take_puts(reader, events.events);
+        take_changes(reader, events.events);
         reader.complete(sent);
         Ok(revision)
     }
@@ -185,9 +199,9 @@
         };
         reader.answered(time::Instant::now());
         let is_empty = events.events.is_empty();
-        let has_puts = take_puts(reader, events.events);
+        let has_changes = take_changes(reader, events.events);
         reader.complete(proven_by_watch(sent, wait, is_empty, Uptime::now()));
-        if has_puts {
+        if has_changes {
             compio::time::sleep(self.pace.pause).await;
             // What was heard of before is there; a change that is not is heard of again.
             self.forget_asked();
@@ -230,8 +244,15 @@
     }
 }
 
-/// Hands the changed objects to `reader`; returns whether there are any.
-fn take_puts<F: Follow>(reader: &F, events: Vec<Event>) -> bool {
+/// Hands the changes that `reader` follows to it; returns whether there are any.
+fn take_changes<F: Follow>(reader: &F, events: Vec<Event>) -> bool {
+    if reader.follows_removals() {
+        let has_events = !events.is_empty();
+        if has_events {
+            reader.take_events(events);
+        }
+        return has_events;
+    }
     let puts = events.into_iter().filter_map(|event| match event {
         Event::Put(object) => Some(object),
         Event::Removed(..) => None,
--- a/components/relay/src/question.rs
+++ b/components/relay/src/question.rs
@@ -161,7 +161,7 @@
             }
         };
         if !objects.is_empty() {
-            self.merge_read(prefix, objects);
+            self.merge_read(prefix, |feed| feed.merge(objects));
         }
         self.record_read_proof(prefix, asked);
         Ok(())
--- a/components/relay/tests/mesh/main.rs
+++ b/components/relay/tests/mesh/main.rs
@@ -5,4 +5,5 @@
 mod evidence;
 mod faults;
 mod fleet;
+mod removals;
 mod store;
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod backend_status;
+mod confines;
 mod credential;
 mod delivery;
 mod handler;
