admission, routing, node: placing least_work, by the work left that owners report

The owner keeps per route a histogram of runtimes, from which follow the expected rest of what runs and the time until a new request would start; it tells both with answers, with the typical runtime of the route. The ingress compares paces from one answer on. Only with the placing least_work.

Not measured on a site.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -16,8 +16,8 @@
 use crate::runtimes::Runtimes;
 use crate::waiting::Waiting;
 use crate::{
-    Advertised, Announced, Change, Limit, Permit, RateLimiter, Reason, Refusal, Request, Settings,
-    Usage,
+    Advertised, Announced, Change, Limit, Permit, RateLimiter, Reason, Refusal, Report, Request,
+    Settings, Usage,
 };
 
 /// Admission gate that decides when a request may run at the backend server; clones share the state.
@@ -50,6 +50,7 @@
             rate_limiter: RateLimiter::new(time::Instant::now()),
             instance: None,
             runtimes: Runtimes::default(),
+            work: None,
             running: 0,
             alone: false,
             waiting: Waiting::new(settings.order),
@@ -184,6 +185,14 @@
         load
     }
 
+    /// Returns what to tell with an answer of `route` about the work left at the backend server, which is
+    /// measured from the first call on.
+    #[must_use]
+    pub fn report(&self, route: u64, now: time::Instant) -> Report {
+        let mut state = self.shared.state.borrow_mut();
+        state.report(route, now)
+    }
+
     /// Counters since the start.
     #[must_use]
     pub fn counts(&self) -> Counts {
@@ -236,6 +245,7 @@
         state.check_turn(request, self.shared.settings.queue_wait.0, now)?;
         if state.may_run(request.alone, now) {
             state.start(request.alone);
+            state.track_start(request.route, now);
             return Ok(Decision::Admitted(Permit::new(
                 self.clone(),
                 request.route,
@@ -331,7 +341,12 @@
             let Some((waiter, alone)) = next else {
                 break;
             };
-            let permit = Permit::new(self.clone(), waiter.route, alone, time::Instant::now());
+            let now = time::Instant::now();
+            self.shared
+                .state
+                .borrow_mut()
+                .track_start(waiter.route, now);
+            let permit = Permit::new(self.clone(), waiter.route, alone, now);
             // A cancelled waiter drops the permit, which admits the next one.
             let _ = waiter.sender.send(Ok(permit));
         }
@@ -342,14 +357,20 @@
         let mut state = self.shared.state.borrow_mut();
         state.limit.record_answer(latency);
         state.runtimes.add(route, latency);
+        if let Some(work) = &mut state.work {
+            work.add(route, latency);
+        }
     }
 
     pub(crate) fn record_shed(&self) {
         self.shared.state.borrow_mut().limit.record_shed();
     }
 
-    pub(crate) fn release(&self, alone: bool) {
+    pub(crate) fn release(&self, route: u64, alone: bool, started: time::Instant) {
         let mut state = self.shared.state.borrow_mut();
+        if let Some(work) = &mut state.work {
+            work.end(route, started);
+        }
         state.running = state.running.saturating_sub(1);
         if alone {
             state.alone = false;
--- a/components/admission/src/gate/state.rs
+++ b/components/admission/src/gate/state.rs
@@ -9,7 +9,8 @@
 use crate::runtimes::Runtimes;
 use crate::waiting::Waiting;
 use crate::{
-    Announced, Limit, Occupancy, Permit, RateLimiter, Reason, Refusal, Request, Settings, Urgency,
+    Announced, Limit, Occupancy, Permit, RateLimiter, Reason, Refusal, Report, Request, Settings,
+    Urgency, Work,
 };
 
 /// State of a gate.
@@ -22,6 +23,8 @@
     /// Start of the backend server to which the rate limiter applies.
     pub(super) instance: Option<u64>,
     pub(super) runtimes: Runtimes,
+    /// Work left at the backend server; only once a report was asked for.
+    pub(super) work: Option<Box<Work>>,
     pub(super) running: usize,
     /// Whether a request runs alone, or waits for the others to end in order to run alone.
     pub(super) alone: bool,
@@ -232,6 +235,21 @@
         self.counts.admitted_alone += u64::from(alone);
     }
 
+    /// Records the start of a request of `route` in the work left.
+    pub(super) fn track_start(&mut self, route: u64, now: time::Instant) {
+        if let Some(work) = &mut self.work {
+            work.start(route, now);
+        }
+    }
+
+    /// Report with an answer of `route`; only what can still be in time is ahead of a new request.
+    pub(super) fn report(&mut self, route: u64, now: time::Instant) -> Report {
+        let ahead = self.waiting.in_time(now);
+        let slots = self.limit.current();
+        let work = self.work.get_or_insert_default();
+        work.report(route, slots, ahead.map(|waiter| waiter.route), now)
+    }
+
     pub(super) fn enqueue(
         &mut self,
         request: &Request,
--- a/components/admission/src/lanes.rs
+++ b/components/admission/src/lanes.rs
@@ -75,6 +75,11 @@
         element
     }
 
+    /// Queued elements, lane by lane.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.lanes.iter().flat_map(|lane| &lane.1)
+    }
+
     /// Keeps only the elements for which `wanted` returns true.
     pub fn retain(&mut self, wanted: impl Fn(&T) -> bool) {
         for lane in &mut self.lanes {
--- a/components/admission/src/permit.rs
+++ b/components/admission/src/permit.rs
@@ -44,6 +44,6 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.gate.release(self.alone);
+        self.gate.release(self.route, self.alone, self.started);
     }
 }
--- a/components/admission/src/urgency.rs
+++ b/components/admission/src/urgency.rs
@@ -135,6 +135,12 @@
         ranks.filter(|rank| *rank <= own).count()
     }
 
+    /// Elements that can meet their target with a run of the usual length.
+    pub fn in_time(&self, now: time::Instant) -> impl Iterator<Item = &T> {
+        let is_in_time = move |entry: &&(Urgency, T)| entry.0.chance(now) != Chance::None;
+        self.entries.iter().filter(is_in_time).map(|entry| &entry.1)
+    }
+
     /// Keeps only the elements for which `wanted` returns true.
     pub fn retain(&mut self, wanted: impl Fn(&T) -> bool) {
         self.entries.retain(|entry| wanted(&entry.1));
--- a/components/admission/src/waiting.rs
+++ b/components/admission/src/waiting.rs
@@ -97,6 +97,16 @@
         }
     }
 
+    /// Elements that can still be in time; with the order by callers all of them.
+    pub(crate) fn in_time(&self, now: time::Instant) -> impl Iterator<Item = &T> {
+        let (lanes, queue) = match self {
+            Self::Callers(lanes) => (Some(lanes), None),
+            Self::Urgency(queue) => (None, Some(queue)),
+        };
+        let queued = queue.into_iter().flat_map(move |queue| queue.in_time(now));
+        lanes.into_iter().flat_map(Lanes::iter).chain(queued)
+    }
+
     pub(crate) fn retain(&mut self, wanted: impl Fn(&T) -> bool) {
         match self {
             Self::Callers(lanes) => lanes.retain(wanted),
--- a/components/routing/src/baseline.rs
+++ b/components/routing/src/baseline.rs
@@ -15,6 +15,10 @@
     millis: cell::Cell<f64>,
     /// Usual bytes of a request and its answer.
     bytes: cell::Cell<f64>,
+    /// Typical runtime over all backend servers in milliseconds, as their owners report it.
+    work_ms: cell::Cell<f64>,
+    /// Number of reports in it, up to the one from which on the weight is constant.
+    work_reports: cell::Cell<u32>,
     timeouts: cell::RefCell<Timeouts>,
 }
 
@@ -44,6 +48,23 @@
         self.bytes.get()
     }
 
+    /// Records the typical runtime at one backend server; returns its ratio to the one over all.
+    pub fn observe_work(&self, millis: f64) -> f64 {
+        const MAX_REPORTS: u32 = 20;
+        let reports = (self.work_reports.get() + 1).min(MAX_REPORTS);
+        self.work_reports.set(reports);
+        let previous = self.work_ms.get();
+        let usual = previous + (millis - previous) / f64::from(reports);
+        self.work_ms.set(usual);
+        millis / usual
+    }
+
+    /// Returns the typical runtime over all backend servers in milliseconds; zero before the first report.
+    #[must_use]
+    pub fn work_ms(&self) -> f64 {
+        self.work_ms.get()
+    }
+
     /// Records the timeout that a caller has set and returns the time that it has probably spent on earlier
     /// attempts of the same request.
     pub fn observe_timeout(&self, timeout: time::Duration) -> time::Duration {
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -5,10 +5,10 @@
 
 use rand::Rng;
 
-use crate::{Endpoint, Group, Placing, Policy, Verdict, soonest};
+use crate::{Demand, Endpoint, Group, Placing, Policy, Verdict, soonest};
 
-/// Chooses a backend server of `group` that is not in `tried`, if there is one, for a request that
-/// transfers about `bytes`, including its answer.
+/// Chooses a backend server of `group` that is not in `tried`, if there is one, for a request of
+/// this `demand`; a number is the bytes of the request and its answer.
 ///
 /// Of two random candidates, the one with the lower cost is chosen (M. Mitzenmacher, "The Power of
 /// Two Choices in Randomized Load Balancing", 2001). This node's data centre is preferred; another
@@ -17,13 +17,14 @@
 pub fn choose(
     group: &Group,
     tried: &[units::Node],
-    bytes: f64,
+    demand: impl Into<Demand>,
     policy: &Policy,
     now: time::Instant,
     rng: &mut impl Rng,
 ) -> Option<rc::Rc<Endpoint>> {
-    if policy.placing == Placing::Soonest {
-        let soonest = soonest::choose(group, tried, bytes, policy, now, rng);
+    if policy.placing != Placing::Nearest {
+        let demand = demand.into();
+        let soonest = soonest::choose(group, tried, demand, policy, now, rng);
         return soonest.or_else(|| last_resort(group, tried, now, rng));
     }
     let local = choose_of_two(&group.local, tried, policy, now, rng);
--- a/components/routing/src/endpoint.rs
+++ b/components/routing/src/endpoint.rs
@@ -7,8 +7,9 @@
 use compact_str::CompactString;
 use membership::{Backend, Member};
 
+use crate::remaining::Remaining;
 use crate::turn::Turn;
-use crate::{Health, InFlightGuard, Policy, Verdict};
+use crate::{Baseline, Demand, Health, InFlightGuard, Policy, Report, Verdict};
 
 /// A backend server as this node sees it, reached through its owner's mesh address.
 #[derive(Debug)]
@@ -40,6 +41,8 @@
     load: cell::Cell<Option<Load>>,
     /// Smoothed ratio of the latency of answers to the usual latency of their routes.
     latency_ratio: cell::Cell<f64>,
+    /// Work left there, as the owner reports it.
+    pub(crate) remaining: cell::Cell<Remaining>,
     busy_until: cell::Cell<Option<time::Instant>>,
     leaving: cell::Cell<bool>,
     turn: cell::Cell<Option<Turn>>,
@@ -95,6 +98,7 @@
             }),
             load: cell::Cell::new(None),
             latency_ratio: cell::Cell::new(1.0),
+            remaining: cell::Cell::default(),
             busy_until: cell::Cell::new(None),
             leaving: cell::Cell::new(false),
             turn: cell::Cell::new(None),
@@ -150,6 +154,30 @@
         }));
     }
 
+    /// Records what the owner reports about the work left with an answer of the route that `baseline`
+    /// describes.
+    pub fn record_work(&self, report: &Report, baseline: &Baseline, now: time::Instant) {
+        let mut remaining = self.remaining.get();
+        let load = self.load.get().map_or(0.0, |load| load.fraction);
+        let free = f64::from(self.slots) * (1.0 - load).max(0.0);
+        remaining.report(report, free, baseline, now);
+        self.remaining.set(remaining);
+    }
+
+    /// Returns the typical runtimes there as a multiple of those of all backend servers of the service.
+    #[must_use]
+    pub fn pace(&self) -> f64 {
+        self.remaining.get().pace()
+    }
+
+    /// Returns the expected time until a request of this `demand` starts, as a multiple of its typical
+    /// runtime over all backend servers.
+    #[must_use]
+    pub fn runs_ahead(&self, demand: Demand, now: time::Instant) -> f64 {
+        let work_ms = demand.work_ms.max(1.0);
+        self.remaining.get().start_ms(work_ms, self.slots, now) / work_ms
+    }
+
     /// Records that the owner has refused a request and asks for retries only after `wait`.
     pub fn record_refusal(&self, wait: time::Duration, now: time::Instant) {
         self.busy_until.set(Some(now + wait));
--- a/components/routing/src/flight.rs
+++ b/components/routing/src/flight.rs
@@ -13,6 +13,9 @@
 impl InFlightGuard {
     pub(crate) fn new(endpoint: rc::Rc<Endpoint>) -> Self {
         endpoint.in_flight.set(endpoint.in_flight.get() + 1);
+        let mut remaining = endpoint.remaining.get();
+        remaining.send();
+        endpoint.remaining.set(remaining);
         Self { endpoint }
     }
 
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod baseline;
 mod choice;
+mod demand;
 mod directory;
 mod endpoint;
 mod flight;
@@ -13,6 +14,7 @@
 mod owners;
 mod policy;
 mod rank;
+mod remaining;
 mod round_robin;
 mod soonest;
 mod splits;
@@ -24,6 +26,7 @@
 
 pub use baseline::Baseline;
 pub use choice::choose;
+pub use demand::Demand;
 pub use directory::Directory;
 pub use endpoint::Endpoint;
 pub use flight::InFlightGuard;
@@ -34,6 +37,7 @@
 pub use observer::{Observer, Sample};
 pub use policy::{Placing, Policy};
 pub use rank::rank;
+pub use remaining::Report;
 pub use round_robin::RoundRobin;
 pub use splits::{Draw, Splits, Trial};
 pub use table::Table;
--- a/components/routing/src/policy.rs
+++ b/components/routing/src/policy.rs
@@ -13,6 +13,8 @@
     Nearest,
     /// Chooses the earliest expected answer; prefers the own data centre while that costs little.
     Soonest,
+    /// Chooses the earliest expected answer by the work left that the owners report.
+    LeastWork,
 }
 
 units::record! {
@@ -23,7 +25,7 @@
         /// Rule by which the backend server of a request is chosen.
         pub placing: Placing,
         /// Cost of backend servers in another data centre as a multiple of the cost in the own one; used
-        /// only with the placing `soonest`.
+        /// only with the placings `soonest` and `least_work`.
         pub away_cost: f64,
         /// Amount added to `away_cost` for each KiB of a request and its answer.
         pub away_cost_kib: f64,
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -63,6 +63,8 @@
     pub const CALLED_AGAIN: HeaderName = HeaderName::from_static("radishgap-called-again");
     /// Between nodes: load of the owner in parts per 10,000 of its limit.
     pub const LOAD: HeaderName = HeaderName::from_static("radishgap-load");
+    /// Between nodes: work left at the backend server, in the format of [`super::WorkReport`].
+    pub const WORK: HeaderName = HeaderName::from_static("radishgap-work");
     /// Between nodes: status of a backend server, in the format of [`super::BackendStatus`].
     pub const BACKEND_STATUS: HeaderName = HeaderName::from_static("radishgap-need");
     /// Between nodes: configuration version of the sender.
@@ -88,7 +90,7 @@
         Self::CALLED_AGAIN,
     ];
     /// Headers on responses that a backend server may not set.
-    const ANSWER: [HeaderName; 7] = [
+    const ANSWER: [HeaderName; 8] = [
         Self::BACKEND_STATUS,
         Self::CONFIGURATION,
         Self::OUTCOME,
@@ -96,6 +98,7 @@
         Self::RETRY_AFTER_MS,
         Self::REQUEST,
         Self::LOAD,
+        Self::WORK,
     ];
     /// Hop-by-hop headers, RFC 9110, section 7.6.1.
     const HOP: [HeaderName; 6] = [
--- a/node/src/call/ingress/attempt.rs
+++ b/node/src/call/ingress/attempt.rs
@@ -10,7 +10,7 @@
 use super::history::History;
 use super::{Answer, Arrival, Dialect, Ingress, Key, Problem, Progress, Reason, Target, hash_text};
 use crate::call::owner::{Execution, Job, broken_body, build_request};
-use crate::call::{Attempt, BackendStatus, Envelope, Headers, Source};
+use crate::call::{Attempt, BackendStatus, Envelope, Headers, Source, WorkReport};
 
 impl<L: peer::Link, O: Observer, D: Dialect> Ingress<L, O, D> {
     pub(super) fn envelope(
@@ -108,6 +108,7 @@
         envelope: Envelope,
         endpoint: &Endpoint,
     ) -> Result<(http::response::Parts, Source, Option<Execution<L, D>>), Problem> {
+        let route = envelope.route;
         let job = Job {
             envelope,
             head: arrival.head(),
@@ -116,6 +117,10 @@
         let served = self.shared.owner.serve(job).await;
         let backend_status = self.shared.owner.backend_status(served.as_ref().err());
         self.apply_status(endpoint, backend_status, served.is_ok());
+        if let Some(report) = self.shared.owner.work_report(route) {
+            let report = WorkReport::convert(&report);
+            endpoint.record_work(&report, &arrival.baseline, time::Instant::now());
+        }
         let served = served?;
         Ok((served.parts, served.source, served.observer))
     }
@@ -157,6 +162,9 @@
             #[allow(clippy::cast_precision_loss)]
             endpoint.record_load(load as f64 / 10_000.0, now);
         }
+        if let Some(report) = WorkReport::read(&parts.headers) {
+            endpoint.record_work(&report, &arrival.baseline, now);
+        }
         let problem = Problem::read(&parts.headers);
         self.apply_status(
             endpoint,
--- a/node/src/call/ingress/selection.rs
+++ b/node/src/call/ingress/selection.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 use config::Service;
-use routing::{Endpoint, Group, Observer};
+use routing::{Demand, Endpoint, Group, Observer};
 
 use super::history::History;
 use super::{Arrival, Dialect, Ingress, Problem, Reason, State, Target, hash_text};
@@ -76,9 +76,12 @@
         let now = time::Instant::now();
         let group = self.draw_group(arrival, rand::random(), history.withheld_version.as_ref())?;
         let policy = &self.shared.context.settings.choice;
-        let bytes = arrival.baseline.bytes();
+        let demand = Demand {
+            bytes: arrival.baseline.bytes(),
+            work_ms: arrival.baseline.work_ms(),
+        };
         let candidate =
-            |tried| routing::choose(&group, tried, bytes, policy, now, &mut rand::rng());
+            |tried| routing::choose(&group, tried, demand, policy, now, &mut rand::rng());
         let untried = candidate(&history.tried).filter(|one| !history.tried.contains(&one.node));
         let next_turn = || group.next_turn(&history.tried, now);
         let endpoint = match untried.map_or_else(|| Err(next_turn()), Ok) {
--- a/node/src/call/mod.rs
+++ b/node/src/call/mod.rs
@@ -23,6 +23,7 @@
 mod status;
 mod timer;
 mod wait_policy;
+mod work_report;
 
 pub use attempt::Attempt;
 pub use backend_status::BackendStatus;
@@ -41,3 +42,4 @@
 pub use settings::Settings;
 pub use source::Source;
 pub use wait_policy::WaitPolicy;
+pub(crate) use work_report::WorkReport;
--- a/node/src/call/native.rs
+++ b/node/src/call/native.rs
@@ -120,6 +120,7 @@
 
     fn complete_headers(&self, headers: &mut http::HeaderMap, request: &str) {
         headers.remove(Headers::LOAD);
+        headers.remove(Headers::WORK);
         headers.remove(Headers::BACKEND_STATUS);
         headers.remove(Headers::CONFIGURATION);
         Headers::set(headers, Headers::REQUEST, request);
--- a/node/src/call/owner/handler.rs
+++ b/node/src/call/owner/handler.rs
@@ -6,7 +6,7 @@
 use upstream::Payload;
 
 use super::{Execution, Job, Owner};
-use crate::call::{BodyObserver, Dialect, Envelope, Headers, ResponseBody};
+use crate::call::{BodyObserver, Dialect, Envelope, Headers, ResponseBody, WorkReport};
 
 impl<L: peer::Link, D: Dialect> web::Handler for Owner<L, D> {
     type Body = ResponseBody<Execution<L, D>>;
@@ -19,6 +19,7 @@
         let envelope = Envelope::read(&head.headers, time::Instant::now());
         let deadline = envelope.as_ref().map(|envelope| envelope.deadline);
         let id = envelope.as_ref().map(|envelope| envelope.request.clone());
+        let route = envelope.as_ref().map(|envelope| envelope.route).ok();
         let (id, deadline) = (
             id.unwrap_or_default(),
             deadline.unwrap_or(time::Instant::now()),
@@ -48,6 +49,9 @@
         Headers::set(answer.headers_mut(), Headers::REQUEST, &id);
         let load = load_parts(self.shared.gate.load());
         Headers::set_number(answer.headers_mut(), Headers::LOAD, load);
+        if let Some(report) = route.and_then(|route| self.work_report(route)) {
+            WorkReport::write(&report, answer.headers_mut());
+        }
         if let Some(backend_status) = backend_status {
             backend_status.write(answer.headers_mut());
         }
@@ -58,6 +62,15 @@
     }
 }
 
+impl<L: peer::Link, D: Dialect> Owner<L, D> {
+    /// Returns the report with an answer of `route`; `None` unless requests are placed by work.
+    pub(crate) fn work_report(&self, route: u64) -> Option<admission::Report> {
+        let placing = self.shared.context.settings.choice.placing;
+        let is_by_work = placing == routing::Placing::LeastWork;
+        is_by_work.then(|| self.shared.gate.report(route, time::Instant::now()))
+    }
+}
+
 /// Converts a load to parts per 10,000.
 fn load_parts(load: f64) -> u64 {
     const LARGEST: f64 = 1e6;
