admission: fair admission between workspaces

Requests of a workspace over its share wait behind those of others of the same chance and priority and are evicted first, as workspace-over-share; as many are marked as exceed the share. Requests without a workspace are decided as before. /dump shows the workspaces over their share and what the worst tenth was served.

cargo test -p admission green; not measured on a site.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -17,7 +17,7 @@
 use crate::waiting::Waiting;
 use crate::{
     Advertised, Announced, Change, Limit, Permit, RateLimiter, Reason, Refusal, Report, Request,
-    Settings, Usage,
+    Settings, Shares, Usage,
 };
 
 /// Admission gate that decides when a request may run at the backend server; clones share the state.
@@ -36,6 +36,8 @@
     const PHASE_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
     /// Maximum delay of a wakeup after the time of the next turn.
     const WAKEUP_SLACK: time::Duration = time::Duration::from_millis(1);
+    /// Maximum number of workspaces that a dump shows.
+    const MAX_SHOWN: usize = 16;
     /// Maximum number of queued requests that have to run alone.
     const MAX_QUEUED_ALONE: usize = 32;
 
@@ -51,6 +53,7 @@
             instance: None,
             runtimes: Runtimes::default(),
             work: None,
+            shares: Shares::new(time::Instant::now()),
             running: 0,
             alone: false,
             waiting: Waiting::new(settings.order),
@@ -210,6 +213,8 @@
             waiting: state.waiting.len() + state.waiting_alone.len(),
             latency_ms: state.limit.latency().as_secs_f64() * 1_000.0,
             rate: state.rate_limiter.rate().map(|rate| rate.0),
+            over_share: state.shares.over().take(Self::MAX_SHOWN).cloned().collect(),
+            worst_tenth: state.shares.worst_tenth(),
             counts: state.counts,
         }
     }
@@ -241,11 +246,12 @@
     fn try_admit(&self, request: &Request, now: time::Instant) -> Result<Decision, Refusal> {
         let mut state = self.shared.state.borrow_mut();
         state.check_phase(request, now)?;
+        state.track_arrival(request, now);
         state.check_deadline(request, now)?;
         state.check_turn(request, self.shared.settings.queue_wait.0, now)?;
         if state.may_run(request.alone, now) {
             state.start(request.alone);
-            state.track_start(request.route, now);
+            state.track_start(request.route, &request.workspace, now);
             return Ok(Decision::Admitted(Permit::new(
                 self.clone(),
                 request.route,
@@ -255,17 +261,25 @@
         }
         state.limit.record_reached();
         let (sender, receiver) = oneshot::channel();
+        let over_share = state.mark(&request.workspace);
         let evicted = state.enqueue(
             request,
             Waiter {
                 route: request.route,
+                workspace: request.workspace.clone(),
+                over_share,
                 sender,
             },
             &self.shared.settings,
             now,
         );
         if let Some(evicted) = evicted {
-            let refusal = state.refuse_queued(Reason::Full, evicted.route);
+            let reason = if evicted.over_share {
+                Reason::WorkspaceOverShare
+            } else {
+                Reason::Full
+            };
+            let refusal = state.refuse_queued(reason, evicted.route);
             let _ = evicted.sender.send(Err(refusal));
         }
         drop(state);
@@ -342,10 +356,9 @@
                 break;
             };
             let now = time::Instant::now();
-            self.shared
-                .state
-                .borrow_mut()
-                .track_start(waiter.route, now);
+            let mut state = self.shared.state.borrow_mut();
+            state.track_start(waiter.route, &waiter.workspace, now);
+            drop(state);
             let permit = Permit::new(self.clone(), waiter.route, alone, now);
             // A cancelled waiter drops the permit, which admits the next one.
             let _ = waiter.sender.send(Ok(permit));
--- a/components/admission/src/gate/counts.rs
+++ b/components/admission/src/gate/counts.rs
@@ -13,6 +13,10 @@
     pub queued: u64,
     /// Requests refused because the queue was full.
     pub refused_full: u64,
+    /// Queued requests that were over the share of their workspace.
+    pub over_share: u64,
+    /// Requests refused because the queue was full and their workspace over its share.
+    pub refused_over_share: u64,
     /// Requests refused because they could not finish by their deadline.
     pub refused_late: u64,
     /// Requests refused because of the rate limit of the backend server.
--- a/components/admission/src/gate/dump.rs
+++ b/components/admission/src/gate/dump.rs
@@ -1,5 +1,6 @@
 //! State of a gate for diagnostics.
 
+use compact_str::CompactString;
 use serde::Serialize;
 
 use super::Counts;
@@ -20,6 +21,10 @@
     pub latency_ms: f64,
     /// Rate that the backend server advertises, in requests per second.
     pub rate: Option<f64>,
+    /// Some of the workspaces that are over their share, by name.
+    pub over_share: Vec<CompactString>,
+    /// Mean of what the worst tenth of the workspaces was served, as a fraction of its share.
+    pub worst_tenth: Option<f64>,
     /// Counters since the start.
     pub counts: Counts,
 }
--- a/components/admission/src/gate/state.rs
+++ b/components/admission/src/gate/state.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use compact_str::CompactString;
 use futures_channel::oneshot;
 use membership::Phase;
 
@@ -10,7 +11,7 @@
 use crate::waiting::Waiting;
 use crate::{
     Announced, Limit, Occupancy, Permit, RateLimiter, Reason, Refusal, Report, Request, Settings,
-    Urgency, Work,
+    Shares, Urgency, Work,
 };
 
 /// State of a gate.
@@ -25,6 +26,7 @@
     pub(super) runtimes: Runtimes,
     /// Work left at the backend server; only once a report was asked for.
     pub(super) work: Option<Box<Work>>,
+    pub(super) shares: Shares,
     pub(super) running: usize,
     /// Whether a request runs alone, or waits for the others to end in order to run alone.
     pub(super) alone: bool,
@@ -41,6 +43,9 @@
 pub(super) struct Waiter {
     /// Hash of the route's name.
     pub(super) route: u64,
+    pub(super) workspace: CompactString,
+    /// Whether the workspace was over its share when the request arrived.
+    pub(super) over_share: bool,
     pub(super) sender: oneshot::Sender<Result<Permit, Refusal>>,
 }
 
@@ -175,6 +180,7 @@
             target: request.target,
             deadline: request.deadline,
             expected: self.runtimes.expected(request.route),
+            over_share: false,
         }
     }
 
@@ -235,8 +241,29 @@
         self.counts.admitted_alone += u64::from(alone);
     }
 
-    /// Records the start of a request of `route` in the work left.
-    pub(super) fn track_start(&mut self, route: u64, now: time::Instant) {
+    /// Counts the demand of an arriving request.
+    pub(super) fn track_arrival(&mut self, request: &Request, now: time::Instant) {
+        let expected = self.runtimes.expected(request.route);
+        let slots = self.limit.current();
+        self.shares.arrive(&request.workspace, expected, slots, now);
+    }
+
+    /// Whether a request of `workspace` that has to wait is over its share.
+    pub(super) fn mark(&mut self, workspace: &CompactString) -> bool {
+        let is_over = self.shares.mark(workspace);
+        self.counts.over_share += u64::from(is_over);
+        is_over
+    }
+
+    /// Records the start of a request of `route` and `workspace`.
+    pub(super) fn track_start(
+        &mut self,
+        route: u64,
+        workspace: &CompactString,
+        now: time::Instant,
+    ) {
+        let expected = self.runtimes.expected(route);
+        self.shares.serve(workspace, expected);
         if let Some(work) = &mut self.work {
             work.start(route, now);
         }
@@ -272,12 +299,18 @@
                 .as_ref()
                 .map_or(1, |one| one.backend.slots.max(1));
             let limit = slots.saturating_mul(settings.queue_slots.max(1)) as usize;
-            let urgency = self.urgency(request);
+            let urgency = Urgency {
+                over_share: waiter.over_share,
+                ..self.urgency(request)
+            };
             self.waiting
                 .push(&request.caller, urgency, waiter, limit, now)
         };
         self.counts.queued += 1;
-        self.counts.refused_full += u64::from(evicted.is_some());
+        if let Some(evicted) = &evicted {
+            self.counts.refused_over_share += u64::from(evicted.over_share);
+            self.counts.refused_full += u64::from(!evicted.over_share);
+        }
         evicted
     }
 
--- a/components/admission/src/shares.rs
+++ b/components/admission/src/shares.rs
@@ -116,9 +116,10 @@
         /// Demand below which too few requests make the fraction meaningful, in milliseconds of slots.
         const DEMAND_MIN_MS: f64 = 10.0;
         let level = self.level_ms.unwrap_or(f64::INFINITY);
-        let asking = self.entries.iter().filter(|entry| {
-            !entry.workspace.is_empty() && entry.demand_ms >= DEMAND_MIN_MS
-        });
+        let asking = self
+            .entries
+            .iter()
+            .filter(|entry| !entry.workspace.is_empty() && entry.demand_ms >= DEMAND_MIN_MS);
         let served = asking.map(|entry| entry.served_ms / entry.demand_ms.min(level).max(1.0));
         let mut served: Vec<f64> = served.collect();
         served.sort_by(f64::total_cmp);
--- a/components/admission/src/urgency.rs
+++ b/components/admission/src/urgency.rs
@@ -17,6 +17,8 @@
         pub deadline: time::Instant,
         /// Usual runtime of requests of the route.
         pub expected: time::Duration,
+        /// Whether the workspace of the request has used its share.
+        pub over_share: bool,
     }
 }
 
@@ -45,6 +47,7 @@
 /// first; C. Liu and J. Layland, 1973). Requests with a fair chance follow, the later target first: where
 /// runs take most of the target no request can wait, and the newest one has the best chance (B. Maurer,
 /// "Fail at Scale", 2015). The others use the remaining capacity, so that they delay no other request.
+/// Among equal chances and priorities, requests of workspaces over their share are last.
 #[derive(Debug)]
 pub struct Queue<T> {
     entries: Vec<(Urgency, T)>,
@@ -147,18 +150,18 @@
     }
 }
 
-/// Rank in the queue, the lowest first: by chance, priority and due time.
-fn rank(urgency: &Urgency, now: time::Instant) -> (Chance, u32, Due) {
+/// Rank in the queue, the lowest first: by chance, priority, share and due time.
+fn rank(urgency: &Urgency, now: time::Instant) -> (Chance, u32, bool, Due) {
     let chance = urgency.chance(now);
     let due = match chance {
         Chance::Good => Due::Earliest(urgency.target),
         Chance::Fair => Due::Latest(cmp::Reverse(urgency.target)),
         Chance::None => Due::Earliest(urgency.deadline),
     };
-    (chance, urgency.priority, due)
+    (chance, urgency.priority, urgency.over_share, due)
 }
 
-/// Order among elements of equal chance and priority; all elements of one chance use the same variant.
+/// Order among elements of equal chance, priority and share; all elements of one chance use the same variant.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Earliest(time::Instant),
--- a/components/admission/tests/urgency.rs
+++ b/components/admission/tests/urgency.rs
@@ -43,6 +43,7 @@
             now + TARGET
         };
         let request = Urgency {
+            over_share: false,
             priority: 0,
             target,
             deadline: now + DEADLINE,
@@ -121,6 +122,7 @@
     let now = Instant::now();
     let at = |millis| now + Duration::from_millis(millis);
     let urgency = |priority, target, deadline| Urgency {
+        over_share: false,
         priority,
         target: at(target),
         deadline: at(deadline),
@@ -165,6 +167,7 @@
     let mut queue = Queue::default();
     for (name, target) in [("a", 300), ("late", 10), ("b", 400)] {
         let urgency = Urgency {
+            over_share: false,
             priority: 0,
             target: at(target),
             deadline: at(900),
@@ -183,6 +186,7 @@
         let mut queue = Queue::default();
         for (name, target) in [("a", 300), ("late", 10), ("b", 400)] {
             let urgency = Urgency {
+                over_share: false,
                 priority: 0,
                 target: at(target),
                 deadline: at(900),
--- a/node/tests/resent.rs
+++ b/node/tests/resent.rs
@@ -96,6 +96,7 @@
             return self.run(attempt, now);
         }
         let urgency = Urgency {
+            over_share: false,
             priority: 0,
             target: now + TARGET.saturating_sub(spent),
             deadline: now + timeout.min(ROUTE_TIMEOUT),
