Merge workspaces in the own interface, placement by remaining work and fair admission

Change: the gate holds warm-up, evacuation, work and shares; the ingress chooses among regions and by demand.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -16,8 +16,8 @@
 use crate::runtimes::Runtimes;
 use crate::waiting::Waiting;
 use crate::{
-    Advertised, Announced, Change, Limit, Permit, RateLimiter, Reason, Refusal, Request, Settings,
-    Usage, Warmup,
+    Advertised, Announced, Change, Limit, Permit, RateLimiter, Reason, Refusal, Report, Request,
+    Settings, Shares, Usage, Warmup,
 };
 
 /// Admission gate that decides when a request may run at the backend server; clones share the state.
@@ -36,6 +36,8 @@
     const PHASE_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
     /// Maximum delay of a wakeup after the time of the next turn.
     const WAKEUP_SLACK: time::Duration = time::Duration::from_millis(1);
+    /// Maximum number of workspaces that a dump shows.
+    const MAX_SHOWN: usize = 16;
     /// Maximum number of queued requests that have to run alone.
     const MAX_QUEUED_ALONE: usize = 32;
 
@@ -52,6 +54,8 @@
             evacuated: false,
             instance: None,
             runtimes: Runtimes::default(),
+            work: None,
+            shares: Shares::new(time::Instant::now()),
             running: 0,
             alone: false,
             waiting: Waiting::new(settings.order),
@@ -242,6 +246,14 @@
         load
     }
 
+    /// Returns what to tell with an answer of `route` about the work left at the backend server, which is
+    /// measured from the first call on.
+    #[must_use]
+    pub fn report(&self, route: u64, now: time::Instant) -> Report {
+        let mut state = self.shared.state.borrow_mut();
+        state.report(route, now)
+    }
+
     /// Counters since the start.
     #[must_use]
     pub fn counts(&self) -> Counts {
@@ -261,6 +273,8 @@
             rate: state.rate_limiter.rate().map(|rate| rate.0),
             cold: state.warmup.is_cold(time::Instant::now()),
             evacuated: state.evacuated,
+            over_share: state.shares.over().take(Self::MAX_SHOWN).cloned().collect(),
+            worst_tenth: state.shares.worst_tenth(),
             counts: state.counts,
         }
     }
@@ -292,10 +306,12 @@
     fn try_admit(&self, request: &Request, now: time::Instant) -> Result<Decision, Refusal> {
         let mut state = self.shared.state.borrow_mut();
         state.check_phase(request, now)?;
+        state.track_arrival(request, now);
         state.check_deadline(request, now)?;
         state.check_turn(request, self.shared.settings.queue_wait.0, now)?;
         if state.may_run(request.alone, now) {
             state.start(request.alone);
+            state.track_start(request.route, &request.workspace, now);
             return Ok(Decision::Admitted(Permit::new(
                 self.clone(),
                 request.route,
@@ -305,17 +321,25 @@
         }
         state.limit.record_reached();
         let (sender, receiver) = oneshot::channel();
+        let over_share = state.mark(&request.workspace);
         let evicted = state.enqueue(
             request,
             Waiter {
                 route: request.route,
+                workspace: request.workspace.clone(),
+                over_share,
                 sender,
             },
             &self.shared.settings,
             now,
         );
         if let Some(evicted) = evicted {
-            let refusal = state.refuse_queued(Reason::Full, evicted.route);
+            let reason = if evicted.over_share {
+                Reason::WorkspaceOverShare
+            } else {
+                Reason::Full
+            };
+            let refusal = state.refuse_queued(reason, evicted.route);
             let _ = evicted.sender.send(Err(refusal));
         }
         drop(state);
@@ -391,7 +415,11 @@
             let Some((waiter, alone)) = next else {
                 break;
             };
-            let permit = Permit::new(self.clone(), waiter.route, alone, time::Instant::now());
+            let now = time::Instant::now();
+            let mut state = self.shared.state.borrow_mut();
+            state.track_start(waiter.route, &waiter.workspace, now);
+            drop(state);
+            let permit = Permit::new(self.clone(), waiter.route, alone, now);
             // A cancelled waiter drops the permit, which admits the next one.
             let _ = waiter.sender.send(Ok(permit));
         }
@@ -402,14 +430,20 @@
         let mut state = self.shared.state.borrow_mut();
         state.limit.record_answer(latency);
         state.runtimes.add(route, latency);
+        if let Some(work) = &mut state.work {
+            work.add(route, latency);
+        }
     }
 
     pub(crate) fn record_shed(&self) {
         self.shared.state.borrow_mut().limit.record_shed();
     }
 
-    pub(crate) fn release(&self, alone: bool) {
+    pub(crate) fn release(&self, route: u64, alone: bool, started: time::Instant) {
         let mut state = self.shared.state.borrow_mut();
+        if let Some(work) = &mut state.work {
+            work.end(route, started);
+        }
         state.running = state.running.saturating_sub(1);
         if alone {
             state.alone = false;
--- a/components/admission/src/gate/dump.rs
+++ b/components/admission/src/gate/dump.rs
@@ -1,5 +1,6 @@
 //! State of a gate for diagnostics.
 
+use compact_str::CompactString;
 use serde::Serialize;
 
 use super::Counts;
@@ -24,6 +25,10 @@
     pub cold: bool,
     /// Whether the data centre is evacuated.
     pub evacuated: bool,
+    /// Some of the workspaces that are over their share, by name.
+    pub over_share: Vec<CompactString>,
+    /// Mean of what the worst tenth of the workspaces was served, as a fraction of its share.
+    pub worst_tenth: Option<f64>,
     /// Counters since the start.
     pub counts: Counts,
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod baseline;
 mod choice;
+mod demand;
 mod directory;
 mod endpoint;
 mod evacuations;
@@ -15,6 +16,7 @@
 mod policy;
 mod rank;
 mod regions;
+mod remaining;
 mod round_robin;
 mod soonest;
 mod splits;
@@ -26,6 +28,7 @@
 
 pub use baseline::Baseline;
 pub use choice::choose;
+pub use demand::Demand;
 pub use directory::Directory;
 pub use endpoint::Endpoint;
 pub use evacuations::{Evacuated, Evacuations};
@@ -38,6 +41,7 @@
 pub use policy::{Placing, Policy};
 pub use rank::rank;
 pub use regions::Regions;
+pub use remaining::Report;
 pub use round_robin::RoundRobin;
 pub use splits::{Draw, Splits, Trial};
 pub use table::Table;
