--- a/node/tests/call/fleet.rs
+++ b/node/tests/call/fleet.rs
@@ -88,6 +88,8 @@
     pub(crate) members: Reader,
     pub(crate) holder: distribution::Holder,
     pub(crate) wire: Wire,
+    /// Evacuated data centres, as all ingresses know them.
+    pub(crate) evacuations: routing::Evacuations,
     settings: Rc<Settings>,
     generation: u64,
 }
@@ -104,6 +106,7 @@
             members: Reader::default(),
             holder: distribution::Holder::default(),
             wire: Wire::default(),
+            evacuations: routing::Evacuations::default(),
             settings: Rc::new(settings),
             generation: 0,
         };
@@ -205,6 +208,12 @@
         self.publish();
     }
 
+    /// The backend server beside node `index` is in the data centre `name`.
+    pub(crate) fn place(&mut self, index: usize, name: &str) {
+        self.nodes[index].member.data_centre = name.parse().expect("a data centre");
+        self.publish();
+    }
+
     fn publish(&mut self) {
         self.generation += 1;
         let members = self.nodes.iter().map(|node| Rc::new(node.member.clone()));
@@ -224,8 +233,8 @@
             withheld: routing::Withheld::default(),
             splits: routing::Splits::default(),
             focus: routing::Focus::default(),
-            evacuations: routing::Evacuations::default(),
-            regions: routing::Regions::default(),
+            evacuations: self.evacuations.clone(),
+            regions: regions(),
             dialect: node::call::Native,
             settings: self.settings.clone(),
         };
@@ -279,6 +288,14 @@
     }
 }
 
+/// Two data centres, each in a region of its own.
+fn regions() -> routing::Regions {
+    let entries = [("ba", "west"), ("nadi", "east")];
+    let entries =
+        entries.map(|(name, region)| (name.parse().expect("a data centre"), region.into()));
+    routing::Regions::new(entries.into())
+}
+
 pub(crate) fn route(name: &str, prefix: &str, timeout_ms: u64) -> Route {
     Route {
         name: name.into(),
--- a/node/tests/call/main.rs
+++ b/node/tests/call/main.rs
@@ -11,5 +11,6 @@
 mod keys;
 mod limits;
 mod need;
+mod places;
 mod poison;
 mod routes;
