--- a/node/tests/call/main.rs
+++ b/node/tests/call/main.rs
@@ -11,6 +11,7 @@
 mod keys;
 mod limits;
 mod need;
+mod places;
 mod poison;
 mod routes;
 mod workspaces;
