--- a/components/routing/src/soonest.rs
+++ b/components/routing/src/soonest.rs
@@ -61,6 +61,9 @@
     const BUSY_COST: f64 = 1e3;
     /// Fraction by which a full server is slower than an idle one.
     const FULL_LOAD_SLOWDOWN: f64 = 0.5;
+    /// Cost of a wait: a request that waits also delays one that comes after it. Without this, fast servers
+    /// would refuse requests while slow ones have free slots.
+    const WAITING_COST: f64 = 2.0;
     let load = endpoint.expected_load(now, policy);
     let slowdown = FULL_LOAD_SLOWDOWN * load.min(1.0).powi(4);
     let busy_cost = if endpoint.is_busy(now) {
@@ -70,7 +73,7 @@
     };
     let slow_start_factor = endpoint.slow_start_factor(now, policy);
     let answer = if policy.placing == Placing::LeastWork {
-        endpoint.pace() * (1.0 + slowdown) + endpoint.runs_ahead(demand, now)
+        endpoint.pace() * (1.0 + slowdown) + endpoint.runs_ahead(demand, now) * WAITING_COST
     } else {
         let waiting = (load - 1.0).max(0.0);
         endpoint.latency_ratio() * (1.0 + waiting + slowdown)
