--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -380,3 +380,43 @@
     gate.announce(Some(&announced(Phase::Ready, "v1", 1)));
     assert!(waiting.await.is_ok());
 }
+
+#[compio::test]
+async fn admit_request_over_share_gives_its_place_to_another_workspace() {
+    let gate = Gate::new(Rc::new(Settings {
+        order: Order::Urgency,
+        queue_wait: units::Period::from_secs(60),
+        queue_slots: 1,
+        adaptive: false,
+        ..Settings::default()
+    }));
+    gate.announce(Some(&announced(Phase::Ready, "v1", 1)));
+    let of = |workspace: &str, left: Duration| Request {
+        workspace: workspace.into(),
+        ..request(false, left)
+    };
+    let (loud, quiet) = (of("loud", LONG), of("quiet", 2 * LONG));
+    let permit = gate.admit(&loud).await.expect("a free slot");
+    permit.finish(Instant::now() + Duration::from_millis(100));
+    let _running = gate.admit(&loud).await.expect("a free slot");
+    for _ in 0..60 {
+        assert!(gate.admit(&loud).now_or_never().is_none());
+    }
+    // The level is found anew.
+    compio::time::sleep(Duration::from_millis(60)).await;
+    let mut over = Box::pin(gate.admit(&loud));
+    while gate.counts().over_share == 0 {
+        assert!(over.as_mut().now_or_never().is_none());
+        if gate.counts().over_share == 0 {
+            over = Box::pin(gate.admit(&loud));
+        }
+    }
+    let mut waiting = Box::pin(gate.admit(&quiet));
+    assert!(waiting.as_mut().now_or_never().is_none());
+    let refused = over.as_mut().now_or_never().expect("evicted");
+    let reason = refused.err().map(|refusal| refusal.reason);
+    assert_eq!(reason, Some(Reason::WorkspaceOverShare));
+    assert!(waiting.as_mut().now_or_never().is_none());
+    assert_eq!(gate.counts().refused_over_share, 1);
+    assert_eq!(gate.dump().over_share, ["loud"]);
+}
