--- a/node/src/assembly/requests.rs
+++ b/node/src/assembly/requests.rs
@@ -58,6 +58,8 @@
     dump.add("ingress", move || shown.counts());
     let counted = owner.clone();
     exporter.add_counts("owner", move || counted.counts());
+    let counted = owner.clone();
+    exporter.add_counts("admission", move || counted.admission_counts());
     let counted = ingress.clone();
     exporter.add_counts("ingress", move || counted.counts());
     Ok(())
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -173,6 +173,12 @@
         self.shared.counts.get()
     }
 
+    /// Returns the counters of admission.
+    #[must_use]
+    pub fn admission_counts(&self) -> admission::Counts {
+        self.shared.gate.counts()
+    }
+
     /// Returns the state for a dump.
     #[must_use]
     pub fn dump(&self) -> Dump {
