units: time that counts suspension

Cause: leases of a quota and evidence for keys have to lapse while a machine is frozen; Instant stands still. Change: units::Uptime, CLOCK_BOOTTIME.

--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -10,6 +10,7 @@
 mod service;
 mod share;
 mod size;
+mod uptime;
 mod version;
 mod wall;
 
@@ -22,6 +23,7 @@
 pub use service::Service;
 pub use share::Share;
 pub use size::Size;
+pub use uptime::Uptime;
 pub use version::Version;
 pub use wall::Wall;
 
