--- a/components/schema/src/lib.rs
+++ b/components/schema/src/lib.rs
@@ -13,6 +13,7 @@
     pub mod moves { pub mod v1 { include!("generated/radishgap.moves.v1.rs"); } }
     pub mod operator { pub mod v1 { include!("generated/radishgap.operator.v1.rs"); } }
     pub mod peer { pub mod v1 { include!("generated/radishgap.peer.v1.rs"); } }
+    pub mod quota { pub mod v1 { include!("generated/radishgap.quota.v1.rs"); } }
     pub mod relay { pub mod v1 { include!("generated/radishgap.relay.v1.rs"); } }
 }
 
@@ -32,5 +33,7 @@
 pub use generated::operator::v1 as operator;
 /// Envelope of messages between nodes.
 pub use generated::peer::v1 as peer;
+/// Messages of the quota service.
+pub use generated::quota::v1 as quota;
 /// Messages of the relay.
 pub use generated::relay::v1 as relay;
--- a/testing/generate/src/main.rs
+++ b/testing/generate/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Arg, Command, value_parser};
 
-const PROTO_FILES: [&str; 9] = [
+const PROTO_FILES: [&str; 10] = [
     "admission.proto",
     "announce.proto",
     "config.proto",
@@ -14,6 +14,7 @@
     "moves.proto",
     "operator.proto",
     "peer.proto",
+    "quota.proto",
     "relay.proto",
 ];
 
