--- a/components/quota/src/granter.rs
+++ b/components/quota/src/granter.rs
@@ -7,6 +7,7 @@
 
 use crate::holder::{Holder, Lease};
 use crate::holders::Holders;
+use crate::term::Term;
 use crate::{Bucket, Electorate, Limit, Settings};
 
 /// Grants tokens to wallets, while it has the votes of more than half of the electorate.
@@ -24,23 +25,6 @@
     granted: u64,
 }
 
-/// A time without interruption in which this process grants.
-#[derive(Debug)]
-struct Term {
-    id: u64,
-    since: Uptime,
-    /// Sorted by workspace.
-    buckets: Vec<Kept>,
-}
-
-/// Bucket of a term.
-#[derive(Debug)]
-struct Kept {
-    bucket: Bucket,
-    /// Time since which the configuration has no such limit.
-    gone: Option<Uptime>,
-}
-
 impl Granter {
     /// Times in the life of a lease that a wallet asks for a workspace from which too much is asked.
     const ROOMS: u32 = 6;
@@ -277,76 +261,6 @@
     }
 }
 
-impl Term {
-    fn new(limits: &[Limit], now: Uptime) -> Self {
-        let kept = limits.iter().map(|limit| Kept {
-            bucket: Bucket::empty(limit.clone(), now),
-            gone: None,
-        });
-        Self {
-            // Zero stands for no term.
-            id: rand::random::<u64>().max(1),
-            since: now,
-            buckets: kept.collect(),
-        }
-    }
-
-    fn find(&mut self, workspace: u64) -> Option<&mut Kept> {
-        let index = self.index(workspace).ok()?;
-        let kept = &mut self.buckets[index];
-        kept.gone.is_none().then_some(kept)
-    }
-
-    fn index(&self, workspace: u64) -> Result<usize, usize> {
-        self.buckets
-            .binary_search_by_key(&workspace, |kept| kept.bucket.limit().workspace)
-    }
-
-    fn spend(&mut self, lease: &Lease, now: Uptime) {
-        if let Ok(index) = self.index(lease.workspace) {
-            let bucket = &mut self.buckets[index].bucket;
-            bucket.refill(now);
-            bucket.spend(lease.tokens);
-            bucket.replace_unmet(lease.unmet, 0);
-        }
-    }
-
-    fn configure(&mut self, limits: &[Limit], window: time::Duration, now: Uptime) {
-        for limit in limits {
-            match self.index(limit.workspace) {
-                Ok(index) => {
-                    let kept = &mut self.buckets[index];
-                    kept.gone = None;
-                    kept.bucket.change(limit.clone(), now);
-                }
-                Err(index) => {
-                    let bucket = self.new_bucket(limit, window, now);
-                    self.buckets.insert(index, Kept { bucket, gone: None });
-                }
-            }
-        }
-        for kept in &mut self.buckets {
-            let workspace = kept.bucket.limit().workspace;
-            let place = limits.binary_search_by_key(&workspace, |limit| limit.workspace);
-            if place.is_err() && kept.gone.is_none() {
-                kept.gone = Some(now);
-            }
-        }
-        // Twice the window: leases of the removed workspace may be used within the first.
-        let is_kept = |gone: Uptime| now.saturating_since(gone) < window * 2;
-        self.buckets.retain(|kept| kept.gone.is_none_or(is_kept));
-    }
-
-    /// A bucket that was not in the configuration before: full where no other term can have granted of
-    /// it within the window.
-    fn new_bucket(&self, limit: &Limit, window: time::Duration, now: Uptime) -> Bucket {
-        match now.saturating_since(self.since) >= window * 2 {
-            true => Bucket::full(limit.clone(), now),
-            false => Bucket::empty(limit.clone(), now),
-        }
-    }
-}
-
 /// Time for which the tokens and the vote of the sender hold.
 fn ttl(report: &wire::Report) -> time::Duration {
     time::Duration::from_millis(report.ttl_ms.into())
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -16,8 +16,10 @@
 mod holders;
 mod limit;
 mod quotas;
+mod search;
 mod settings;
 mod shared;
+mod term;
 mod terms;
 mod wallet;
 
