--- a/components/quota/tests/wallet.rs
+++ b/components/quota/tests/wallet.rs
@@ -123,40 +123,49 @@
 
 #[test]
 fn report_is_no_vote_for_another_node_before_the_last_vote_has_lapsed() {
-    let mut wallet = wallet();
-    let first = report(&mut wallet, &["a"], 2_000);
-    wallet.apply(
-        first.report.sequence,
-        &reply(1, 5, 0),
-        intervals(),
-        at(2_000),
-    );
-    let vote = report(&mut wallet, &["a"], 2_400);
-    assert_eq!(vote.report.granter, 9);
-    wallet.apply(
-        vote.report.sequence,
-        &reply(0, 6, 0),
-        intervals(),
-        at(2_400),
-    );
-    // From now on the view has only another candidate.
-    let end = 2_400 + u64::try_from(intervals().ttl().as_millis()).expect("a short time");
-    let mut voted = None;
-    for millis in (2_405..6_000).step_by(5) {
-        let sent = wallet.report(&nodes(&["b"]), 3, true, intervals(), at(millis));
-        if let Some(sent) = sent {
-            let is_vote = sent.to == nodes(&["b"])[0] && sent.report.granter != 0;
-            voted = voted.or(is_vote.then_some(millis));
-            wallet.apply(
-                sent.report.sequence,
-                &reply(0, 7, 0),
+    for is_answered in [true, false] {
+        let mut wallet = wallet();
+        let first = report(&mut wallet, &["a"], 2_000);
+        let answer = reply(1, 5, 0);
+        wallet.apply(first.report.sequence, &answer, intervals(), at(2_000));
+        let vote = report(&mut wallet, &["a"], 2_400);
+        assert_eq!(vote.report.granter, 9);
+        match is_answered {
+            true => wallet.apply(
+                vote.report.sequence,
+                &reply(0, 6, 0),
                 intervals(),
-                at(millis),
-            );
+                at(2_400),
+            ),
+            false => wallet.fail(vote.report.sequence, intervals(), at(2_400)),
         }
+        let end = 2_400 + u64::try_from(intervals().ttl().as_millis()).expect("a short time");
+        let voted = first_vote_for_b(&mut wallet, is_answered);
+        assert!(
+            voted.is_some_and(|millis| millis >= end),
+            "{voted:?}, not before {end}"
+        );
     }
-    assert!(
-        voted.is_some_and(|millis| millis >= end),
-        "{voted:?}, not before {end}"
-    );
+}
+
+/// Time of the first vote for node b, which is the only candidate and answers; node a only answers if
+/// `is_answered`.
+fn first_vote_for_b(wallet: &mut Wallet, is_answered: bool) -> Option<u64> {
+    let candidates = nodes(&["b"]);
+    for millis in (2_405..6_000).step_by(5) {
+        let sent = wallet.report(&candidates, 3, true, intervals(), at(millis));
+        let Some(sent) = sent else {
+            continue;
+        };
+        let sequence = sent.report.sequence;
+        if sent.to != candidates[0] && !is_answered {
+            wallet.fail(sequence, intervals(), at(millis));
+            continue;
+        }
+        if sent.to == candidates[0] && sent.report.granter != 0 {
+            return Some(millis);
+        }
+        wallet.apply(sequence, &reply(0, 7, 0), intervals(), at(millis));
+    }
+    None
 }
