--- a/components/units/src/uptime.rs
+++ b/components/units/src/uptime.rs
@@ -1,11 +1,13 @@
-//! Time since the machine started, with the time for which it was suspended.
+//! Time since the start of the machine.
 
 use std::ops;
 use std::time;
 
-use rustix::time::ClockId;
+use rustix::time as clock;
 
-/// Time since the machine started, with the time for which it was suspended; of use on one machine only.
+/// Time since the start of the machine, the time in which it was suspended included.
+///
+/// `time::Instant` stands still while the machine is suspended, so that a lease would live on.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Uptime(pub time::Duration);
 
@@ -13,12 +15,18 @@
     /// The current time.
     #[must_use]
     pub fn now() -> Self {
-        let now = rustix::time::clock_gettime(ClockId::Boottime);
+        let now = clock::clock_gettime(clock::ClockId::Boottime);
         let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
         let nanos = u32::try_from(now.tv_nsec).unwrap_or_default();
         Self(time::Duration::new(seconds, nanos))
     }
 
+    /// Time that has passed since.
+    #[must_use]
+    pub fn elapsed(self) -> time::Duration {
+        Self::now().saturating_since(self)
+    }
+
     /// Time from `earlier` to this one; zero where it is later.
     #[must_use]
     pub fn saturating_since(self, earlier: Self) -> time::Duration {
--- a/node/src/assembly/requests.rs
+++ b/node/src/assembly/requests.rs
@@ -24,6 +24,7 @@
         focus: builder.find(names::FOCUS)?,
         evacuations: routing::Evacuations::default(),
         regions: routing::Regions::default(),
+        quota: quota::Handle::default(),
         dialect: Native,
         settings: rc::Rc::new(settings.requests.clone()),
     };
--- a/node/src/call/context.rs
+++ b/node/src/call/context.rs
@@ -27,6 +27,8 @@
     pub evacuations: routing::Evacuations,
     /// Regions of data centres.
     pub regions: routing::Regions,
+    /// Quotas of workspaces.
+    pub quota: quota::Handle,
     /// Protocol dialect of callers and backend servers.
     pub dialect: D,
     /// Settings of the request path.
--- a/node/tests/call/fleet.rs
+++ b/node/tests/call/fleet.rs
@@ -239,6 +239,7 @@
             focus: routing::Focus::default(),
             evacuations: self.evacuations.clone(),
             regions: regions(),
+            quota: quota::Handle::default(),
             dialect: node::call::Native,
             settings: self.settings.clone(),
         };
