relay: a kept delta holds its bytes, not the size of the value

The compressor reserves the size of a value that does not compress, and Delta::new kept that reservation: up to 16 of them in each feed's entry. The vector is shrunk now.

--- a/components/relay/src/delta.rs
+++ b/components/relay/src/delta.rs
@@ -28,11 +28,14 @@
         let dictionary = base.map_or(&[][..], |base| base.1);
         let mut compressor =
             zstd::bulk::Compressor::with_dictionary(Self::LEVEL, dictionary).ok()?;
+        let mut compressed = compressor.compress(value).ok()?;
+        // The compressor reserves the size of a value that does not compress, and a feed keeps many deltas.
+        compressed.shrink_to_fit();
         Some(Self {
             base: base.map(|base| base.0),
             revision,
             size: value.len(),
-            compressed: compressor.compress(value).ok()?,
+            compressed,
         })
     }
 
--- a/components/relay/tests/feed.rs
+++ b/components/relay/tests/feed.rs
@@ -142,6 +142,19 @@
     assert_eq!(middle.changes(Some(Revision(5))), changes);
 }
 
+#[test]
+fn kept_deltas_reserve_no_more_than_their_bytes() {
+    let delta = Delta::new(Some((Revision(1), &routes(1))), Revision(2), &routes(2));
+    let compressed = delta.expect("it compresses").compressed;
+    assert!(compressed.len() < routes(2).len(), "the value compresses");
+    assert!(
+        compressed.capacity() <= 2 * compressed.len(),
+        "{} bytes reserved for {}",
+        compressed.capacity(),
+        compressed.len()
+    );
+}
+
 #[test]
 fn changes_older_than_the_kept_deltas_are_full() {
     let read: Vec<_> = (1..100).collect();
