node: lines of refused keys name the request

Cause: `radishgapctl explain` finds lines by the id of the request, which these lines did not have. Change: both lines carry it.

--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -200,7 +200,7 @@
         }
         let route = table.find(&host, head.uri.path());
         let route = route.ok_or(Problem::refused(Reason::NoRoute))?.clone();
-        let credential = self.identify(&mut head.headers, &route)?;
+        let credential = self.identify(&mut head.headers, &route, id)?;
         let baseline = self.shared.state.borrow_mut().baseline(&route.name);
         let context = &self.shared.context;
         let caller = context.dialect.caller(&context.node, &head);
--- a/node/src/call/ingress/credential.rs
+++ b/node/src/call/ingress/credential.rs
@@ -16,6 +16,7 @@
         &self,
         headers: &mut http::HeaderMap,
         route: &Route,
+        id: &str,
     ) -> Result<Credential, Problem> {
         let context = &self.shared.context;
         let snapshot = context.holder.get();
@@ -28,13 +29,13 @@
             Credential::Missing | Credential::Malformed => false,
         };
         if is_known {
-            self.check_certainty()?;
+            self.check_certainty(id)?;
             return Ok(credential);
         }
         if route.public {
             return Ok(Credential::Missing);
         }
-        Err(self.refuse(credential))
+        Err(self.refuse(credential, id))
     }
 
     /// Adds the workspace of `credential` to a request.
@@ -59,42 +60,42 @@
         let Credential::Key(key) = &arrival.credential else {
             return Ok(());
         };
-        self.check_certainty()?;
+        self.check_certainty(&arrival.id)?;
         let snapshot = self.shared.context.holder.get();
         let is_same = |workspace: &Workspace| workspace.name == arrival.workspace;
         match snapshot.workspace_of(key).is_some_and(is_same) {
             true => Ok(()),
-            false => Err(self.refuse(arrival.credential)),
+            false => Err(self.refuse(arrival.credential, &arrival.id)),
         }
     }
 
     /// Checks that a withdrawal of a key would be known here.
-    fn check_certainty(&self) -> Result<(), Problem> {
+    fn check_certainty(&self, id: &str) -> Result<(), Problem> {
         if self.shared.context.certainty.is_certain() {
             return Ok(());
         }
-        Err(self.doubt())
+        Err(self.doubt(id))
     }
 
     /// The problem of a request with a key that no workspace holds. Callers take a refused key as final,
     /// so it is refused only where a new key would be known.
-    fn refuse(&self, credential: Credential) -> Problem {
+    fn refuse(&self, credential: Credential, id: &str) -> Problem {
         let is_key = matches!(credential, Credential::Key(_));
         if is_key && !self.shared.context.certainty.is_current() {
-            return self.doubt();
+            return self.doubt(id);
         }
         self.count(|counts| counts.keys_refused += 1);
         let configuration = self.shared.context.holder.get().version();
-        log::info!(target: telemetry::REQUESTS, event = "key-refused", configuration = configuration.0,
+        log::info!(target: telemetry::REQUESTS, event = "key-refused", request = id, configuration = configuration.0,
             sent = describe(credential); "no workspace holds the key of a request");
         Problem::refused(Reason::KeyRefused)
     }
 
-    fn doubt(&self) -> Problem {
+    fn doubt(&self, id: &str) -> Problem {
         self.count(|counts| counts.evidence_too_old += 1);
         let context = &self.shared.context;
         let age_ms = context.certainty.age().map(units::millis);
-        log::info!(target: telemetry::REQUESTS, event = "evidence-too-old",
+        log::info!(target: telemetry::REQUESTS, event = "evidence-too-old", request = id,
             configuration = context.holder.get().version().0, certain_age_ms:? = age_ms;
             "the configuration may be too old to judge the key of a request");
         Problem::retryable(Reason::EvidenceTooOld)
