--- a/components/quota/tests/mesh/share.rs
+++ b/components/quota/tests/mesh/share.rs
@@ -40,8 +40,10 @@
             let name = &one.workspace.name;
             let tally = fleet.tally(quota::hash(name));
             let asked = tally.asked_between(start, end);
-            // Chance asks for more than the rate of a small workspace; that is not owed.
-            let owed = (one.workspace.rate.0 * (end - start).as_secs_f64()).min(asked as f64);
+            // Chance asks for more than a small workspace may have; that is not owed.
+            let allowed = one.workspace.rate.0 * (end - start).as_secs_f64();
+            let allowed = allowed + f64::from(one.workspace.burst);
+            let owed = allowed.min(asked as f64);
             // What was asked late may be served after the end.
             let used = tally.used_between(start, end + Duration::from_secs(1));
             let late = (tally.refused_late, tally.refused_at_once);
