--- a/components/admission/src/work.rs
+++ b/components/admission/src/work.rs
@@ -16,7 +16,7 @@
 }
 
 units::record! { eq:
-    /// What an owner tells of its backend server with an answer.
+    /// Work left at a backend server, as its owner reports it with an answer.
     #[derive(Copy)]
     pub struct Report {
         /// Time until a new request would start.
--- a/components/admission/tests/shares.rs
+++ b/components/admission/tests/shares.rs
@@ -105,7 +105,7 @@
             own >= 0.9 * all,
             "seed {seed}: {own} of {all} lost requests are its own"
         );
-        // What the others leave of the capacity.
+        // Capacity that the other workspaces leave unused.
         let left = (1.0 - 0.08 * 9.0) / loads[3];
         let part = tallies[3].part();
         assert!(
--- a/components/config/src/key.rs
+++ b/components/config/src/key.rs
@@ -47,7 +47,7 @@
 }
 
 impl Digest {
-    /// What the text of a digest begins with.
+    /// Prefix of the text form of a digest.
     const PREFIX: &str = "sha256:";
 
     /// The digest as operators read and write it.
--- a/components/config/src/review.rs
+++ b/components/config/src/review.rs
@@ -1,8 +1,8 @@
-//! Review of a valid configuration for what its author can hardly have meant.
+//! Review of a valid configuration for entries that its author probably did not intend.
 
 use crate::{Findings, Route, Service, Snapshot, Workspace};
 
-/// What a valid configuration holds that its author can hardly have meant.
+/// Findings in a valid configuration that its author probably did not intend.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Review {
     /// Entries that no request ever reaches.
--- a/components/platform/src/follower.rs
+++ b/components/platform/src/follower.rs
@@ -39,9 +39,9 @@
     /// The store has answered: what is taken next makes the objects complete up to `at`.
     fn answered(&self, _at: time::Instant) {}
 
-    /// What has been taken is all that the store acknowledged before `at`. That is no later than when the
-    /// call was sent whose answer shows it: an answer may have lain in a socket for long. A watch that
-    /// has told of nothing shows it for its whole wait.
+    /// The objects taken so far include every change that the store acknowledged before `at`: the time at
+    /// which the call was sent, because its answer may have waited in a socket; the end of the wait for a
+    /// watch that returned no event.
     fn complete(&self, _at: Uptime) {}
 
     /// Longest wait of the next watch, if it differs from that of the pace.
--- a/components/quota/src/account.rs
+++ b/components/quota/src/account.rs
@@ -94,7 +94,7 @@
         }
     }
 
-    /// What the next report says; `None` if the workspace has not been seen of late.
+    /// Entry for the next report; `None` if no request of the workspace has arrived lately.
     pub(crate) fn want(&mut self, ahead: time::Duration, now: Uptime) -> Option<wire::Want> {
         self.lapse(now);
         self.measure(now);
--- a/components/quota/src/dump.rs
+++ b/components/quota/src/dump.rs
@@ -1,4 +1,4 @@
-//! What a dump shows of quotas.
+//! State of quotas for diagnostics.
 
 use compact_str::CompactString;
 use serde::Serialize;
@@ -6,7 +6,7 @@
 use crate::Counts;
 
 units::record! {
-    /// What a dump shows of quotas.
+    /// State of quotas for diagnostics.
     #[derive(Serialize)]
     pub struct Dump {
         /// Node that grants, as far as this one knows.
