--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -63,7 +63,7 @@
     pub const CALLED_AGAIN: HeaderName = HeaderName::from_static("radishgap-called-again");
     /// Between nodes: load of the owner in parts per 10,000 of its limit.
     pub const LOAD: HeaderName = HeaderName::from_static("radishgap-load");
-    /// Between nodes: work left at the backend server, in the format of [`super::WorkReport`].
+    /// Between nodes: work left at the backend server, in the format of `WorkReport`.
     pub const WORK: HeaderName = HeaderName::from_static("radishgap-work");
     /// Between nodes: status of a backend server, in the format of [`super::BackendStatus`].
     pub const BACKEND_STATUS: HeaderName = HeaderName::from_static("radishgap-need");
