ctl: the difference of a file from the version in force covers every field

What callers saw: radishgapctl check and diff said "no difference" where only a route's attempts, target, priority, split or homes, or a service's connections, health path or warm-up had changed. Cause: differences are found by comparing texts, and the texts left these fields out. Why it works: the texts hold every field; what has its default is left out, so that texts shown before stay as they were.

--- a/ctl/src/view/difference.rs
+++ b/ctl/src/view/difference.rs
@@ -1,6 +1,8 @@
 //! Differences between a file and what a node holds.
 
-use config::{Route, Snapshot};
+use std::fmt;
+
+use config::{Route, Service, Snapshot};
 
 use super::configuration::{shares, terms};
 use crate::console;
@@ -21,7 +23,7 @@
     pub struct Line {
         /// `service`, `route` or `workspace`.
         pub kind: &'static str,
-        /// Its name.
+        /// Name of the resource.
         pub name: String,
         /// What the node holds, if it holds it.
         pub held: Option<String>,
@@ -36,15 +38,20 @@
     pub fn between(document: &Document, held: &Snapshot) -> Self {
         let mut lines = Vec::new();
         for service in &document.services {
-            let held = held.service(&service.name).map(shares);
-            lines.extend(line("service", &service.name, held, Some(shares(service))));
+            let held = held.service(&service.name).map(describe);
+            lines.extend(line(
+                "service",
+                &service.name,
+                held,
+                Some(describe(service)),
+            ));
         }
         for route in &document.routes {
             let held = held.route(&route.name).map(rule);
             lines.extend(line("route", &route.name, held, Some(rule(route))));
         }
         for name in &document.remove.services {
-            let held = held.service(name).map(shares);
+            let held = held.service(name).map(describe);
             lines.extend(line("service", name, held, None));
         }
         for name in &document.remove.routes {
@@ -88,7 +95,17 @@
     })
 }
 
-/// Everything that a route says, on one line.
+/// Everything that a service says, on one line; what has its default is left out.
+fn describe(service: &Service) -> String {
+    let mut text = shares(service);
+    append(&mut text, "connections", &service.connections);
+    append(&mut text, "health path", &service.health_path);
+    append(&mut text, "warm-up rate", &service.warmup_rate);
+    append(&mut text, "warm-up", &service.warmup);
+    text
+}
+
+/// Everything that a route says, on one line; from `attempts` on, what has its default is left out.
 fn rule(route: &Route) -> String {
     let host = if route.host.is_empty() {
         "*"
@@ -96,10 +113,27 @@
         &route.host
     };
     let public = if route.public { ", public" } else { "" };
-    format!(
+    let mut text = format!(
         "{host}{} -> {}, timeout {}, idempotency {:?}, max_body {}{public}",
         route.path_prefix, route.service, route.timeout, route.idempotency, route.max_body
-    )
+    );
+    append(&mut text, "attempts", &route.attempts);
+    append(&mut text, "target", &route.target);
+    append(&mut text, "priority", &route.priority);
+    let parts = route.split.iter();
+    let split: Vec<_> = parts
+        .map(|part| format!("{} {}", part.service, part.weight))
+        .collect();
+    append(&mut text, "split", &split.join(" "));
+    append(&mut text, "homes", &route.homes.join(" "));
+    text
+}
+
+/// Appends a field, unless it has the default of its type.
+fn append<T: Default + PartialEq + fmt::Display>(text: &mut String, name: &str, value: &T) {
+    if *value != T::default() {
+        text.push_str(&format!(", {name} {value}"));
+    }
 }
 
 impl console::Show for Difference {
