quota, admission, config: one lookup for a repeated workspace, one reckoning of turns, one impl of Digest; no change of behaviour

Cause: a read of the whole change. The granter, which answers the reports of all nodes, searched the leases of a report one by one for each entry and sorted them afterwards; the longer of two waits was written twice in gate/turns.rs; Digest had two impl blocks; some doc comments did not name their subject. Change: leases are inserted in order by binary search; longest_wait; comments.

--- a/components/admission/src/gate/turns.rs
+++ b/components/admission/src/gate/turns.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use super::state::{State, Waiter};
-use crate::{Reason, Refusal, Request, Urgency};
+use crate::{RateLimiter, Reason, Refusal, Request, Urgency, Warmup};
 
 impl State {
     /// Refuses a request that gets no turn in time at the rate that the backend server advertises.
@@ -37,7 +37,7 @@
         }
         let (rate_limiter, warmup) = (&self.rate_limiter, &self.warmup);
         let fits = |urgency: &Urgency, ahead| {
-            let wait = rate_limiter.wait(ahead, now).max(warmup.wait(ahead, now));
+            let wait = longest_wait(rate_limiter, warmup, ahead, now);
             is_turn_in_time(urgency, wait, max_wait, now)
         };
         let shed = self.waiting.shed_unless(now, fits);
@@ -66,8 +66,7 @@
 
     /// Time until a request with `ahead` others before it has a turn under all rate limits.
     pub(super) fn turn_wait(&self, ahead: usize, now: time::Instant) -> time::Duration {
-        let wait = self.rate_limiter.wait(ahead, now);
-        wait.max(self.warmup.wait(ahead, now))
+        longest_wait(&self.rate_limiter, &self.warmup, ahead, now)
     }
 
     /// Promises a turn to a retry under all rate limits; `None` if none applies.
@@ -81,6 +80,17 @@
     }
 }
 
+/// Time until a request with `ahead` others before it has a turn under both rate limits.
+fn longest_wait(
+    rate_limiter: &RateLimiter,
+    warmup: &Warmup,
+    ahead: usize,
+    now: time::Instant,
+) -> time::Duration {
+    let wait = rate_limiter.wait(ahead, now);
+    wait.max(warmup.wait(ahead, now))
+}
+
 /// Whether a request with this `wait` for its turn can still be answered by its target; otherwise the turn
 /// is left to others, and the request may find capacity at another owner.
 fn is_turn_in_time(
--- a/components/config/src/key.rs
+++ b/components/config/src/key.rs
@@ -19,6 +19,8 @@
 impl Digest {
     /// Length in bytes.
     pub const BYTES: usize = 32;
+    /// Prefix of the text form of a digest.
+    const PREFIX: &str = "sha256:";
 
     /// The digest of `key`.
     #[must_use]
@@ -37,18 +39,6 @@
     pub fn as_bytes(&self) -> &[u8] {
         &self.0
     }
-}
-
-/// Shows nothing of the digest, so that no log line or dump does.
-impl fmt::Debug for Digest {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("Digest(..)")
-    }
-}
-
-impl Digest {
-    /// Prefix of the text form of a digest.
-    const PREFIX: &str = "sha256:";
 
     /// The digest as operators read and write it.
     #[must_use]
@@ -69,6 +59,13 @@
     }
 }
 
+/// Shows nothing of the digest, so that no log line or dump does.
+impl fmt::Debug for Digest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Digest(..)")
+    }
+}
+
 /// Reads a digest, `sha256:` and its digits, or the text of a key, whose digest is kept.
 impl str::FromStr for Digest {
     type Err = Unusable;
--- a/components/quota/src/dump.rs
+++ b/components/quota/src/dump.rs
@@ -24,7 +24,7 @@
     /// A workspace near its limit.
     #[derive(Serialize)]
     pub struct Entry {
-        /// Its name.
+        /// Name of the workspace.
         pub workspace: CompactString,
         /// Tokens at this ingress.
         pub tokens: u32,
--- a/components/quota/src/granter.rs
+++ b/components/quota/src/granter.rs
@@ -173,12 +173,11 @@
         };
         let is_lapsed = holder.lapse <= now;
         let is_of_term = report.term == term.id && !is_lapsed;
-        let mut leases = Vec::with_capacity(report.wants.len());
+        let mut leases: Vec<Lease> = Vec::with_capacity(report.wants.len());
         for want in &report.wants {
-            let is_repeated = leases
-                .iter()
-                .any(|lease: &Lease| lease.workspace == want.workspace);
-            let Some(kept) = term.find(want.workspace).filter(|_| !is_repeated) else {
+            let place = leases.binary_search_by_key(&want.workspace, |lease| lease.workspace);
+            // A workspace that stands twice in a report counts once.
+            let (Err(place), Some(kept)) = (place, term.find(want.workspace)) else {
                 continue;
             };
             let before = holder.lease(want.workspace).copied();
@@ -192,9 +191,8 @@
                 tokens: lease.tokens,
                 room_ms: if refuses { whole_millis(room) } else { 0 },
             });
-            leases.push(lease);
+            leases.insert(place, lease);
         }
-        leases.sort_by_key(|lease| lease.workspace);
         for lease in &holder.leases {
             let is_reported = |one: &Lease| one.workspace.cmp(&lease.workspace);
             if leases.binary_search_by(is_reported).is_err() {
--- a/components/quota/src/holder.rs
+++ b/components/quota/src/holder.rs
@@ -1,8 +1,8 @@
-//! What the granter knows of one wallet.
+//! State of one wallet at the granter.
 
 use units::{Node, Uptime};
 
-/// What the granter knows of one wallet.
+/// State of one wallet at the granter.
 #[derive(Debug, Clone)]
 pub(crate) struct Holder {
     pub(crate) node: Node,
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -1,4 +1,4 @@
-//! One quota of a workspace over all nodes.
+//! Enforces the request quota of each workspace over all nodes.
 //!
 //! One node at a time, the granter, holds a token bucket for each workspace and leases tokens to the
 //! wallets of the ingresses. It grants while it has votes of more than half of the members; the design
--- a/components/quota/src/limit.rs
+++ b/components/quota/src/limit.rs
@@ -16,7 +16,7 @@
     pub struct Limit {
         /// Hash of its name.
         pub workspace: u64,
-        /// Its name.
+        /// Name of the workspace.
         pub name: CompactString,
         /// Tokens a second.
         pub rate: f64,
--- a/components/quota/src/quotas.rs
+++ b/components/quota/src/quotas.rs
@@ -11,7 +11,7 @@
 /// Name of the service, also in requests between nodes.
 const SERVICE: &str = "quota";
 
-/// One quota of a workspace over all nodes.
+/// Service that enforces the request quota of each workspace over all nodes.
 pub struct Quotas<L> {
     shared: rc::Rc<Shared>,
     link: L,
--- a/components/quota/src/search.rs
+++ b/components/quota/src/search.rs
@@ -4,7 +4,7 @@
 
 use units::{Node, Uptime};
 
-/// What the wallet knows of those that may grant.
+/// State of a wallet's search for the granter.
 #[derive(Debug, Default)]
 pub(crate) struct Search {
     /// Node whose last reply granted.
