--- /dev/null
+++ b/review/stand/src/cases/mod.rs
@@ -0,0 +1,2 @@
+pub mod endless;
+pub mod pipelined;
