--- a/review/stand/src/fleet.rs
+++ b/review/stand/src/fleet.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{Head, Wire, listen};
+use crate::http::{Head, Wire, listen_raw};
 use crate::json::Json;
 use crate::store::Store;
 
@@ -39,6 +39,8 @@
 }
 
 pub type Behaviour = dyn Fn(&mut Wire, &Head, &[u8]) -> io::Result<bool> + Send + Sync;
+/// Serves a request whose body is not read yet.
+pub type RawBehaviour = dyn Fn(&mut Wire, &Head) -> io::Result<bool> + Send + Sync;
 
 pub struct Machine {
     pub name: String,
@@ -154,7 +156,15 @@
     }
 
     /// Adds a machine: its upstream serves with `behave` and sends heartbeats; its sidecar is started.
-    pub fn add(&mut self, zone: &'static str, service: &'static str, version: &'static str, slots: u32, behave: Arc<Behaviour>) -> io::Result<usize> {
+    pub fn add(&mut self, zone: &'static str, service: &'static str, version: &'static str, _slots: u32, behave: Arc<Behaviour>) -> io::Result<usize> {
+        self.add_raw(zone, service, version, Arc::new(move |wire: &mut Wire, head: &Head| {
+            let body = wire.body(head)?;
+            behave(wire, head, &body)
+        }))
+    }
+
+    /// As [`Fleet::add`], with an upstream that reads bodies itself.
+    pub fn add_raw(&mut self, zone: &'static str, service: &'static str, version: &'static str, behave: Arc<RawBehaviour>) -> io::Result<usize> {
         let index = self.machines.len();
         let ip = Ipv4Addr::new(127, self.net[0], self.net[1], index as u8 + 1);
         let at = |port| SocketAddr::new(IpAddr::V4(ip), port);
@@ -166,7 +176,7 @@
             held.push(listener);
         }
         drop(held);
-        let app = listen(at(0), move |wire, head, body| behave(wire, &head, &body))?;
+        let app = listen_raw(at(0), move |wire, head| behave(wire, &head))?;
         let name = format!("sidecar-{zone}-{}", index + 1);
         let settings = self.folder.join(format!("{name}.json"));
         let machine = Machine {
--- a/review/stand/src/http.rs
+++ b/review/stand/src/http.rs
@@ -158,3 +158,25 @@
     bytes.extend_from_slice(body);
     bytes
 }
+
+/// As [`listen`], but `serve` reads the body itself.
+pub fn listen_raw(address: SocketAddr, serve: impl Fn(&mut Wire, Head) -> io::Result<bool> + Send + Sync + 'static) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address)?;
+    let bound = listener.local_addr()?;
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || {
+                let mut wire = Wire::new(stream);
+                while let Ok(Some(head)) = wire.head() {
+                    match serve(&mut wire, head) {
+                        Ok(true) => {}
+                        _ => return,
+                    }
+                }
+            });
+        }
+    });
+    Ok(bound)
+}
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -26,6 +26,9 @@
     let verdict = match case.as_str() {
         "pipelined" => cases::pipelined::run(&record, trouble),
         "endless" => cases::endless::run(&record, trouble),
+        "soak" => cases::soak::run(&record, trouble),
+        "handover" => cases::handover::run(&record, trouble),
+        "probe" => cases::probe::run(&record, trouble),
         _ => Err(std::io::ErrorKind::NotFound.into()),
     };
     let (text, code) = match verdict {
