--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -1,5 +1,4 @@
 pub mod endless;
 pub mod handover;
-pub mod probe;
 pub mod soak;
 pub mod pipelined;
--- a/review/stand/src/cases/soak.rs
+++ b/review/stand/src/cases/soak.rs
@@ -42,9 +42,10 @@
         let run = |world: &World| { let mut runs = world.runs.lock().unwrap(); let c = runs.entry(id.clone()).or_default(); *c += 1; if *c > 1 && method == "POST" { world.problem(format!("TWICE: {id} runs {c} times, now at {service} {number}")); } };
         let a = act / trouble.max(1e-9);
         // early rejection of a long body
-        if length > 60_000 && a < 0.15 {
-            wire.send(format!("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").as_bytes())?;
-            thread::sleep(Duration::from_millis(delay));
+        if length > 60_000 && (a < 0.15 || (std::env::var("EARLY").is_ok() && act < 0.5)) {
+            if act < 0.25 { wire.send(format!("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").as_bytes())?; }
+            else { run(&world); wire.send(format!("HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: {id}\r\nX-Upstream-Signature: s.{id}\r\nContent-Length: 3\r\n\r\nabc").as_bytes())?; }
+            thread::sleep(Duration::from_millis(delay * 3));
             match wire.body(head) { Ok(b) => { if b != body(&id, length) { world.problem(format!("UNASKED: rest of {id} is not its body")); } }, Err(_) => return Ok(false) }
             world.count("u early"); return Ok(true);
         }
@@ -96,7 +97,7 @@
             let prefix = match (post, other) { (true, false) => "/post-a/", (true, true) => "/post-b/", (false, false) => "/get-a/", (false, true) => "/get-b/" };
             let path = format!("{prefix}x{}?q={turn}", rng.below(9));
             let with_body = post || (batch > 1 && rng.chance(0.25));
-            let length = if !with_body { 0 } else if rng.chance(0.15) { rng.below(600_000) as usize } else { rng.below(8_000) as usize };
+            let length = if !with_body { 0 } else if rng.chance(if std::env::var("EARLY").is_ok() { 0.5 } else { 0.15 }) { rng.below(600_000) as usize } else { rng.below(8_000) as usize };
             let method = if post { "POST" } else if with_body { "PUT" } else { "GET" };
             world.sent.lock().unwrap().insert(id.clone(), (method.into(), path.clone(), length));
             let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n");
@@ -112,6 +113,7 @@
         }
         let begun = Instant::now();
         if open.send(&all).is_err() { world.count("c send failed"); continue; }
+        if std::env::var("LEAVE").is_ok() && rng.chance(0.15) { thread::sleep(Duration::from_millis(rng.below(80))); world.count("c left"); continue; }
         let mut kept = true;
         for (id, method) in &list {
             match open.head() {
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -28,7 +28,6 @@
         "endless" => cases::endless::run(&record, trouble),
         "soak" => cases::soak::run(&record, trouble),
         "handover" => cases::handover::run(&record, trouble),
-        "probe" => cases::probe::run(&record, trouble),
         _ => Err(std::io::ErrorKind::NotFound.into()),
     };
     let (text, code) = match verdict {
