--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -1,4 +1,5 @@
 pub mod endless;
 pub mod handover;
+pub mod restored;
 pub mod soak;
 pub mod pipelined;
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -26,6 +26,7 @@
     let verdict = match case.as_str() {
         "pipelined" => cases::pipelined::run(&record, trouble),
         "endless" => cases::endless::run(&record, trouble),
+        "restored" => cases::restored::run(&record, trouble),
         "soak" => cases::soak::run(&record, trouble),
         "handover" => cases::handover::run(&record, trouble),
         _ => Err(std::io::ErrorKind::NotFound.into()),
--- a/review/stand/src/store.rs
+++ b/review/stand/src/store.rs
@@ -35,6 +35,16 @@
     revision: u64,
     objects: Vec<Object>,
     history: Vec<(u64, Object, bool)>,
+    /// Value of the header `Store-Era`; none is sent at zero.
+    era: u64,
+    /// Whether the store answers 503 to all calls.
+    is_away: bool,
+}
+
+/// The objects of a moment, from which the store can come back.
+pub struct Copy {
+    revision: u64,
+    objects: Vec<Object>,
 }
 
 #[derive(Clone)]
@@ -44,7 +54,7 @@
 
 impl Store {
     pub fn start(address: SocketAddr) -> io::Result<(Store, SocketAddr)> {
-        let state = State { revision: 100, objects: Vec::new(), history: Vec::new() };
+        let state = State { revision: 100, objects: Vec::new(), history: Vec::new(), era: 0, is_away: false };
         let store = Store { state: Arc::new((Mutex::new(state), Condvar::new())) };
         let served = store.clone();
         let bound = listen(address, move |wire, head, body| served.serve(wire, &head, &body))?;
@@ -60,6 +70,33 @@
         state.revision
     }
 
+    /// Names an era in all answers from now on.
+    pub fn begin_era(&self) {
+        self.state.0.lock().unwrap().era = 1;
+    }
+
+    pub fn copy(&self) -> Copy {
+        let state = self.state.0.lock().unwrap();
+        Copy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// The store is away: it answers 503, and cuts the watches that wait.
+    pub fn go_away(&self) {
+        self.state.0.lock().unwrap().is_away = true;
+        self.state.1.notify_all();
+    }
+
+    /// The store is back, from `copy`, in a new era.
+    pub fn come_back(&self, copy: &Copy) {
+        let mut state = self.state.0.lock().unwrap();
+        state.is_away = false;
+        state.era += 1;
+        state.revision = copy.revision;
+        state.objects = copy.objects.clone();
+        state.history.clear();
+        self.state.1.notify_all();
+    }
+
     pub fn status(&self, kind: &str, name: &str) -> Json {
         let mut state = self.state.0.lock().unwrap();
         state.find(kind, name).map_or(Json::Null, |held| held.status.clone())
@@ -72,6 +109,10 @@
             pairs.find(|pair| pair.0 == name).map(|pair| pair.1.to_owned())
         };
         let parts: Vec<_> = path.trim_start_matches("/v1/objects/").split('/').map(str::to_owned).collect();
+        if self.state.0.lock().unwrap().is_away {
+            wire.send(&answer("503 Service Unavailable", "", b""))?;
+            return Ok(true);
+        }
         let (status, value) = match parameter("watch").and_then(|from| from.parse().ok()) {
             Some(from) => {
                 let wait = parameter("waitMs").and_then(|wait| wait.parse().ok()).unwrap_or(0);
@@ -79,7 +120,12 @@
             }
             None => self.call(head.method(), &parts, parameter("rev"), parameter("after"), body),
         };
-        wire.send(&answer(status, "Content-Type: application/json\r\n", value.to_string().as_bytes()))?;
+        let era = match self.state.0.lock().unwrap().era {
+            0 => String::new(),
+            era => format!("Store-Era: {era}\r\n"),
+        };
+        let headers = format!("Content-Type: application/json\r\n{era}");
+        wire.send(&answer(status, &headers, value.to_string().as_bytes()))?;
         Ok(true)
     }
 
@@ -144,8 +190,13 @@
     fn watch(&self, kind: &str, from: u64, wait: Duration) -> (&'static str, Json) {
         let until = Instant::now() + wait;
         let mut state = self.state.0.lock().unwrap();
+        let era = state.era;
         loop {
-            if from > state.revision {
+            if state.is_away || state.era != era {
+                return ("503 Service Unavailable", Json::Null);
+            }
+            let oldest = state.history.first().map_or(state.revision + 1, |one| one.0);
+            if from > state.revision || from + 1 < oldest {
                 return ("410 Gone", Json::Null);
             }
             let news = state.history.iter().filter(|one| one.0 > from && one.1.kind == kind);
