web: a cut answer is not filled up by the next request's

A GET whose answer breaks off while a request with a body waits behind it on the connection got 200, its announced length, and the next answer as the rest of its body.

Cause: Pipeline had the flags rest and closing. An answer that fails (or says Connection: close) sets closing and drops what waits behind it; run looked at rest alone and handed the connection to hyper, which answered on it.

Why it works: one field, Next, says what follows, so that the end replaces the hand-over. A stop leaves a hand-over in place, and hyper's path says Connection: close in answers given after the stop began (stop_answers_body_behind_another failed before: the waiting request had no answer).

--- a/components/web/src/pipeline/mod.rs
+++ b/components/web/src/pipeline/mod.rs
@@ -50,10 +50,18 @@
     exchanges: VecDeque<Exchange<D>>,
     /// Bytes of responses not written yet.
     unwritten: Vec<u8>,
-    /// Whether no further request is accepted; the connection closes after the pending responses.
-    closing: bool,
-    /// Whether the next request has to be handled by hyper.
-    rest: bool,
+    next: Next,
+}
+
+/// What follows the accepted requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    /// Further requests.
+    Request,
+    /// A request that hyper has to handle.
+    Rest,
+    /// The end of the connection.
+    Close,
 }
 
 impl<F: Fn(Vec<u8>) -> Exchange<D>, D: Driven> Pipeline<F, D> {
@@ -73,8 +81,7 @@
             read: Vec::new(),
             exchanges: VecDeque::new(),
             unwritten: Vec::new(),
-            closing: false,
-            rest: false,
+            next: Next::Request,
         }
     }
 
@@ -82,7 +89,7 @@
     pub(crate) async fn run(mut self, stop: &kernel::Stop) -> Ended {
         let ended = self.serve(stop).await;
         match ended {
-            Ok(()) if self.rest => Ended::Rest(Rewound::new(self.read, self.stream)),
+            Ok(()) if self.next == Next::Rest => Ended::Rest(Rewound::new(self.read, self.stream)),
             Ok(()) => {
                 self.close().await;
                 Ended::Closed
@@ -100,12 +107,12 @@
         let mut taken = false;
         loop {
             let idle = self.exchanges.is_empty() && self.unwritten.is_empty();
-            if idle && (self.rest || self.closing) {
+            if idle && self.next != Next::Request {
                 return Ok(());
             }
             let limit = idle.then_some(self.limits.header_timeout);
             let step = future::poll_fn(|context| {
-                if !self.closing && stopped.as_mut().poll(context).is_ready() {
+                if self.next == Next::Request && stopped.as_mut().poll(context).is_ready() {
                     return task::Poll::Ready(Step::Stop);
                 }
                 self.poll_step(context).map(Step::Moved)
@@ -131,9 +138,13 @@
         }
     }
 
-    /// Accepts no further request; the last response announces that the connection closes.
+    /// Accepts no further request; the last response announces that the connection closes. hyper
+    /// does that for a request that it has to handle.
     fn stop(&mut self) {
-        self.closing = true;
+        if self.next == Next::Rest {
+            return;
+        }
+        self.next = Next::Close;
         if let Some(last) = self.exchanges.back_mut() {
             last.close();
         }
@@ -153,7 +164,7 @@
     }
 
     fn poll_read(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
-        if self.rest || self.closing || self.read.len() >= Self::READ_AHEAD {
+        if self.next != Next::Request || self.read.len() >= Self::READ_AHEAD {
             return task::Poll::Pending;
         }
         let mut chunk = [0; CHUNK_BYTES];
@@ -174,7 +185,7 @@
     /// Starts handling each complete request that was read; returns whether there was one.
     fn take_requests(&mut self) -> bool {
         let mut taken = false;
-        while !self.rest && !self.closing && self.exchanges.len() < self.limits.pipelined {
+        while self.next == Next::Request && self.exchanges.len() < self.limits.pipelined {
             match Head::find(&self.read) {
                 Head::Partial if self.read.len() < self.limits.header_bytes as usize => break,
                 Head::Bodiless(length) => {
@@ -183,7 +194,7 @@
                     self.exchanges.push_back((self.start)(head));
                     taken = true;
                 }
-                Head::Partial | Head::Other => self.rest = true,
+                Head::Partial | Head::Other => self.next = Next::Rest,
             }
         }
         taken
@@ -206,7 +217,7 @@
             if closes || !whole {
                 // Requests sent behind a response that closes the connection count as not read.
                 self.exchanges.clear();
-                self.closing = true;
+                self.next = Next::Close;
             }
         }
         Ok(moved)
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -229,12 +229,22 @@
     };
     let taken = rc::Rc::new(cell::Cell::new(false));
     let taking = taken.clone();
+    let stopping = stop.clone();
     let service = hyper::service::service_fn(move |mut request: http::Request<Incoming>| {
         taking.set(true);
         request.extensions_mut().insert(peer);
+        let is_announced = request.version() < http::Version::HTTP_2;
         // Boxed, since hyper moves the future several times before its first poll.
         let answer = Box::pin(handler.clone().handle(request));
-        async move { Ok::<_, convert::Infallible>(answer.await) }
+        let stop = stopping.clone();
+        async move {
+            let mut answer = answer.await;
+            if is_announced && stop.is_requested() {
+                let close = http::HeaderValue::from_static("close");
+                answer.headers_mut().insert(http::header::CONNECTION, close);
+            }
+            Ok::<_, convert::Infallible>(answer)
+        }
     });
     let builder = configure(limits);
     let connection = builder.serve_connection(stream, service);
