web: a long answer behind a slow one keeps its end

An answer of 80,000 bytes that waits behind a slow one lost its last 8,000 bytes and the next answer followed in their place; plain GETs of 90,000 to 300,000 bytes never got their end.

Cause: an exchange counted as answered when its body had been polled to the end, and its in-memory hyper connection was dropped, with up to 32 KiB of that body in hyper's own buffer while Memory::poll_write had no room.

Why it works: hyper flushes its stream only with an empty buffer; an exchange now ends when the body has ended and the last thing that hyper did to the stream is a flush. A write that finds no room takes the flush back.

--- a/components/web/src/pipeline/exchange.rs
+++ b/components/web/src/pipeline/exchange.rs
@@ -85,8 +85,11 @@
             return;
         };
         match driver.as_mut().poll(context) {
-            task::Poll::Pending if self.progress.body_ended.get() => self.driver = None,
-            task::Poll::Pending => {}
+            task::Poll::Pending => {
+                if self.progress.body_ended.get() && self.memory.is_flushed() {
+                    self.driver = None;
+                }
+            }
             task::Poll::Ready(ended) => {
                 let whole = ended.is_ok() && self.progress.body_ended.get();
                 self.progress.failed.set(!whole);
--- a/components/web/src/pipeline/memory.rs
+++ b/components/web/src/pipeline/memory.rs
@@ -18,6 +18,8 @@
     request: Vec<u8>,
     taken: usize,
     answer: Vec<u8>,
+    /// Whether the writer has written all that it had.
+    is_flushed: bool,
     /// Waker of the writer, for when the response has been taken.
     writer: Option<task::Waker>,
 }
@@ -31,6 +33,7 @@
             request,
             taken: 0,
             answer: Vec::new(),
+            is_flushed: false,
             writer: None,
         };
         Self {
@@ -38,6 +41,11 @@
         }
     }
 
+    /// Whether the writer has written all that it had; otherwise it holds bytes of its own.
+    pub(crate) fn is_flushed(&self) -> bool {
+        self.state.borrow().is_flushed
+    }
+
     /// Moves the written bytes to `to`; returns whether there were any.
     pub(crate) fn take_answer(&self, to: &mut Vec<u8>) -> bool {
         let mut state = self.state.borrow_mut();
@@ -80,6 +88,7 @@
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
         let mut state = self.state.borrow_mut();
+        state.is_flushed = false;
         if state.answer.len() >= Self::AHEAD {
             state.writer = Some(context.waker().clone());
             return task::Poll::Pending;
@@ -88,10 +97,12 @@
         task::Poll::Ready(Ok(bytes.len()))
     }
 
+    /// hyper flushes the stream only once its own buffer is empty.
     fn poll_flush(
         self: pin::Pin<&mut Self>,
         _: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
+        self.state.borrow_mut().is_flushed = true;
         task::Poll::Ready(Ok(()))
     }
 
--- a/components/web/tests/answers.rs
+++ b/components/web/tests/answers.rs
@@ -196,3 +196,25 @@
     assert!(places.iter().all(Option::is_some), "{places:?}");
     assert!(places.is_sorted(), "{places:?}");
 }
+
+/// A long answer that waits behind a slow one keeps its end.
+#[compio::test]
+async fn long_answer_behind_slow_one_is_whole() {
+    for pieces in [7, 8, 9, 10, 11, 12, 16, 20] {
+        let mut bench = Bench::open().await;
+        let gate = bench.gate();
+        let path = format!("/{pieces}");
+        bench
+            .send(&[&get("/gated"), &get(&path), &get("/next")])
+            .await;
+        compio::time::sleep(Duration::from_millis(100)).await;
+        gate.send(()).expect("the first request waits");
+        let text = bench.read(usize::MAX).await;
+        let start = format!("x-path: {path}\r\n");
+        let long = text.split(&start).nth(1).expect("it is answered");
+        let body = long.split_once("\r\n\r\n").expect("it has a head").1;
+        let whole = body.bytes().take_while(|byte| *byte == b'a').count();
+        assert_eq!(whole, length(pieces, Ending::Whole), "{pieces} pieces");
+        assert!(text.contains("x-path: /next"), "{pieces} pieces");
+    }
+}
