web: an answer without end waits for its caller

A backend server's body without end took over 110 MB of the node that passed it on in 0.3 s, though its caller read 10 MB a second; the node was killed, and all requests of its other callers ended.

Cause: Pipeline moved whatever the oldest request had been answered to unwritten, without a bound, so that reading from the backend server was never held back; each write moved the rest of it (drain).

--- a/components/web/src/pipeline/exchange.rs
+++ b/components/web/src/pipeline/exchange.rs
@@ -11,6 +11,7 @@
 use hyper::server::conn::http1;
 
 use super::memory::Memory;
+use super::outbox::Outbox;
 use crate::server::Handler;
 use crate::{Limits, Peer};
 
@@ -101,7 +102,7 @@
     }
 
     /// Moves what was answered to `to`; whether there was something.
-    pub(crate) fn take_answer(&mut self, to: &mut Vec<u8>) -> bool {
+    pub(crate) fn take_answer(&mut self, to: &mut Outbox) -> bool {
         self.memory.take_answer(to)
     }
 
--- a/components/web/src/pipeline/memory.rs
+++ b/components/web/src/pipeline/memory.rs
@@ -8,6 +8,8 @@
 
 use hyper::rt;
 
+use super::outbox::Outbox;
+
 /// Stream of an in-memory server connection, with one request to read; clones share the state.
 #[derive(Clone)]
 pub(crate) struct Memory {
@@ -25,8 +27,8 @@
 }
 
 impl Memory {
-    /// Maximum number of bytes of a response that are buffered behind earlier responses.
-    const AHEAD: usize = 64 * 1024;
+    /// Maximum number of bytes of a response that wait to be written to the client.
+    const AHEAD: usize = 32 * 1024;
 
     pub(crate) fn new(request: Vec<u8>) -> Self {
         let state = State {
@@ -47,7 +49,7 @@
     }
 
     /// Moves the written bytes to `to`; returns whether there were any.
-    pub(crate) fn take_answer(&self, to: &mut Vec<u8>) -> bool {
+    pub(crate) fn take_answer(&self, to: &mut Outbox) -> bool {
         let mut state = self.state.borrow_mut();
         if state.answer.is_empty() {
             return false;
@@ -89,12 +91,13 @@
     ) -> task::Poll<io::Result<usize>> {
         let mut state = self.state.borrow_mut();
         state.is_flushed = false;
-        if state.answer.len() >= Self::AHEAD {
+        let count = bytes.len().min(Self::AHEAD - state.answer.len());
+        if count == 0 && !bytes.is_empty() {
             state.writer = Some(context.waker().clone());
             return task::Poll::Pending;
         }
-        state.answer.extend_from_slice(bytes);
-        task::Poll::Ready(Ok(bytes.len()))
+        state.answer.extend_from_slice(&bytes[..count]);
+        task::Poll::Ready(Ok(count))
     }
 
     /// hyper flushes the stream only once its own buffer is empty.
--- a/components/web/src/pipeline/mod.rs
+++ b/components/web/src/pipeline/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod exchange;
 mod head;
 mod memory;
+mod outbox;
 mod rewound;
 
 use std::collections::VecDeque;
@@ -23,6 +24,7 @@
 
 use self::exchange::{Driven, Exchange};
 use self::head::Head;
+use self::outbox::Outbox;
 pub(crate) use self::rewound::Rewound;
 use crate::Limits;
 
@@ -48,8 +50,7 @@
     read: Vec<u8>,
     /// Requests without a complete response, oldest first.
     exchanges: VecDeque<Exchange<D>>,
-    /// Bytes of responses not written yet.
-    unwritten: Vec<u8>,
+    outbox: Outbox,
     next: Next,
 }
 
@@ -80,7 +81,7 @@
             limits,
             read: Vec::new(),
             exchanges: VecDeque::new(),
-            unwritten: Vec::new(),
+            outbox: Outbox::default(),
             next: Next::Request,
         }
     }
@@ -106,7 +107,7 @@
         let mut stopped = pin::pin!(stop.requested());
         let mut taken = false;
         loop {
-            let idle = self.exchanges.is_empty() && self.unwritten.is_empty();
+            let idle = self.exchanges.is_empty() && self.outbox.is_empty();
             if idle && self.next != Next::Request {
                 return Ok(());
             }
@@ -206,8 +207,10 @@
         for exchange in &mut self.exchanges {
             exchange.poll(context);
         }
-        while let Some(first) = self.exchanges.front_mut() {
-            moved |= first.take_answer(&mut self.unwritten);
+        while self.outbox.has_room()
+            && let Some(first) = self.exchanges.front_mut()
+        {
+            moved |= first.take_answer(&mut self.outbox);
             let Some(whole) = first.is_answered() else {
                 break;
             };
@@ -224,17 +227,17 @@
     }
 
     fn poll_write(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
-        if self.unwritten.is_empty() {
+        if self.outbox.is_empty() {
             return task::Poll::Pending;
         }
         let mut stream = pin::Pin::new(&mut self.stream);
         let written = task::ready!(rt::Write::poll_write(
             stream.as_mut(),
             context,
-            &self.unwritten
+            self.outbox.unwritten()
         ))?;
-        self.unwritten.drain(..written);
-        if self.unwritten.is_empty() {
+        self.outbox.advance(written);
+        if self.outbox.is_empty() {
             let _ = rt::Write::poll_flush(stream, context)?;
         }
         task::Poll::Ready(Ok(()))
--- a/components/web/tests/answers.rs
+++ b/components/web/tests/answers.rs
@@ -13,6 +13,10 @@
 use hyper::body::Incoming;
 
 const PIECE_BYTES: usize = 8_000;
+/// Pieces of a body that no caller reads whole.
+const ENDLESS_PIECES: usize = 5_000;
+/// Bytes that the sockets of both sides hold at most.
+const SOCKETS_BYTES: usize = 16 * 1024 * 1024;
 
 /// How a body ends.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -26,6 +30,7 @@
 struct Pieces {
     left: usize,
     ending: Ending,
+    given: rc::Rc<cell::Cell<usize>>,
 }
 
 impl http_body::Body for Pieces {
@@ -48,15 +53,31 @@
             _ => {}
         }
         self.left -= 1;
+        self.given.set(self.given.get() + PIECE_BYTES);
         let piece = Bytes::from(vec![b'a'; PIECE_BYTES]);
         task::Poll::Ready(Some(Ok(http_body::Frame::data(piece))))
     }
 }
 
-/// Answers by the path: `/broken`, `/gated`, a number of pieces, or one piece.
+/// Answers by the path: `/broken`, `/endless`, `/gated`, a number of pieces, or one piece.
 #[derive(Clone, Default)]
 struct Scripted {
     gate: rc::Rc<cell::RefCell<Option<oneshot::Receiver<()>>>>,
+    given: rc::Rc<cell::Cell<usize>>,
+}
+
+impl Scripted {
+    /// Waits until bodies are asked for no more; returns the bytes that they gave.
+    async fn until_still(&self) -> usize {
+        let mut given = 0;
+        loop {
+            compio::time::sleep(Duration::from_millis(200)).await;
+            if self.given.get() == given {
+                return given;
+            }
+            given = self.given.get();
+        }
+    }
 }
 
 impl web::Handler for Scripted {
@@ -66,6 +87,7 @@
         let path = request.uri().path();
         let (left, ending) = match path {
             "/broken" => (1, Ending::Breaks),
+            "/endless" => (ENDLESS_PIECES, Ending::Whole),
             _ => (path[1..].parse().unwrap_or(1), Ending::Whole),
         };
         if matches!(path, "/gated" | "/broken") {
@@ -74,9 +96,16 @@
                 let _ = gate.await;
             }
         }
-        let body = Pieces { left, ending };
+        let body = Pieces {
+            left,
+            ending,
+            given: self.given.clone(),
+        };
         let answer = http::Response::builder().header("x-path", request.uri().path());
-        let answer = answer.header("content-length", length(left, ending));
+        let answer = match left {
+            ENDLESS_PIECES => answer,
+            _ => answer.header("content-length", length(left, ending)),
+        };
         answer.body(body).expect("the head is valid")
     }
 }
@@ -218,3 +247,12 @@
         assert!(text.contains("x-path: /next"), "{pieces} pieces");
     }
 }
+
+/// An answer without end to a caller that reads nothing is not kept in memory.
+#[compio::test]
+async fn endless_answer_waits_for_slow_caller() {
+    let mut bench = Bench::open().await;
+    bench.send(&[&get("/endless")]).await;
+    let given = bench.scripted.until_still().await;
+    assert!(given < SOCKETS_BYTES, "{given} bytes were taken");
+}
