platform: one odd entry of the store hides none of the others

What operators would see: one entry of another writer (nested 10,000 deep, 1e400, a field of another type, a value that is no base64) made a whole listing or watch of the product's own object API unreadable, so that nodes could not start from it and stopped following.

Cause: wire::decode_listing and decode_events read the answer in one piece.

Evidence: page_with_odd_object_has_the_others and events_with_odd_event_have_the_others failed before, at the first entry. The adapter's form reads each entry by itself already; odd_entry_hides_no_other passed as it was written.

Why it works: entries are kept raw, which needs no recursion, and each is decoded by itself; one that is unreadable is left out with the line entry-unreadable.

--- a/components/platform/src/wire.rs
+++ b/components/platform/src/wire.rs
@@ -3,6 +3,7 @@
 use base64::Engine;
 use base64::engine::general_purpose;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::{Error, Event, Events, Key, Listing, Object, Revision};
 
@@ -14,9 +15,10 @@
 }
 
 #[derive(Deserialize)]
-struct WireListing {
+struct WireListing<'a> {
     revision: u64,
-    objects: Vec<WireObject>,
+    #[serde(borrow)]
+    objects: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -27,9 +29,10 @@
 }
 
 #[derive(Deserialize)]
-struct WireEvents {
+struct WireEvents<'a> {
     revision: u64,
-    events: Vec<WireEvent>,
+    #[serde(borrow)]
+    events: Vec<&'a RawValue>,
 }
 
 impl TryFrom<WireObject> for Object {
@@ -58,34 +61,49 @@
     }
 }
 
-/// Reads the answer to a list.
+/// Reads the answer to a list; an object that cannot be read is left out.
 ///
 /// # Errors
 /// [`Error::Unknown`] where it is malformed.
 pub(crate) fn decode_listing(text: &[u8]) -> Result<Listing, Error> {
-    let wire: WireListing = serde_json::from_slice(text).map_err(|_| unreadable())?;
-    let objects: Result<Vec<Object>, Error> =
-        wire.objects.into_iter().map(TryInto::try_into).collect();
+    let wire: WireListing<'_> = serde_json::from_slice(text).map_err(|_| unreadable())?;
     Ok(Listing {
         revision: Revision(wire.revision),
-        objects: objects?,
+        objects: decode_entries::<WireObject, _>(&wire.objects),
     })
 }
 
-/// Reads the answer to a watch.
+/// Reads the answer to a watch; an event that cannot be read is left out.
 ///
 /// # Errors
 /// [`Error::Unknown`] where it is malformed.
 pub(crate) fn decode_events(text: &[u8]) -> Result<Events, Error> {
-    let wire: WireEvents = serde_json::from_slice(text).map_err(|_| unreadable())?;
-    let events: Result<Vec<Event>, Error> =
-        wire.events.into_iter().map(TryInto::try_into).collect();
+    let wire: WireEvents<'_> = serde_json::from_slice(text).map_err(|_| unreadable())?;
     Ok(Events {
         revision: Revision(wire.revision),
-        events: events?,
+        events: decode_entries::<WireEvent, _>(&wire.events),
     })
 }
 
+/// Reads each entry by itself, so that one of another writer does not hide the others.
+fn decode_entries<'a, W, T>(entries: &[&'a RawValue]) -> Vec<T>
+where
+    W: Deserialize<'a>,
+    T: TryFrom<W, Error = Error>,
+{
+    let decoded = entries.iter().map(|entry| {
+        let wire: W = serde_json::from_str(entry.get()).map_err(|_| unreadable())?;
+        wire.try_into()
+    });
+    let readable = decoded.filter_map(|entry: Result<T, Error>| {
+        if let Err(error) = &entry {
+            log::warn!(event = "entry-unreadable", error:% = error; "an entry of the store is left out");
+        }
+        entry.ok()
+    });
+    readable.collect()
+}
+
 fn decode_key(text: &str) -> Result<Key, Error> {
     text.parse().map_err(|_| unreadable())
 }
