node: an answer that is not read ends at its deadline

What callers would see: one that stops reading a long answer keeps a slot and a connection of the backend server for good; others wait.

Cause: ResponseBody looked at its deadline only in poll_frame, which hyper does not call while it cannot write.

Why it works: the body shares its source with a timer task that truncates it at the deadline; it is started once a part has been given and more is to come, and takes the place of the timer for parts that are awaited.

--- a/node/src/call/response_body.rs
+++ b/node/src/call/response_body.rs
@@ -1,6 +1,8 @@
 //! Response body on its way to the requester.
 
+use std::cell;
 use std::pin;
+use std::rc;
 use std::task;
 use std::time;
 
@@ -27,27 +29,41 @@
 }
 
 /// Response body on its way to the requester; a truncated body ends with an error.
+///
+/// The body is truncated at its deadline also while nobody asks for its next part, so that a requester
+/// that does not read holds no backend server.
 pub struct ResponseBody<W: BodyObserver> {
-    source: Source,
-    observer: Option<W>,
+    held: rc::Rc<cell::RefCell<Held<W>>>,
     deadline: time::Instant,
     timer: Option<Timer>,
 }
 
+struct Held<W> {
+    /// `None` once the body was truncated at its deadline.
+    source: Option<Source>,
+    observer: Option<W>,
+    /// Waker of the one that waits for the next part.
+    waiting: Option<task::Waker>,
+}
+
 impl<W: BodyObserver> ResponseBody<W> {
     /// Creates a body from `source` that has to be complete by `deadline`.
     #[must_use]
     pub fn new(source: Source, observer: Option<W>, deadline: time::Instant) -> Self {
-        let mut body = Self {
-            source,
+        let is_ended = source.is_end_stream();
+        let mut held = Held {
+            source: Some(source),
             observer,
+            waiting: None,
+        };
+        if is_ended {
+            held.end(BodyEnd::Complete);
+        }
+        Self {
+            held: rc::Rc::new(cell::RefCell::new(held)),
             deadline,
             timer: None,
-        };
-        if body.source.is_end_stream() {
-            body.end(BodyEnd::Complete);
         }
-        body
     }
 
     /// Creates a body in memory without an observer.
@@ -58,25 +74,63 @@
 
     /// Separates the rest of the body from its observer.
     #[must_use]
-    pub fn into_parts(mut self) -> (Source, Option<W>) {
-        let source = std::mem::replace(&mut self.source, Source::memory(Bytes::new()));
-        (source, self.observer.take())
+    pub fn into_parts(self) -> (Source, Option<W>) {
+        let mut held = self.held.borrow_mut();
+        let source = held.source.take();
+        let source = source.unwrap_or_else(|| Source::memory(Bytes::new()));
+        (source, held.observer.take())
     }
 
+    /// Truncates the body at its deadline, whether or not its next part is asked for.
+    fn start_timer(&mut self) {
+        if self.timer.is_some() || self.held.borrow().observer.is_none() {
+            return;
+        }
+        let held = rc::Rc::downgrade(&self.held);
+        self.timer = Some(Timer::start(self.deadline, move || {
+            if let Some(held) = held.upgrade() {
+                held.borrow_mut().truncate();
+            }
+        }));
+    }
+}
+
+impl<W: BodyObserver> Held<W> {
     fn end(&mut self, ended: BodyEnd) {
-        self.timer = None;
         if let Some(observer) = self.observer.take() {
             observer.end(ended);
         }
     }
 
-    fn poll_timer(&mut self, context: &mut task::Context<'_>) -> task::Poll<()> {
+    fn truncate(&mut self) {
         if self.observer.is_none() {
+            return;
+        }
+        self.source = None;
+        self.end(BodyEnd::Truncated);
+        if let Some(waiting) = self.waiting.take() {
+            waiting.wake();
+        }
+    }
+
+    fn poll_frame(
+        &mut self,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<http_body::Frame<Bytes>, web::Fault>>> {
+        let Some(source) = &mut self.source else {
+            return task::Poll::Ready(Some(Err(web::Fault::Cut)));
+        };
+        let task::Poll::Ready(polled) = source.poll_frame(context) else {
+            self.waiting = Some(context.waker().clone());
             return task::Poll::Pending;
+        };
+        match &polled {
+            None => self.end(BodyEnd::Complete),
+            Some(Err(_)) => self.end(BodyEnd::Truncated),
+            Some(Ok(_)) if source.is_end_stream() => self.end(BodyEnd::Complete),
+            Some(Ok(_)) => {}
         }
-        let deadline = self.deadline;
-        let timer = self.timer.get_or_insert_with(|| Timer::new(deadline));
-        timer.poll(context)
+        task::Poll::Ready(polled)
     }
 }
 
@@ -89,33 +143,31 @@
         context: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<http_body::Frame<Bytes>, web::Fault>>> {
         let body = self.get_mut();
-        let polled = match body.source.poll_frame(context) {
-            task::Poll::Ready(polled) => polled,
-            task::Poll::Pending => {
-                task::ready!(body.poll_timer(context));
-                Some(Err(web::Fault::Cut))
-            }
-        };
-        match &polled {
-            None => body.end(BodyEnd::Complete),
-            Some(Err(_)) => body.end(BodyEnd::Truncated),
-            Some(Ok(_)) if body.source.is_end_stream() => body.end(BodyEnd::Complete),
-            Some(Ok(_)) => {}
+        let polled = body.held.borrow_mut().poll_frame(context);
+        if body.held.borrow().observer.is_some() {
+            body.start_timer();
+        } else {
+            body.timer = None;
         }
-        task::Poll::Ready(polled)
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
-        self.source.is_end_stream()
+        let held = self.held.borrow();
+        held.source.as_ref().is_some_and(Source::is_end_stream)
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
-        self.source.size_hint()
+        let held = self.held.borrow();
+        held.source
+            .as_ref()
+            .map(Source::size_hint)
+            .unwrap_or_default()
     }
 }
 
 impl<W: BodyObserver> Drop for ResponseBody<W> {
     fn drop(&mut self) {
-        self.end(BodyEnd::Dropped);
+        self.held.borrow_mut().end(BodyEnd::Dropped);
     }
 }
--- a/node/src/call/timer.rs
+++ b/node/src/call/timer.rs
@@ -1,34 +1,27 @@
-//! Timer for bodies that are still being received.
+//! Timer for bodies that are not complete.
 
 use std::pin;
-use std::task;
 use std::time;
 
 use futures_channel::oneshot;
 use futures_util::future;
 
-/// Timer that fires at a deadline; a task of its own keeps the time, and ends with the timer.
+/// Timer that acts at a deadline; a task of its own keeps the time, and ends with the timer.
 pub(crate) struct Timer {
-    receiver: oneshot::Receiver<()>,
+    _sender: oneshot::Sender<()>,
 }
 
 impl Timer {
-    pub(crate) fn new(deadline: time::Instant) -> Self {
-        let (mut sender, receiver) = oneshot::channel();
+    /// Starts a timer that calls `act` at `deadline`, unless it is dropped before.
+    pub(crate) fn start(deadline: time::Instant, act: impl FnOnce() + 'static) -> Self {
+        let (sender, dropped) = oneshot::channel();
         compio::runtime::spawn(async move {
             let passed = pin::pin!(compio::time::sleep_until(deadline));
-            let dropped = sender.cancellation();
             if let future::Either::Left(_) = future::select(passed, dropped).await {
-                let _ = sender.send(());
+                act();
             }
         })
         .detach();
-        Self { receiver }
-    }
-
-    /// Completes when the deadline has passed.
-    pub(crate) fn poll(&mut self, context: &mut task::Context<'_>) -> task::Poll<()> {
-        let receiver = pin::Pin::new(&mut self.receiver);
-        receiver.poll(context).map(|_| ())
+        Self { _sender: sender }
     }
 }
