upstream: a request that may run once outlasts a full link

Cause: hyper closes an HTTP/2 connection whose ping is not answered within 1 s, with all requests on it. Where a link is full of bodies, pings wait behind them; docs/design/memory.md suspected that. Ruled out: the order of close at a stop (the requests ended 1.7 s before anything is closed).

Why it works: Patience says what a request does on a silent connection. One that may be sent again ends after 1.4 s as before; one that may run once waits until its own time is up. The pool retires the connection after 1.4 s as before, and hyper closes it 20 s after an unanswered ping.

--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -2,14 +2,16 @@
 
 use std::cell;
 use std::io;
+use std::pin;
 use std::rc;
 use std::time;
 
 use compio::net;
+use futures_util::future;
 use hyper::client::conn::http2;
 
 use crate::watched::Watched;
-use crate::{Cause, Failure, Feed, Lease, Reply, Settings};
+use crate::{Cause, Failure, Feed, Lease, Patience, Reply, Settings};
 
 /// HTTP/2 connection; clones share it.
 #[derive(Clone)]
@@ -24,6 +26,22 @@
     pub(crate) busy_since: cell::Cell<time::Instant>,
     last_read: rc::Rc<cell::Cell<time::Instant>>,
     pub(crate) closed: cell::Cell<bool>,
+    /// Silence after which the connection takes no more requests for good.
+    retire_after: time::Duration,
+}
+
+impl State {
+    /// When the server was last heard, or the first of the requests that wait began to.
+    fn heard(&self) -> time::Instant {
+        self.last_read.get().max(self.busy_since.get())
+    }
+
+    /// Ends the use of a connection that has been silent for too long; what waits on it goes on.
+    pub(crate) fn retire_if_silent(&self) {
+        if self.in_flight.get() > 0 && self.heard().elapsed() >= self.retire_after {
+            self.closed.set(true);
+        }
+    }
 }
 
 /// A request that did not get an answer.
@@ -37,6 +55,9 @@
 impl Connection {
     /// HTTP/2 stream and connection windows, in bytes.
     const WINDOW_BYTES: u32 = 1024 * 1024;
+    /// Time for the answer to a ping after which the connection is closed, with all requests on it:
+    /// longer than they usually wait, as pings queue behind bodies where a link is full.
+    const CLOSE_AFTER: time::Duration = time::Duration::from_secs(20);
 
     /// Connects to `address`, and waits until the server has sent its settings.
     ///
@@ -51,7 +72,7 @@
         let handshake = http2::Builder::new(web::Executor)
             .timer(web::Timer)
             .keep_alive_interval(settings.ping_interval.0)
-            .keep_alive_timeout(settings.ping_timeout.0)
+            .keep_alive_timeout(Self::CLOSE_AFTER)
             .initial_stream_window_size(Self::WINDOW_BYTES)
             .initial_connection_window_size(4 * Self::WINDOW_BYTES)
             .handshake(watched)
@@ -62,6 +83,7 @@
             busy_since: cell::Cell::new(now),
             last_read,
             closed: cell::Cell::new(false),
+            retire_after: settings.ping_interval.0 + settings.ping_timeout.0,
         });
         let ending = state.clone();
         compio::runtime::spawn(async move {
@@ -93,13 +115,12 @@
         if self.in_flight() == 0 {
             return false;
         }
-        let heard = self.state.last_read.get().max(self.state.busy_since.get());
-        now.saturating_duration_since(heard) > limit
+        now.saturating_duration_since(self.state.heard()) > limit
     }
 
     /// Whether no request has been on it for `limit`.
     pub(crate) fn is_idle(&self, now: time::Instant, limit: time::Duration) -> bool {
-        let used = self.state.last_read.get().max(self.state.busy_since.get());
+        let used = self.state.heard();
         self.in_flight() == 0 && now.saturating_duration_since(used) >= limit
     }
 
@@ -108,13 +129,44 @@
         rc::Rc::ptr_eq(&self.state, &other.state)
     }
 
+    /// Completes once the server has not been heard for the time after which a connection is retired.
+    async fn silence(&self) {
+        loop {
+            let left = self
+                .state
+                .retire_after
+                .saturating_sub(self.state.heard().elapsed());
+            if left.is_zero() {
+                return;
+            }
+            compio::time::sleep(left).await;
+        }
+    }
+
     /// Sends one request on a stream of its own.
-    pub(crate) async fn send(mut self, request: http::Request<Feed>) -> Result<Reply, Unanswered> {
+    pub(crate) async fn send(
+        mut self,
+        request: http::Request<Feed>,
+        patience: Patience,
+    ) -> Result<Reply, Unanswered> {
         let lease = Lease::new(self.state.clone());
         if self.sender.ready().await.is_err() {
             return Err(Unanswered::Unsent(Box::new(request)));
         }
-        match self.sender.try_send_request(request).await {
+        let answered = self.sender.try_send_request(request);
+        let answered = match patience {
+            Patience::Answer => answered.await,
+            Patience::Silence => {
+                let silence = pin::pin!(self.silence());
+                match future::select(pin::pin!(answered), silence).await {
+                    future::Either::Left((answered, _)) => answered,
+                    future::Either::Right(_) => {
+                        return Err(Unanswered::Failed(Cause::Silent.into()));
+                    }
+                }
+            }
+        };
+        match answered {
             Ok(response) => Ok(Reply { response, lease }),
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(Unanswered::Unsent(Box::new(request))),
--- a/components/upstream/src/pool.rs
+++ b/components/upstream/src/pool.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 use crate::connection::{Connection, Unanswered};
-use crate::{Cause, Dialer, Failure, Feed, Reply, Settings};
+use crate::{Cause, Dialer, Failure, Feed, Patience, Reply, Settings};
 
 /// Connections to one server; clones share them.
 #[derive(Clone)]
@@ -105,11 +105,15 @@
     ///
     /// # Errors
     /// The failure says what became of the request.
-    pub async fn send(&self, request: http::Request<Feed>) -> Result<Reply, Failure> {
+    pub async fn send(
+        &self,
+        request: http::Request<Feed>,
+        patience: Patience,
+    ) -> Result<Reply, Failure> {
         let mut request = request;
         for _ in 0..Self::UNSENT_TRIES {
             let connection = self.connection().await?;
-            match connection.clone().send(request).await {
+            match connection.clone().send(request, patience).await {
                 Ok(reply) => return Ok(reply),
                 Err(Unanswered::Failed(failure)) => return Err(failure),
                 Err(Unanswered::Unsent(unsent)) => {
--- a/components/upstream/src/reply.rs
+++ b/components/upstream/src/reply.rs
@@ -68,6 +68,7 @@
 
 impl Drop for Stream {
     fn drop(&mut self) {
+        self.state.retire_if_silent();
         self.state.in_flight.set(self.state.in_flight.get() - 1);
     }
 }
--- a/components/upstream/src/server.rs
+++ b/components/upstream/src/server.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Counts, Dialer, Failure, Feed, Lines, Pool, Reply, Settings};
+use crate::{Counts, Dialer, Failure, Feed, Lines, Patience, Pool, Reply, Settings};
 
 /// Version of HTTP that backend servers speak.
 #[derive(
@@ -81,7 +81,7 @@
     pub async fn send(&self, request: http::Request<Feed>) -> Result<Reply, Failure> {
         match self {
             Self::Http1(lines) => lines.send(request).await,
-            Self::Http2(pool) => pool.send(request).await,
+            Self::Http2(pool) => pool.send(request, Patience::Silence).await,
         }
     }
 }
--- a/components/upstream/src/settings.rs
+++ b/components/upstream/src/settings.rs
@@ -17,7 +17,8 @@
         pub connect_timeout: units::Period,
         /// Interval of pings on a connection that has requests.
         pub ping_interval: units::Period,
-        /// Time for the answer to a ping, after which the connection is retired.
+        /// Time for the answer to a ping, after which the connection is retired: requests that may be sent
+        /// again end, the others wait on.
         pub ping_timeout: units::Period,
         /// Silence after which a connection gets no new requests.
         pub silent_after: units::Period,
--- a/components/upstream/tests/pool.rs
+++ b/components/upstream/tests/pool.rs
@@ -6,7 +6,7 @@
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use upstream::{Dialer, Feed, Pool, Settings};
+use upstream::{Dialer, Feed, Patience, Pool, Settings};
 use web::Body;
 
 const PING: Duration = Duration::from_millis(40);
@@ -57,7 +57,10 @@
 
 /// Sends a request and reads its answer.
 async fn exchange(pool: &Pool, address: units::Address) {
-    let reply = pool.send(request(address)).await.expect("an answer");
+    let reply = pool
+        .send(request(address), Patience::Silence)
+        .await
+        .expect("an answer");
     let body = reply.response.into_body().collect().await;
     assert_eq!(body.expect("a whole body").to_bytes().as_ref(), b"menu");
 }
@@ -84,7 +87,8 @@
     for _ in 0..3 {
         exchange(&pool, address).await;
         compio::time::sleep(4 * PING).await;
-        let given_up = compio::time::timeout(PING / 10, pool.send(request(address))).await;
+        let given_up =
+            compio::time::timeout(PING / 10, pool.send(request(address), Patience::Silence)).await;
         assert!(given_up.is_err());
         compio::time::sleep(4 * PING).await;
     }
--- a/node/src/call/idempotency.rs
+++ b/node/src/call/idempotency.rs
@@ -110,7 +110,7 @@
         envelope.write(&mut headers, time::Instant::now());
         let request = build_request(&job.head, headers, backup, upstream::Feed::empty())?;
         let pool = self.pools().get(backup);
-        let sent = pool.send(request);
+        let sent = pool.send(request, upstream::Patience::Silence);
         let not_noted = Problem::retryable(Reason::Refused(admission::Reason::KeyNotNoted));
         let sent = compio::time::timeout(Self::NOTE_LIMIT, sent).await;
         let reply = sent.map_err(|_| not_noted)?.map_err(|_| not_noted)?;
--- a/node/src/call/ingress/attempt.rs
+++ b/node/src/call/ingress/attempt.rs
@@ -4,7 +4,7 @@
 
 use compact_str::{CompactString, format_compact};
 use routing::{Endpoint, Observer, Sample};
-use upstream::Outcome;
+use upstream::{Outcome, Patience};
 
 use super::delivery::Delivery;
 use super::history::History;
@@ -144,7 +144,12 @@
         let headers = std::mem::take(&mut head.headers);
         let request = build_request(&head, headers, endpoint.address, feed)?;
         let pool = self.shared.owner.pools().get(endpoint.address);
-        let sent = pool.send(request).await;
+        let patience = if arrival.idempotent {
+            Patience::Silence
+        } else {
+            Patience::Answer
+        };
+        let sent = pool.send(request, patience).await;
         let reply = match sent {
             Ok(reply) => reply,
             Err(failure) if arrival.payload.fault().is_some() => {
