--- a/components/moves/src/canary/mod.rs
+++ b/components/moves/src/canary/mod.rs
@@ -6,11 +6,13 @@
 //! even while the store is unavailable. The end is written to the order's status with a conditional
 //! update on its revision, so that it is written only once.
 
+mod comparison;
 mod cusum;
 mod judge;
 mod observations;
 mod order;
 mod orders;
+mod recent;
 mod reports;
 mod rise;
 mod schedule;
