--- a/components/moves/src/canary/orders.rs
+++ b/components/moves/src/canary/orders.rs
@@ -114,11 +114,8 @@
 
     /// Applies the end of a move that the store holds.
     pub(super) fn apply_end(&self, order: &Order) {
-        let counts = self.with_trial(&order.service, |trial| trial.observations().total());
-        let counts = counts.unwrap_or_default();
         log::info!(service = order.service.as_str(), version = order.version.as_str(),
-            phase:? = order.phase, requests = counts.requests, failures = counts.failures,
-            slow = counts.slow; "move ended");
+            phase:? = order.phase; "move ended");
         if order.phase == Phase::Done {
             self.parts.withheld.remove(&order.service, &order.version);
             self.parts.splits.establish(&order.service, &order.version);
