moves: only judges doubt a version, and more evidence decides on it

By reading: each node doubted and decided by its own few counts, though only judges hear of those of others; two failures at any node were enough to take a good version back late in a move.

Routes on which all versions fail no longer count against the new one (largest rate of a good version 0.9 in place of 0.7).

--- a/components/moves/src/canary/comparison.rs
+++ b/components/moves/src/canary/comparison.rs
@@ -17,7 +17,7 @@
     /// Rate on top of it that a version like the others may have.
     const FINE_RATE: f64 = 0.02;
     /// Largest rate of a good version.
-    const MAX_RATE: f64 = 0.7;
+    const MAX_RATE: f64 = 0.9;
 
     /// Adds `requests` with `hits`, where the other versions have a rate of `base` and a good version
     /// may have one of `good` on top.
--- a/components/moves/src/canary/judge.rs
+++ b/components/moves/src/canary/judge.rs
@@ -32,11 +32,15 @@
     /// Sum at which a version is bad: about one false alarm in a thousand requests of a good version.
     const THRESHOLD: f64 = 8.0;
     /// Sum of the fine comparison at which a version is bad if no more evidence can be awaited.
-    const LATE_THRESHOLD: f64 = 3.0;
+    const LATE_THRESHOLD: f64 = 4.0;
     /// Sum of the fine comparison at which a version is doubted.
     const DOUBT: f64 = 1.5;
     /// Sum of the evidence for a version without which it is doubted.
     const TRUST: f64 = 2.5;
+    /// Evidence for a version, a request, without which it is bad if no more can be awaited.
+    const LATE_TRUST: f64 = 0.02;
+    /// Requests below which that evidence is too small to tell.
+    const LATE_REQUESTS: u64 = 50;
     /// Rates of requests that fail, and that fail or are slow, which a good version may have on top: its
     /// backend servers may be slower than the others, and cold.
     const GOOD_FAILURE_RATE: f64 = 0.04;
@@ -54,18 +58,36 @@
     /// is found to be bad.
     #[must_use]
     pub fn decide(&self) -> Option<CompactString> {
+        let is_worse = || {
+            let reason = CompactString::const_new("requests are slow or fail more often");
+            let requests = self.requests();
+            // Counts stay far below 2^52.
+            #[allow(clippy::cast_precision_loss)]
+            let is_trusted = self.balance() <= -Self::LATE_TRUST * requests as f64;
+            (requests >= Self::LATE_REQUESTS && !is_trusted).then_some(reason)
+        };
         self.reason(|one| &one.fine, Self::LATE_THRESHOLD)
+            .or_else(is_worse)
     }
 
     /// Whether the counts so far speak against the version, or too little for it.
     #[must_use]
     pub fn doubts(&self) -> bool {
-        let balance: f64 = self
-            .assessments
+        self.balance() > -Self::TRUST || self.reason(|one| &one.fine, Self::DOUBT).is_some()
+    }
+
+    /// Requests to the version on all routes.
+    fn requests(&self) -> u64 {
+        self.assessments
             .iter()
-            .map(|one| one.poor.fine.balance())
-            .sum();
-        balance > -Self::TRUST || self.reason(|one| &one.fine, Self::DOUBT).is_some()
+            .map(|one| one.counted.requests)
+            .sum()
+    }
+
+    /// Evidence of all routes against the version; negative where it speaks for it.
+    fn balance(&self) -> f64 {
+        let balances = self.assessments.iter().map(|one| one.poor.fine.balance());
+        balances.sum()
     }
 
     /// The first route whose sums that `sum` chooses reach `threshold`.
--- a/components/moves/src/canary/rise.rs
+++ b/components/moves/src/canary/rise.rs
@@ -21,7 +21,7 @@
     /// Time for which a doubt lasts: some reports to the judges.
     const DOUBT_TIME: time::Duration = time::Duration::from_millis(600);
     /// Largest share of a version in doubt: little, and enough to find out.
-    const DOUBT_SHARE: f64 = 0.15;
+    const DOUBT_SHARE: f64 = 0.2;
 
     /// Creates a rise that follows `schedule`.
     #[must_use]
--- a/components/moves/src/canary/schedule.rs
+++ b/components/moves/src/canary/schedule.rs
@@ -23,11 +23,11 @@
     ];
     /// Fraction of the period from which a doubt no longer holds the share: the rest suffices to end
     /// the move as done.
-    const DECIDE_AT: f64 = 0.74;
+    const DECIDE_AT: f64 = 0.8;
     /// Fraction of the period after which the move may end as done.
     const DONE_AFTER: f64 = 0.86;
     /// Fraction of the period for which the version has all traffic before the move ends as done.
-    const FULL: f64 = 0.2;
+    const FULL: f64 = 0.16;
 
     /// Creates the schedule of a move that takes `period`.
     #[must_use]
--- a/components/moves/src/canary/service.rs
+++ b/components/moves/src/canary/service.rs
@@ -214,7 +214,7 @@
         let node = &self.parts.node;
         let rank = judges.iter().position(|judge| judge.node == *node);
         let Some((found, report)) = self.with_trial(service, |trial| {
-            let found = trial.judge();
+            let found = trial.judge(rank.is_some());
             (found, trial.report(node, self.start_id))
         }) else {
             return;
--- a/components/moves/src/canary/trial.rs
+++ b/components/moves/src/canary/trial.rs
@@ -181,19 +181,28 @@
     }
 
     /// Judges by all known counts; returns whether the version has just been found bad.
-    pub(super) fn judge(&mut self) -> bool {
+    ///
+    /// A node to which the others do not report, as it is no judge, finds what is clearly bad, but knows
+    /// too little to doubt or to decide.
+    pub(super) fn judge(&mut self, is_judge: bool) -> bool {
         if self.bad_reason.is_some() || self.order.phase.is_end() {
             return false;
         }
         let observations = self.observations();
         self.bad_reason = self.judge.judge(&observations);
+        if is_judge {
+            self.weigh();
+        }
+        self.bad_reason.is_some()
+    }
+
+    /// Doubts the version, or decides on it once it has to be found good or bad.
+    fn weigh(&mut self) {
         if self.schedule().has_to_decide(self.elapsed()) {
             self.bad_reason = self.bad_reason.take().or_else(|| self.judge.decide());
-        }
-        if self.judge.doubts() {
+        } else if self.judge.doubts() {
             self.doubt();
         }
-        self.bad_reason.is_some()
     }
 
     /// Keeps the share of the version for some time.
