node: a request that has waited on its way to its owner is told

Nothing told the second hypothesis (time handed on) from the others: an owner could not know how long a request had been under way. The sending process stamps each request with its clock; the owner takes the least difference of both clocks in the last 30 to 60 s for that of a message that has not waited, and logs request-delayed and counts radishgap_owner_delayed_total from 250 ms on. No decision reads it yet. For the fourth hypothesis the lines arrivals (called_again) are there, for the third the counts quarantined and crashed, for the first the lines request-retried with attempts.

--- a/node/src/call/counts.rs
+++ b/node/src/call/counts.rs
@@ -49,6 +49,8 @@
 pub struct Owner {
     /// Requests from ingresses, including the ingress of this node.
     pub requests: u64,
+    /// Requests from other nodes that have waited long on their way.
+    pub delayed: u64,
     /// Requests sent to the backend server.
     pub sent: u64,
     /// Requests sent that a backend server may have received before.
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -57,6 +57,8 @@
     pub const KEY_NOTE: HeaderName = HeaderName::from_static("radishgap-key-note");
     /// Between nodes: the request was in flight at a backend server that crashed.
     pub const SUSPECT: HeaderName = HeaderName::from_static("radishgap-suspect");
+    /// Between nodes: process that sends the request and when, in the format of [`super::Stamp`].
+    pub const SENT: HeaderName = HeaderName::from_static("radishgap-sent");
     /// Between nodes: a backend server may have received the request before.
     pub const RESENT: HeaderName = HeaderName::from_static("radishgap-resent");
     /// Between nodes: degree to which a repeated run caused the call, in parts per 10,000.
@@ -71,10 +73,11 @@
     pub const CONFIGURATION: HeaderName = HeaderName::from_static("radishgap-configuration");
 
     /// Headers that are exchanged only between nodes.
-    const INTERNAL: [HeaderName; 16] = [
+    const INTERNAL: [HeaderName; 17] = [
         Self::BACKEND_STATUS,
         Self::CONFIGURATION,
         Self::ROUTE,
+        Self::SENT,
         Self::TARGET_MS,
         Self::PRIORITY,
         Self::SERVICE,
--- a/node/src/call/ingress/attempt.rs
+++ b/node/src/call/ingress/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use compact_str::{CompactString, format_compact};
+use compact_str::{CompactString, ToCompactString, format_compact};
 use routing::{Endpoint, Observer, Sample};
 use upstream::{Outcome, Patience};
 
@@ -10,7 +10,7 @@
 use super::history::History;
 use super::{Answer, Arrival, Dialect, Ingress, Key, Problem, Progress, Reason, Target, hash_text};
 use crate::call::owner::{Execution, Job, broken_body, build_request};
-use crate::call::{Attempt, BackendStatus, Envelope, Headers, Source, WorkReport};
+use crate::call::{Attempt, BackendStatus, Envelope, Headers, Source, Stamp, WorkReport};
 
 impl<L: peer::Link, O: Observer, D: Dialect> Ingress<L, O, D> {
     pub(super) fn envelope(
@@ -141,6 +141,8 @@
         self.shared
             .context
             .write_configuration_version(&mut head.headers);
+        let stamp = Stamp::now(self.shared.id_prefix).to_compact_string();
+        Headers::set(&mut head.headers, Headers::SENT, &stamp);
         let headers = std::mem::take(&mut head.headers);
         let request = build_request(&head, headers, endpoint.address, feed)?;
         let pool = self.shared.owner.pools().get(endpoint.address);
--- a/node/src/call/mod.rs
+++ b/node/src/call/mod.rs
@@ -23,6 +23,7 @@
 mod source;
 mod status;
 mod timer;
+mod transit;
 mod wait_policy;
 mod work_report;
 
@@ -43,5 +44,6 @@
 pub use retry::{Decision, Retry};
 pub use settings::Settings;
 pub use source::Source;
+pub use transit::{Stamp, Transits};
 pub use wait_policy::WaitPolicy;
 pub(crate) use work_report::WorkReport;
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -10,6 +10,7 @@
 mod retry_budget;
 mod run;
 mod signals;
+mod transit;
 mod warmup;
 
 use std::cell;
@@ -24,7 +25,7 @@
 use super::counts::Owner as Counts;
 use super::event::{Event, Inputs};
 use super::pools::Pools;
-use super::{Context, Dialect, Envelope, Native, Problem, Source};
+use super::{Context, Dialect, Envelope, Native, Problem, Source, Transits};
 
 use self::backend::Backend;
 pub(crate) use self::cancel::CancelGuard;
@@ -57,6 +58,8 @@
     /// Channel for notifications that the backend server is leaving.
     departures: cell::RefCell<Option<mpsc::UnboundedSender<()>>>,
     counts: cell::Cell<Counts>,
+    /// Time that requests of other nodes spend on their way.
+    transits: cell::RefCell<Transits>,
     /// Connections to other nodes.
     pools: Pools,
     /// Id of this start of the process, under which other owners record its notes.
@@ -126,6 +129,7 @@
             leaving: cell::Cell::default(),
             departures: cell::RefCell::default(),
             counts: cell::Cell::default(),
+            transits: cell::RefCell::default(),
             pools: Pools::new(&context.settings.upstream),
             start_id: rand::random(),
             context,
@@ -283,6 +287,10 @@
     pub(crate) fn maintain(&self, now: time::Instant) {
         self.log_arrivals(now);
         self.log_rate_usage();
+        self.shared
+            .transits
+            .borrow_mut()
+            .prune(units::Uptime::now());
         let node = &self.shared.context.node;
         self.shared
             .shared_suspects
--- a/node/src/call/owner/handler.rs
+++ b/node/src/call/owner/handler.rs
@@ -20,6 +20,10 @@
         let deadline = envelope.as_ref().map(|envelope| envelope.deadline);
         let id = envelope.as_ref().map(|envelope| envelope.request.clone());
         let route = envelope.as_ref().map(|envelope| envelope.route).ok();
+        if let Ok(envelope) = &envelope {
+            let waited = self.record_transit(&head.headers);
+            self.log_delay(envelope, waited);
+        }
         let (id, deadline) = (
             id.unwrap_or_default(),
             deadline.unwrap_or(time::Instant::now()),
