--- a/node/tests/call/fleet.rs
+++ b/node/tests/call/fleet.rs
@@ -211,6 +211,11 @@
         self.publish();
     }
 
+    /// Address of node `index` for requests of other nodes.
+    pub(crate) fn mesh_address(&self, index: usize) -> units::Address {
+        self.nodes[index].member.mesh_address
+    }
+
     /// The backend server beside node `index` is in the data centre `name`.
     pub(crate) fn place(&mut self, index: usize, name: &str) {
         self.nodes[index].member.data_centre = name.parse().expect("a data centre");
--- a/node/tests/call/main.rs
+++ b/node/tests/call/main.rs
@@ -14,4 +14,5 @@
 mod places;
 mod poison;
 mod routes;
+mod transit;
 mod workspaces;
