node: what a request waits on its way is taken off its deadline

Cause: a deadline travels as a duration and began anew where it was read, behind a starved process or a full link. The class: a duration that is handed on without the time that handing on takes. The owner now takes the wait that the stamp of the sending process shows off deadline and target. Clocks of VMs are never compared, only the change of their difference.

--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -137,6 +137,12 @@
         }
     }
 
+    /// Takes the time that the request has waited on its way off the time that it has left.
+    pub fn subtract(&mut self, waited: time::Duration) {
+        self.deadline = self.deadline.checked_sub(waited).unwrap_or(self.deadline);
+        self.target = self.target.checked_sub(waited).unwrap_or(self.target);
+    }
+
     /// Reads the envelope from the headers of a request from another node.
     ///
     /// # Errors
--- a/node/src/call/owner/handler.rs
+++ b/node/src/call/owner/handler.rs
@@ -16,14 +16,15 @@
         self.shared
             .context
             .apply_configuration_version(&head.headers);
-        let envelope = Envelope::read(&head.headers, time::Instant::now());
+        let envelope = Envelope::read(&head.headers, time::Instant::now()).map(|mut envelope| {
+            let waited = self.record_transit(&head.headers);
+            envelope.subtract(waited);
+            self.log_delay(&envelope, waited);
+            envelope
+        });
         let deadline = envelope.as_ref().map(|envelope| envelope.deadline);
         let id = envelope.as_ref().map(|envelope| envelope.request.clone());
         let route = envelope.as_ref().map(|envelope| envelope.route).ok();
-        if let Ok(envelope) = &envelope {
-            let waited = self.record_transit(&head.headers);
-            self.log_delay(envelope, waited);
-        }
         let (id, deadline) = (
             id.unwrap_or_default(),
             deadline.unwrap_or(time::Instant::now()),
