upstream: the time left is written when a connection takes the request

The deadline is now an extension of the request, and the connection that takes the request writes what is left, each time that it is sent. time_left_is_written_when_the_connection_is_open: without Expiry::write in the connection the server gets no such header and the test fails; with it the test holds.

--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -11,7 +11,7 @@
 use hyper::client::conn::http2;
 
 use crate::watched::Watched;
-use crate::{Cause, Failure, Feed, Lease, Patience, Reply, Settings};
+use crate::{Cause, Expiry, Failure, Feed, Lease, Patience, Reply, Settings};
 
 /// HTTP/2 connection; clones share it.
 #[derive(Clone)]
@@ -146,13 +146,14 @@
     /// Sends one request on a stream of its own.
     pub(crate) async fn send(
         mut self,
-        request: http::Request<Feed>,
+        mut request: http::Request<Feed>,
         patience: Patience,
     ) -> Result<Reply, Unanswered> {
         let lease = Lease::new(self.state.clone());
         if self.sender.ready().await.is_err() {
             return Err(Unanswered::Unsent(Box::new(request)));
         }
+        Expiry::write(&mut request);
         let answered = self.sender.try_send_request(request);
         let answered = match patience {
             Patience::Answer => answered.await,
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -3,6 +3,7 @@
 mod cause;
 mod connection;
 mod dialer;
+mod expiry;
 mod failure;
 mod feed;
 mod head;
@@ -19,6 +20,7 @@
 
 pub use cause::Cause;
 pub use dialer::Dialer;
+pub use expiry::Expiry;
 pub use failure::Failure;
 pub use feed::{Error, Feed};
 pub use lines::Lines;
--- a/components/upstream/src/line.rs
+++ b/components/upstream/src/line.rs
@@ -9,9 +9,9 @@
 use hyper::body::Incoming;
 use hyper::client::conn::{TrySendError, http1};
 
-use crate::Feed;
 use crate::head::Head;
 use crate::watched::Watched;
+use crate::{Expiry, Feed};
 
 /// HTTP/1.1 connection, which carries one request at a time.
 pub(crate) struct Line {
@@ -80,8 +80,9 @@
     /// The error of the connection, with the request where nothing of it was sent.
     pub(crate) async fn send(
         &mut self,
-        request: http::Request<Feed>,
+        mut request: http::Request<Feed>,
     ) -> Result<http::Response<Incoming>, TrySendError<http::Request<Feed>>> {
+        Expiry::write(&mut request);
         self.head.await_answer();
         let answer = self.sender.try_send_request(request).await;
         self.head.arrived();
--- a/components/upstream/tests/lines.rs
+++ b/components/upstream/tests/lines.rs
@@ -1,12 +1,12 @@
 //! HTTP/1.1 connections to a backend server, in a table of what can go wrong.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
 use http_body_util::BodyExt;
-use upstream::{Cause, Dialer, Feed, Lines, Outcome, Settings};
+use upstream::{Cause, Dialer, Expiry, Feed, Lines, Outcome, Settings};
 
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmenu";
 
@@ -62,6 +62,35 @@
         .map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned()))
 }
 
+/// Guards against a server that is handed the time that a request had left before its connection was opened.
+#[compio::test]
+async fn time_left_is_written_when_the_connection_is_open() {
+    const LEFT: Duration = Duration::from_secs(2);
+    const PER_SECOND: u32 = 5;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = units::Address(listener.local_addr().expect("it is bound"));
+    let dialer = Dialer::new(PER_SECOND);
+    let now = Instant::now();
+    while dialer.reserve(now) < Duration::from_millis(400) {}
+    let lines = Lines::new(address, Rc::new(Settings::default()), dialer);
+    let mut request = request();
+    request.extensions_mut().insert(Expiry {
+        header: http::HeaderName::from_static("x-left"),
+        deadline: now + LEFT,
+    });
+    let sending = compio::runtime::spawn(async move { lines.send(request).await.map(drop) });
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let read = stream.read(vec![0; 4096]).await;
+    let waited = now.elapsed();
+    let text = String::from_utf8(read.1).expect("text");
+    let line = text.lines().find_map(|line| line.strip_prefix("x-left: "));
+    let told: u64 = line.expect("a header").parse().expect("a number");
+    assert!(waited > Duration::from_millis(300), "{waited:?}");
+    let most = LEFT.as_millis() - waited.as_millis() + 50;
+    assert!(u128::from(told) <= most, "{told} ms of {most} left");
+    drop(sending);
+}
+
 #[compio::test]
 async fn connection_is_used_again() {
     let address = serve(vec![vec![OK, OK, OK]]).await;
--- a/node/src/call/dialect.rs
+++ b/node/src/call/dialect.rs
@@ -39,6 +39,9 @@
         now: time::Instant,
     );
 
+    /// Returns the header that tells the backend server the time left, in milliseconds.
+    fn deadline_header(&self) -> http::HeaderName;
+
     /// Returns whether the response says that the backend server has not run the request.
     fn is_unexecuted(&self, answer: &http::response::Parts, envelope: &Envelope) -> bool;
 
--- a/node/src/call/native.rs
+++ b/node/src/call/native.rs
@@ -99,6 +99,10 @@
         envelope.write_public(headers, now);
     }
 
+    fn deadline_header(&self) -> http::HeaderName {
+        Headers::DEADLINE_MS
+    }
+
     /// The id must be that of this attempt: the backend server may forward a response to a call of
     /// its own, which must not be mistaken for a refusal of this request.
     fn is_unexecuted(&self, answer: &http::response::Parts, envelope: &Envelope) -> bool {
--- a/node/src/call/owner/run.rs
+++ b/node/src/call/owner/run.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use admission::{Permit, Request, Standing};
-use upstream::{Payload, Server};
+use upstream::{Expiry, Payload, Server};
 
 use super::fingerprint::Fingerprint;
 use super::request::{build_http1, build_request};
@@ -128,10 +128,15 @@
             &mut headers,
             time::Instant::now(),
         );
-        match &backend.server {
-            Server::Http1(_) => build_http1(&job.head, headers, feed),
-            Server::Http2(_) => build_request(&job.head, headers, backend.server.address(), feed),
-        }
+        let mut request = match &backend.server {
+            Server::Http1(_) => build_http1(&job.head, headers, feed)?,
+            Server::Http2(_) => build_request(&job.head, headers, backend.server.address(), feed)?,
+        };
+        request.extensions_mut().insert(Expiry {
+            header: dialect.deadline_header(),
+            deadline: job.envelope.deadline,
+        });
+        Ok(request)
     }
 
     /// Refuses requests from an ingress that does not know yet that the version is withheld.
