--- a/components/admission/src/allowance.rs
+++ b/components/admission/src/allowance.rs
@@ -47,16 +47,32 @@
     /// Fraction of the slack of an owner at its start; the previous process may have spent its share.
     const INITIAL_FRACTION: f64 = 0.5;
 
-    /// Number of retries that an owner with this `uptime` may admit in a window with `sum`: its share of the
-    /// bound on retries, less the calls of repeated runs that exceed their own reserve.
+    /// Fraction of the retries of a window that may be admitted within a tenth of it. A retry at the start of
+    /// an outage is admitted before the calls that retries of other services cause are there to be counted.
+    const BURST_FRACTION: f64 = 0.3;
+    /// Retries that may be admitted within a tenth of a window even if they are a larger fraction.
+    const LEAST_BURST: f64 = 3.0;
+    /// Tenths of a window in a window.
+    const TENTHS: f64 = 10.0;
+
+    /// Number of retries that an owner with this `uptime` may admit in a window with `sum`, whose last tenth
+    /// has `latest`: its share of the bound on retries, less the calls of repeated runs that exceed their
+    /// own reserve, or will if they go on as they do.
     #[must_use]
-    pub fn limit(&self, sum: &Sum, uptime: time::Duration) -> f64 {
+    pub fn limit(&self, sum: &Sum, latest: &Sum, uptime: time::Duration) -> f64 {
         let window = self.window.0.as_secs_f64().max(f64::MIN_POSITIVE);
         let fraction = (uptime.as_secs_f64() / window).min(1.0);
         let fraction = Self::INITIAL_FRACTION + (1.0 - Self::INITIAL_FRACTION) * fraction;
         let fraction = fraction / f64::from(sum.owners.max(1));
         let retries = self.ratio * sum.weighted_first() + self.slack * fraction;
-        let calls = self.called_ratio * sum.weighted_first() + self.called_slack * fraction;
-        retries.min(retries + calls - sum.called_again())
+        let reserve = self.called_ratio * sum.weighted_first() + self.called_slack * fraction;
+        let called = sum.called_again().max(latest.called_again() * Self::TENTHS);
+        retries.min(retries + reserve - called)
+    }
+
+    /// Number of the `limit` retries of a window that may be admitted within a tenth of it.
+    #[must_use]
+    pub fn burst(limit: f64) -> f64 {
+        (limit * Self::BURST_FRACTION).max(limit.min(Self::LEAST_BURST))
     }
 }
--- a/components/admission/src/arrivals.rs
+++ b/components/admission/src/arrivals.rs
@@ -4,6 +4,7 @@
 
 use units::Share;
 
+use crate::sum::add_parts;
 use crate::{Repeat, Sum};
 
 /// Counts of arrivals at a backend server in a sliding window.
@@ -57,7 +58,7 @@
         let level = u64::from(depth) + 1;
         slot.first += 1;
         slot.weighted_first_parts += u64::from(Share::WHOLE.parts()) / (level * level);
-        slot.called_again_parts += u64::from(repeat.called_again.parts());
+        add_parts(&mut slot.called_again_parts, repeat.called_again.parts());
     }
 
     /// Records the number of owners of the service.
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod advertised;
 mod allowance;
+mod ancestry;
 mod announced;
 mod arrivals;
 mod budget;
@@ -39,6 +40,7 @@
 
 pub use advertised::Advertised;
 pub use allowance::Allowance;
+pub use ancestry::Ancestry;
 pub use announced::Announced;
 pub use arrivals::Arrivals;
 pub use budget::Budget;
--- a/components/admission/src/repeats.rs
+++ b/components/admission/src/repeats.rs
@@ -4,10 +4,8 @@
 use std::rc;
 use std::time;
 
-use units::Share;
-
-use crate::sum::count;
-use crate::{Allowance, Arrivals, Budget, Repeat};
+use crate::sum::{add_parts, count};
+use crate::{Allowance, Ancestry, Arrivals, Budget, Repeat};
 
 /// Repeats among the requests that a backend server receives and runs; clones share the state.
 #[derive(Clone)]
@@ -20,15 +18,16 @@
     arrivals: cell::RefCell<Arrivals>,
     /// Running requests.
     running: cell::Cell<u64>,
-    /// Running requests that are retries.
-    resent: cell::Cell<u64>,
+    /// What the calls of the running requests are owed to, in parts per 10,000.
+    called_again_parts: cell::Cell<[u64; Ancestry::CALLS]>,
 }
 
 /// Running request, until dropped.
 #[must_use]
 pub struct Run {
     shared: rc::Rc<Shared>,
-    resent: bool,
+    /// Ancestry of the calls that the request makes.
+    calls: Ancestry,
 }
 
 impl Repeats {
@@ -39,7 +38,7 @@
             arrivals: cell::RefCell::new(Arrivals::new(allowance.window.0, now)),
             allowance,
             running: cell::Cell::default(),
-            resent: cell::Cell::default(),
+            called_again_parts: cell::Cell::default(),
         };
         Self {
             shared: rc::Rc::new(shared),
@@ -50,7 +49,9 @@
     #[must_use]
     pub fn allows(&self, owners: u32, now: time::Instant) -> bool {
         let budget = self.budget(owners, now);
+        let latest = self.shared.arrivals.borrow_mut().latest(now);
         count(budget.arrived.resent) + 1.0 <= budget.limit
+            && count(latest.resent) + 1.0 <= Allowance::burst(budget.limit)
     }
 
     /// Arrivals in the window that ends at `now` and the limit on retries, for a service with `owners`
@@ -60,7 +61,9 @@
         let mut arrivals = self.shared.arrivals.borrow_mut();
         arrivals.record_owners(owners, now);
         let arrived = arrivals.sum(now);
-        let limit = self.shared.allowance.limit(&arrived, arrivals.uptime(now));
+        let latest = arrivals.latest(now);
+        let uptime = arrivals.uptime(now);
+        let limit = self.shared.allowance.limit(&arrived, &latest, uptime);
         Budget { arrived, limit }
     }
 
@@ -68,20 +71,28 @@
     pub fn start(&self, repeat: Repeat, depth: u32, now: time::Instant) -> Run {
         let shared = self.shared.clone();
         shared.arrivals.borrow_mut().add(repeat, depth, now);
+        let calls = repeat.calls();
         shared.running.set(shared.running.get() + 1);
-        let resent = repeat.resent;
-        shared.resent.set(shared.resent.get() + u64::from(resent));
-        Run { shared, resent }
+        let mut parts = shared.called_again_parts.get();
+        add_parts(&mut parts, calls.parts());
+        shared.called_again_parts.set(parts);
+        Run { shared, calls }
     }
 
-    /// Share of repeated runs among the runs that may make a call at `now`: among the running ones or among
-    /// those started recently, whichever is higher. Failing runs are short, and make their calls before
+    /// Ancestry of a call that a run makes at `now`: that of the calls of the running requests or of those
+    /// started recently, whichever shows more retries. Failing runs are short, and make their calls before
     /// they fail.
     #[must_use]
-    pub fn share(&self, now: time::Instant) -> Share {
-        let running = share(self.shared.resent.get(), self.shared.running.get());
+    pub fn calls(&self, now: time::Instant) -> Ancestry {
+        let running = self.shared.called_again_parts.get();
+        let running = Ancestry::mean(running, self.shared.running.get());
         let latest = self.shared.arrivals.borrow_mut().latest(now);
-        running.max(share(latest.resent, latest.first + latest.resent))
+        let latest = latest.calls();
+        if latest.total() > running.total() {
+            latest
+        } else {
+            running
+        }
     }
 }
 
@@ -89,13 +100,10 @@
     fn drop(&mut self) {
         let shared = &self.shared;
         shared.running.set(shared.running.get() - 1);
-        let resent = shared.resent.get() - u64::from(self.resent);
-        shared.resent.set(resent);
+        let mut parts = shared.called_again_parts.get();
+        for (sum, part) in parts.iter_mut().zip(self.calls.parts()) {
+            *sum -= part;
+        }
+        shared.called_again_parts.set(parts);
     }
 }
-
-fn share(part: u64, whole: u64) -> Share {
-    let parts = part * u64::from(Share::WHOLE.parts()) / whole.max(1);
-    let parts = u32::try_from(parts).ok();
-    parts.and_then(Share::from_parts).unwrap_or(Share::WHOLE)
-}
--- a/components/admission/src/sum.rs
+++ b/components/admission/src/sum.rs
@@ -2,6 +2,8 @@
 
 use units::Share;
 
+use crate::Ancestry;
+
 /// Sums of arrivals at a backend server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Sum {
@@ -12,7 +14,7 @@
     /// Maximum number of owners of the service.
     pub owners: u32,
     /// Estimated calls made by repeated runs, in parts per 10,000.
-    pub(crate) called_again_parts: u64,
+    pub(crate) called_again_parts: [u64; Ancestry::CALLS],
     /// First arrivals weighted by call depth, in parts per 10,000.
     pub(crate) weighted_first_parts: u64,
 }
@@ -27,7 +29,17 @@
     /// Estimated number of calls made by repeated runs.
     #[must_use]
     pub fn called_again(&self) -> f64 {
-        count(self.called_again_parts) / f64::from(Share::WHOLE.parts())
+        count(self.called_again_parts.iter().sum()) / f64::from(Share::WHOLE.parts())
+    }
+
+    /// Ancestry of the calls that the requests make.
+    #[must_use]
+    pub(crate) fn calls(&self) -> Ancestry {
+        let retried = self.resent * u64::from(Share::WHOLE.parts());
+        let mut parts = self.called_again_parts;
+        parts.rotate_right(1);
+        parts[0] = retried;
+        Ancestry::mean(parts, self.first + self.resent)
     }
 
     /// First arrivals, each weighted by call depth.
@@ -40,11 +52,18 @@
         self.first += other.first;
         self.resent += other.resent;
         self.owners = self.owners.max(other.owners);
-        self.called_again_parts += other.called_again_parts;
+        add_parts(&mut self.called_again_parts, other.called_again_parts);
         self.weighted_first_parts += other.weighted_first_parts;
     }
 }
 
+/// Adds the parts of one ancestry to sums.
+pub(crate) fn add_parts(sums: &mut [u64; Ancestry::CALLS], parts: [u64; Ancestry::CALLS]) {
+    for (sum, part) in sums.iter_mut().zip(parts) {
+        *sum += part;
+    }
+}
+
 /// Converts a count to a floating-point number.
 pub(crate) fn count(number: u64) -> f64 {
     // Counts of one window are far below 2^52.
--- a/components/admission/tests/repeats.rs
+++ b/components/admission/tests/repeats.rs
@@ -2,24 +2,24 @@
 
 use std::time::{Duration, Instant};
 
-use admission::{Allowance, Arrivals, Repeat, Repeats};
+use admission::{Allowance, Ancestry, Arrivals, Repeat, Repeats};
 use units::Share;
 
 const WINDOW: Duration = Duration::from_secs(10);
 
 const FIRST: Repeat = Repeat {
     resent: false,
-    called_again: Share::NONE,
+    called_again: Ancestry::NONE,
 };
 const RESENT: Repeat = Repeat {
     resent: true,
-    called_again: Share::NONE,
+    called_again: Ancestry::NONE,
 };
 
 fn called(parts: u32) -> Repeat {
     Repeat {
         resent: false,
-        called_again: Share::from_parts(parts).expect("a share"),
+        called_again: Ancestry::of_retries(Share::from_parts(parts).expect("a share")),
     }
 }
 
@@ -55,14 +55,14 @@
     let now = Instant::now();
     let later = now + WINDOW / 4;
     let repeats = Repeats::new(Allowance::default(), now);
-    assert_eq!(repeats.share(now), Share::NONE);
+    assert_eq!(repeats.calls(now).total(), Share::NONE);
     let first = repeats.start(FIRST, 0, now);
     let resent = repeats.start(RESENT, 0, now);
-    assert_eq!(repeats.share(later).parts(), 5_000);
+    assert_eq!(repeats.calls(later).total().parts(), 5_000);
     drop(first);
-    assert_eq!(repeats.share(later), Share::WHOLE);
+    assert_eq!(repeats.calls(later).total(), Share::WHOLE);
     drop(resent);
-    assert_eq!(repeats.share(later), Share::NONE);
+    assert_eq!(repeats.calls(later).total(), Share::NONE);
 }
 
 /// A repeated run that fails at once makes its calls but is no longer running when the share is computed.
@@ -72,10 +72,51 @@
     let repeats = Repeats::new(Allowance::default(), now);
     let first: Vec<_> = (0..3).map(|_| repeats.start(FIRST, 0, now)).collect();
     drop(repeats.start(RESENT, 0, now));
-    assert_eq!(repeats.share(now).parts(), 2_500);
+    assert_eq!(repeats.calls(now).total().parts(), 2_500);
     drop(first);
 }
 
+/// Guards against calls of a called run that are nobody's: three calls in a row are owed to a retry.
+#[test]
+fn calls_are_owed_to_retries_above() {
+    let now = Instant::now();
+    let run = |repeat| {
+        let repeats = Repeats::new(Allowance::default(), now);
+        let _run = repeats.start(repeat, 0, now);
+        repeats.calls(now)
+    };
+    let mut call = run(RESENT);
+    for number in 0..Ancestry::CALLS {
+        assert_eq!(call.total(), Share::WHOLE, "call {number}");
+        let repeat = Repeat {
+            resent: false,
+            called_again: call,
+        };
+        call = run(repeat);
+    }
+    assert_eq!(call.total(), Share::NONE);
+}
+
+#[test]
+fn ancestry_cases() {
+    let share = |parts| Ancestry::of_retries(Share::from_parts(parts).expect("a share"));
+    let cases = [
+        (Ancestry::NONE, "0,0,0"),
+        (share(2_500), "2500,0,0"),
+        (share(2_500).next(), "0,2500,0"),
+        (share(2_500).next().next(), "0,0,2500"),
+        (share(2_500).next().next().next(), "0,0,0"),
+    ];
+    for (ancestry, text) in cases {
+        assert_eq!(ancestry.to_string(), text);
+        assert_eq!(text.parse(), Ok(ancestry), "{text}");
+    }
+    assert_eq!("700".parse(), Ok(share(700)));
+    for text in ["", "10001", "-1", "1,2,3,4", "1,,2", "x"] {
+        assert!(text.parse::<Ancestry>().is_err(), "{text}");
+    }
+}
+
 /// Repeats as a fraction of the requests in a total outage, at a thousand requests per second.
 fn amplification(depth: u32, requests: u32) -> f64 {
     let start = Instant::now();
--- a/node/src/call/arrival.rs
+++ b/node/src/call/arrival.rs
@@ -3,6 +3,7 @@
 use std::rc;
 use std::time;
 
+use admission::Ancestry;
 use compact_str::{CompactString, ToCompactString};
 use config::{Idempotency, Route};
 use http::{Method, header};
@@ -31,8 +32,8 @@
     pub(crate) depth: u32,
     /// Attempt number of the parent call that this request belongs to.
     pub(crate) attempt: u32,
-    /// Degree to which a repeated run caused this call.
-    pub(crate) called_again: units::Share,
+    /// Degree to which repeated runs caused this call.
+    pub(crate) called_again: Ancestry,
     /// Caller that sends the request.
     pub(crate) caller: CompactString,
     /// Workspace that the caller's key belongs to; empty without one.
@@ -96,9 +97,9 @@
         let parent_depth = metadata.parent_depth;
         let attempt = metadata.attempt.filter(|_| parent_depth.is_some());
         let called_again = match attempt {
-            Some(attempt) if attempt > 1 => units::Share::WHOLE,
-            None if metadata.local => repeats.share(started),
-            Some(_) | None => units::Share::NONE,
+            Some(attempt) if attempt > 1 => Ancestry::RETRIED,
+            None if metadata.local => repeats.calls(started),
+            Some(_) | None => Ancestry::NONE,
         };
         let mut headers = head.headers;
         Headers::strip_hop(&mut headers);
--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 
 use super::{BackendStatus, Headers, Problem, Reason};
 
@@ -100,9 +100,9 @@
         if self.repeat.resent {
             Headers::set(headers, Headers::RESENT, "1");
         }
-        if self.repeat.called_again > units::Share::NONE {
-            let parts = self.repeat.called_again.parts();
-            Headers::set_number(headers, Headers::CALLED_AGAIN, parts.into());
+        if self.repeat.called_again != admission::Ancestry::NONE {
+            let called_again = self.repeat.called_again.to_compact_string();
+            Headers::set(headers, Headers::CALLED_AGAIN, &called_again);
         }
         if self.suspect {
             Headers::set(headers, Headers::SUSPECT, "1");
@@ -183,8 +183,8 @@
             workspace: Headers::text(headers, &Headers::WORKSPACE).unwrap_or_default(),
             repeat: admission::Repeat {
                 resent: headers.contains_key(Headers::RESENT),
-                called_again: read_u32(Headers::CALLED_AGAIN)
-                    .and_then(units::Share::from_parts)
+                called_again: Headers::text(headers, &Headers::CALLED_AGAIN)
+                    .and_then(|text| text.parse().ok())
                     .unwrap_or_default(),
             },
             suspect: headers.contains_key(Headers::SUSPECT),
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -61,7 +61,8 @@
     pub const SENT: HeaderName = HeaderName::from_static("radishgap-sent");
     /// Between nodes: a backend server may have received the request before.
     pub const RESENT: HeaderName = HeaderName::from_static("radishgap-resent");
-    /// Between nodes: degree to which a repeated run caused the call, in parts per 10,000.
+    /// Between nodes: degree to which repeated runs caused the call, in the format of
+    /// [`admission::Ancestry`].
     pub const CALLED_AGAIN: HeaderName = HeaderName::from_static("radishgap-called-again");
     /// Between nodes: load of the owner in parts per 10,000 of its limit.
     pub const LOAD: HeaderName = HeaderName::from_static("radishgap-load");
