platform, upstream: a refusal that proves nothing is not passed on

Without the attempt's id it was believed, whatever had come before on the connection: callers were told 'not run' (503) for a request that ran (REFUSED), or it ran at a second server (TWICE). Cause: an answer that is no success and bears no id was taken for the one that is awaited. The class: absence of a contradiction taken for evidence. Looked at for the same cause, and mended with it: - 421, 408 and 500 without an id, and what they name of limits and leaving, went the same way: all follow is_match. - The same attempt a second time on the same connection has the same id: a connection now carries no request twice (Sending::identity) until its deadline. - A 408, 429 or 503 that does not say that the request has not run was passed on as it stood, as a promise, also for requests that may run once. It is now 502. An answer without an id is still believed as the first of its connection, where nothing else can have been answered. A connection that has said one thing too many was retired before and is.

--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -11,7 +11,7 @@
 use hyper::client::conn::http2;
 
 use crate::watched::Watched;
-use crate::{Cause, Expiry, Failure, Feed, Lease, Patience, Reply, Settings};
+use crate::{Cause, Failure, Feed, Lease, Patience, Reply, Sending, Settings};
 
 /// HTTP/2 connection; clones share it.
 #[derive(Clone)]
@@ -153,7 +153,7 @@
         if self.sender.ready().await.is_err() {
             return Err(Unanswered::Unsent(Box::new(request)));
         }
-        Expiry::write(&mut request);
+        Sending::write_time_left(&mut request);
         let answered = self.sender.try_send_request(request);
         let answered = match patience {
             Patience::Answer => answered.await,
@@ -168,7 +168,11 @@
             }
         };
         match answered {
-            Ok(response) => Ok(Reply { response, lease }),
+            Ok(response) => Ok(Reply {
+                response,
+                lease,
+                is_first: true,
+            }),
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(Unanswered::Unsent(Box::new(request))),
                 None => Err(Unanswered::Failed(Cause::of(error.error()).into())),
--- a/components/upstream/src/line.rs
+++ b/components/upstream/src/line.rs
@@ -11,7 +11,7 @@
 
 use crate::head::Head;
 use crate::watched::Watched;
-use crate::{Expiry, Feed};
+use crate::{Feed, Sending};
 
 /// HTTP/1.1 connection, which carries one request at a time.
 pub(crate) struct Line {
@@ -22,6 +22,10 @@
     pub(crate) keep: time::Duration,
     /// Time at which the last response ended.
     pub(crate) used: time::Instant,
+    /// Whether a request has been sent.
+    is_used: bool,
+    /// Requests that were sent and may be sent again, with their deadlines.
+    carried: Vec<(u64, time::Instant)>,
 }
 
 /// Counts a connection for as long as its driver runs.
@@ -71,6 +75,8 @@
             head,
             keep: Self::KEEP,
             used: time::Instant::now(),
+            is_used: false,
+            carried: Vec::new(),
         })
     }
 
@@ -82,7 +88,8 @@
         &mut self,
         mut request: http::Request<Feed>,
     ) -> Result<http::Response<Incoming>, TrySendError<http::Request<Feed>>> {
-        Expiry::write(&mut request);
+        self.record(&request);
+        Sending::write_time_left(&mut request);
         self.head.await_answer();
         let answer = self.sender.try_send_request(request).await;
         self.head.arrived();
@@ -92,6 +99,29 @@
         answer
     }
 
+    /// Whether no request has been sent yet.
+    pub(crate) fn is_new(&self) -> bool {
+        !self.is_used
+    }
+
+    /// Whether the connection has carried a sending of the same request.
+    pub(crate) fn has_carried(&self, sending: Option<&Sending>) -> bool {
+        let is_same = |(identity, _): &(u64, time::Instant)| {
+            sending.is_some_and(|sending| sending.identity == *identity)
+        };
+        self.carried.iter().any(is_same)
+    }
+
+    /// Records that a request is sent, until its deadline.
+    fn record(&mut self, request: &http::Request<Feed>) {
+        self.is_used = true;
+        let now = time::Instant::now();
+        self.carried.retain(|(_, deadline)| *deadline > now);
+        if let Some(sending) = Sending::of(request) {
+            self.carried.push((sending.identity, sending.deadline));
+        }
+    }
+
     /// Whether the connection is closed.
     pub(crate) fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/components/upstream/src/lines.rs
+++ b/components/upstream/src/lines.rs
@@ -6,7 +6,7 @@
 
 use crate::line::Line;
 use crate::pool::Counts;
-use crate::{Cause, Dialer, Failure, Feed, Lease, Reply, Settings};
+use crate::{Cause, Dialer, Failure, Feed, Lease, Reply, Sending, Settings};
 
 /// HTTP/1.1 connections to one server, each with one request at a time; clones share them.
 #[derive(Clone)]
@@ -131,14 +131,19 @@
     pub async fn send(&self, request: http::Request<Feed>) -> Result<Reply, Failure> {
         let mut request = request;
         for _ in 0..Self::UNSENT_TRIES {
-            let mut busy = self.take().await?;
+            let mut busy = self.take(Sending::of(&request).as_ref()).await?;
             let Some(line) = busy.line.as_mut() else {
                 continue;
             };
+            let is_first = line.is_new();
             match line.send(request).await {
                 Ok(response) => {
                     let lease = Lease::of_line(busy);
-                    return Ok(Reply { response, lease });
+                    return Ok(Reply {
+                        response,
+                        lease,
+                        is_first,
+                    });
                 }
                 Err(mut error) => {
                     busy.retire();
@@ -152,12 +157,12 @@
         Err(Cause::Unsent.into())
     }
 
-    /// An idle connection, or a new one.
-    async fn take(&self) -> Result<Busy, Failure> {
+    /// An idle connection, or a new one, for a request.
+    async fn take(&self, sending: Option<&Sending>) -> Result<Busy, Failure> {
         let shared = &self.shared;
         let now = time::Instant::now();
         shared.close_stale(now);
-        if let Some(line) = shared.take_idle(now) {
+        if let Some(line) = shared.take_idle(now, sending) {
             return Ok(Busy::new(shared.clone(), line));
         }
         if shared.open.get() >= shared.settings.connections {
@@ -186,9 +191,10 @@
     }
 
     /// Returns the most recently used connection that can take a request.
-    fn take_idle(&self, now: time::Instant) -> Option<Line> {
+    fn take_idle(&self, now: time::Instant, sending: Option<&Sending>) -> Option<Line> {
         let mut idle = self.idle.borrow_mut();
-        let place = idle.iter().rposition(|line| line.is_ready(now))?;
+        let is_free = |line: &Line| line.is_ready(now) && !line.has_carried(sending);
+        let place = idle.iter().rposition(is_free)?;
         Some(idle.remove(place))
     }
 
--- a/components/upstream/src/reply.rs
+++ b/components/upstream/src/reply.rs
@@ -14,6 +14,9 @@
     pub response: http::Response<Incoming>,
     /// To be kept until the body has ended.
     pub lease: Lease,
+    /// Whether nothing else was sent where the answer came, so that it can be no second copy of an
+    /// earlier one.
+    pub is_first: bool,
 }
 
 /// A request's place on a connection, given back when dropped.
--- a/components/upstream/tests/lines.rs
+++ b/components/upstream/tests/lines.rs
@@ -6,7 +6,7 @@
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
 use http_body_util::BodyExt;
-use upstream::{Cause, Dialer, Expiry, Feed, Lines, Outcome, Settings};
+use upstream::{Cause, Dialer, Feed, Lines, Outcome, Sending, Settings};
 
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmenu";
 
@@ -24,6 +24,19 @@
     address
 }
 
+/// Answers the requests of all connections side by side, and closes none.
+async fn serve_all() -> units::Address {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = units::Address(listener.local_addr().expect("it is bound"));
+    compio::runtime::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            compio::runtime::spawn(answer(stream, vec![OK; 10])).detach();
+        }
+    })
+    .detach();
+    address
+}
+
 async fn answer(mut stream: TcpStream, answers: Vec<&'static str>) {
     for answer in answers {
         let read = stream.read(vec![0; 4096]).await;
@@ -74,7 +87,8 @@
     while dialer.reserve(now) < Duration::from_millis(400) {}
     let lines = Lines::new(address, Rc::new(Settings::default()), dialer);
     let mut request = request();
-    request.extensions_mut().insert(Expiry {
+    request.extensions_mut().insert(Sending {
+        identity: 1,
         header: http::HeaderName::from_static("x-left"),
         deadline: now + LEFT,
     });
@@ -91,6 +105,28 @@
     drop(sending);
 }
 
+/// Guards against a second copy of a refusal that is taken for the answer to the same request, sent again.
+#[compio::test]
+async fn request_that_is_sent_again_takes_another_connection() {
+    let lines = lines(serve_all().await);
+    let cases = [(1, true, 1), (2, false, 1), (1, true, 2), (3, false, 2)];
+    for (identity, is_first, opened) in cases {
+        let mut request = request();
+        request.extensions_mut().insert(Sending {
+            identity,
+            header: http::HeaderName::from_static("x-left"),
+            deadline: Instant::now() + Duration::from_secs(5),
+        });
+        let reply = lines.send(request).await.expect("an answer");
+        assert_eq!(reply.is_first, is_first, "{identity}");
+        let body = reply.response.into_body().collect().await;
+        drop(reply.lease);
+        assert!(body.is_ok(), "{identity}");
+        assert_eq!(lines.counts().opened, opened, "{identity}");
+        compio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[compio::test]
 async fn connection_is_used_again() {
     let address = serve(vec![vec![OK, OK, OK]]).await;
--- a/node/src/call/dialect.rs
+++ b/node/src/call/dialect.rs
@@ -45,12 +45,21 @@
     /// Returns whether the response says that the backend server has not run the request.
     fn is_unexecuted(&self, answer: &http::response::Parts, envelope: &Envelope) -> bool;
 
+    /// Returns whether callers take a response with `status` for a promise that the request has not run
+    /// and will not.
+    fn promises_not_run(&self, status: http::StatusCode) -> bool;
+
     /// Returns the status that the backend server reports about itself in a response.
     fn signals(&self, answer: &http::response::Parts) -> Signals;
 
-    /// Returns whether a response of the backend server can belong to the request with these
-    /// `headers`.
-    fn is_match(&self, headers: &http::HeaderMap, answer: &http::response::Parts) -> bool;
+    /// Returns whether a response of the backend server belongs to the request with these `headers`;
+    /// `is_first` tells that nothing else was sent where it came.
+    fn is_match(
+        &self,
+        headers: &http::HeaderMap,
+        answer: &http::response::Parts,
+        is_first: bool,
+    ) -> bool;
 
     /// Completes the headers of a backend server's response for the caller.
     fn complete_headers(&self, headers: &mut http::HeaderMap, request: &str);
--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -137,6 +137,13 @@
         }
     }
 
+    /// Returns the id of the caller's request, which all attempts share.
+    #[must_use]
+    pub fn caller_request(&self) -> &str {
+        let parts = self.request.rsplit_once('.');
+        parts.map_or(self.request.as_str(), |(request, _)| request)
+    }
+
     /// Takes the time that the request has waited on its way off the time that it has left.
     pub fn subtract(&mut self, waited: time::Duration) {
         self.deadline = self.deadline.checked_sub(waited).unwrap_or(self.deadline);
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -228,6 +228,11 @@
         Ok(arrival)
     }
 
+    fn promises_not_run(&self, answer: &Answer<L, O, D>) -> bool {
+        let dialect = &self.shared.context.dialect;
+        dialect.promises_not_run(answer.parts.status)
+    }
+
     /// Processes a request within its deadline, up to a response or a problem.
     async fn serve(&self, arrival: &Arrival) -> Result<Answer<L, O, D>, Problem> {
         if arrival.time_left().is_zero() {
@@ -254,6 +259,10 @@
             result
         };
         match compio::time::timeout_at(arrival.deadline, run).await {
+            // A backend server that has run the request cannot promise that.
+            Ok(Ok(answer)) if !arrival.idempotent && self.promises_not_run(&answer) => {
+                Err(Problem::unknown(Reason::Failure))
+            }
             Ok(Ok(mut answer)) => {
                 answer.delivery.bulkhead_entry = Some(bulkhead_entry);
                 Ok(answer)
--- a/node/src/call/native.rs
+++ b/node/src/call/native.rs
@@ -119,12 +119,17 @@
             && has_value(Headers::REQUEST, &envelope.request)
     }
 
+    /// The header with the outcome says that.
+    fn promises_not_run(&self, _: http::StatusCode) -> bool {
+        false
+    }
+
     fn signals(&self, answer: &http::response::Parts) -> Signals {
         Headers::signals(&answer.headers, &Headers::RATE_LIMIT, &Headers::LEAVING)
     }
 
     /// An HTTP/2 stream carries only the response to its own request.
-    fn is_match(&self, _: &http::HeaderMap, _: &http::response::Parts) -> bool {
+    fn is_match(&self, _: &http::HeaderMap, _: &http::response::Parts, _: bool) -> bool {
         true
     }
 
--- a/node/src/call/owner/execution.rs
+++ b/node/src/call/owner/execution.rs
@@ -32,9 +32,10 @@
         sent: &http::HeaderMap,
         envelope: &Envelope,
     ) -> Result<Served<L, D>, Problem> {
+        let is_first = reply.is_first;
         let (mut parts, source) = Source::split(reply);
         let dialect = &self.owner.shared.context.dialect;
-        if !dialect.is_match(sent, &parts) {
+        if !dialect.is_match(sent, &parts, is_first) {
             self.owner.count(|counts| counts.mismatched += 1);
             source.retire();
             return Err(Problem::unknown(Reason::Mismatched));
--- a/node/src/call/owner/run.rs
+++ b/node/src/call/owner/run.rs
@@ -3,7 +3,8 @@
 use std::time;
 
 use admission::{Permit, Request, Standing};
-use upstream::{Expiry, Payload, Server};
+use upstream::{Payload, Sending, Server};
+use xxhash_rust::xxh3;
 
 use super::fingerprint::Fingerprint;
 use super::request::{build_http1, build_request};
@@ -132,7 +133,8 @@
             Server::Http1(_) => build_http1(&job.head, headers, feed)?,
             Server::Http2(_) => build_request(&job.head, headers, backend.server.address(), feed)?,
         };
-        request.extensions_mut().insert(Expiry {
+        request.extensions_mut().insert(Sending {
+            identity: xxh3::xxh3_64(job.envelope.caller_request().as_bytes()),
             header: dialect.deadline_header(),
             deadline: job.envelope.deadline,
         });
