node, web: an answer without length is never framed as whole

Cause: hyper ends such a body without an error when its connection closes, and every hop after that framed it anew, so that nothing told a caller that its end was only a close. HTTP/2 callers of the product's own interface still get the end of the stream: there is no other form. Evidence: answer_without_length_is_never_framed_as_whole failed before ('headless': 200 in chunks) and holds.

--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -8,6 +8,7 @@
 mod pipeline;
 mod server;
 mod timer;
+mod unframed;
 
 pub use body::{Body, Fault};
 pub use channel::Channel;
@@ -16,3 +17,4 @@
 pub use grpc::Grpc;
 pub use server::{Handler, Limits, Peer, Server};
 pub use timer::Timer;
+pub use unframed::mark_unframed;
--- a/components/web/src/pipeline/exchange.rs
+++ b/components/web/src/pipeline/exchange.rs
@@ -13,7 +13,7 @@
 use super::memory::Memory;
 use super::outbox::Outbox;
 use crate::server::Handler;
-use crate::{Limits, Peer};
+use crate::{Limits, Peer, unframed};
 
 /// A server connection in memory, by what is done with it.
 pub(crate) trait Driven: Future<Output = Result<(), hyper::Error>> {
@@ -36,6 +36,8 @@
     body_ended: cell::Cell<bool>,
     /// Whether the response head announces that the connection closes.
     closes: cell::Cell<bool>,
+    /// Whether the end of the response is the close of its connection.
+    unframed: cell::Cell<bool>,
     /// Whether the response failed before its end.
     failed: cell::Cell<bool>,
 }
@@ -62,6 +64,7 @@
         let progress = followed.clone();
         async move {
             let answer = answer.await;
+            progress.unframed.set(unframed::is_marked(&answer));
             let closes = answer.headers().get(http::header::CONNECTION);
             if closes.is_some_and(|value| value == "close") {
                 progress.closes.set(true);
@@ -114,6 +117,11 @@
         }
     }
 
+    /// Whether the end of this answer is the close of its connection.
+    pub(crate) fn is_unframed(&self) -> bool {
+        self.progress.unframed.get()
+    }
+
     /// Whether the connection closes after this answer.
     pub(crate) fn says_close(&self) -> bool {
         self.progress.closes.get()
--- a/components/web/src/pipeline/mod.rs
+++ b/components/web/src/pipeline/mod.rs
@@ -34,6 +34,8 @@
 pub(crate) enum Ended {
     /// The connection is closed.
     Closed,
+    /// The connection has to be reset, as an answer whose end its close would be has broken off.
+    Broken,
     /// The connection is handed over to hyper: the stream, with the bytes already read.
     Rest(Rewound<Stream>),
 }
@@ -52,6 +54,8 @@
     exchanges: VecDeque<Exchange<D>>,
     outbox: Outbox,
     next: Next,
+    /// Whether an answer whose end is the close of the connection has broken off.
+    broken: bool,
 }
 
 /// What follows the accepted requests.
@@ -83,6 +87,7 @@
             exchanges: VecDeque::new(),
             outbox: Outbox::default(),
             next: Next::Request,
+            broken: false,
         }
     }
 
@@ -91,6 +96,7 @@
         let ended = self.serve(stop).await;
         match ended {
             Ok(()) if self.next == Next::Rest => Ended::Rest(Rewound::new(self.read, self.stream)),
+            Ok(()) if self.broken => Ended::Broken,
             Ok(()) => {
                 self.close().await;
                 Ended::Closed
@@ -216,6 +222,7 @@
             };
             moved = true;
             let closes = first.says_close();
+            self.broken = !whole && first.is_unframed();
             self.exchanges.pop_front();
             if closes || !whole {
                 // Requests sent behind a response that closes the connection count as not read.
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -15,7 +15,7 @@
 use hyper_util::server::conn::auto;
 
 use crate::pipeline::{self, Pipeline, Rewound, exchange};
-use crate::{Executor, Timer};
+use crate::{Executor, Timer, unframed};
 
 /// Answers requests; cloned for each request, so that a clone has to be cheap.
 pub trait Handler: Clone + 'static {
@@ -216,6 +216,7 @@
     stop: kernel::Stop,
 ) {
     let _ = stream.set_nodelay(true);
+    let socket = stream.clone();
     let stream = HyperStream::new_plain(stream);
     let stream = if limits.pipelined > 1 {
         let start = |head| exchange::start(head, handler.clone(), peer, limits);
@@ -223,6 +224,10 @@
         match pipeline.run(&stop).await {
             pipeline::Ended::Rest(stream) => stream,
             pipeline::Ended::Closed => return,
+            pipeline::Ended::Broken => {
+                unframed::reset_on_close(&socket);
+                return;
+            }
         }
     } else {
         Rewound::new(Vec::new(), stream)
@@ -230,6 +235,8 @@
     let taken = rc::Rc::new(cell::Cell::new(false));
     let taking = taken.clone();
     let stopping = stop.clone();
+    let unframed = rc::Rc::new(cell::Cell::new(false));
+    let marking = unframed.clone();
     let service = hyper::service::service_fn(move |mut request: http::Request<Incoming>| {
         taking.set(true);
         request.extensions_mut().insert(peer);
@@ -237,8 +244,10 @@
         // Boxed, since hyper moves the future several times before its first poll.
         let answer = Box::pin(handler.clone().handle(request));
         let stop = stopping.clone();
+        let unframed = marking.clone();
         async move {
             let mut answer = answer.await;
+            unframed.set(unframed::is_marked(&answer));
             if is_announced && stop.is_requested() {
                 let close = http::HeaderValue::from_static("close");
                 answer.headers_mut().insert(http::header::CONNECTION, close);
@@ -264,6 +273,9 @@
         }
     };
     if let Err(error) = ended {
+        if unframed.get() {
+            unframed::reset_on_close(&socket);
+        }
         log::debug!(error:% = error; "connection ended with an error");
     }
 }
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -64,6 +64,9 @@
     /// Between nodes: degree to which repeated runs caused the call, in the format of
     /// [`admission::Ancestry`].
     pub const CALLED_AGAIN: HeaderName = HeaderName::from_static("radishgap-called-again");
+    /// Between nodes: `1` on a response whose body has no length and ends with its connection, so that
+    /// nothing tells whether it is whole.
+    pub const UNFRAMED: HeaderName = HeaderName::from_static("radishgap-unframed");
     /// Between nodes: load of the owner in parts per 10,000 of its limit.
     pub const LOAD: HeaderName = HeaderName::from_static("radishgap-load");
     /// Between nodes: work left at the backend server, in the format of `WorkReport`.
@@ -94,7 +97,8 @@
         Self::CALLED_AGAIN,
     ];
     /// Headers on responses that a backend server may not set.
-    const ANSWER: [HeaderName; 8] = [
+    const ANSWER: [HeaderName; 9] = [
+        Self::UNFRAMED,
         Self::BACKEND_STATUS,
         Self::CONFIGURATION,
         Self::OUTCOME,
@@ -114,6 +118,16 @@
         HeaderName::from_static("proxy-connection"),
     ];
 
+    /// Returns whether the sender closes the connection after this message.
+    pub(crate) fn says_close(headers: &http::HeaderMap) -> bool {
+        let values = headers.get_all(header::CONNECTION).iter();
+        let mut values = values.filter_map(|value| value.to_str().ok());
+        values.any(|value| {
+            let mut options = value.split(',').map(str::trim);
+            options.any(|option| option.eq_ignore_ascii_case("close"))
+        })
+    }
+
     /// Removes hop-by-hop headers.
     pub(crate) fn strip_hop(headers: &mut http::HeaderMap) {
         let named = headers.get(header::CONNECTION).cloned();
--- a/node/src/call/idempotency.rs
+++ b/node/src/call/idempotency.rs
@@ -179,7 +179,7 @@
                     observer: None,
                 })
             }
-            Collected::TooLong(served) => {
+            Collected::Unkept(served) => {
                 first.finish(&End::Answered(status), now);
                 Ok(served)
             }
@@ -244,8 +244,9 @@
 /// Result of collecting a response.
 enum Collected<L, D> {
     Complete(http::response::Parts, Bytes),
-    /// The response exceeds the limit; the collected part precedes the rest.
-    TooLong(Served<L, D>),
+    /// The response exceeds the limit, or nothing tells whether it is whole; the collected part precedes
+    /// the rest.
+    Unkept(Served<L, D>),
     Broken,
 }
 
@@ -255,6 +256,9 @@
     limit: usize,
     deadline: time::Instant,
 ) -> Collected<L, D> {
+    if served.parts.headers.contains_key(Headers::UNFRAMED) {
+        return Collected::Unkept(served);
+    }
     let Served {
         parts,
         source,
@@ -275,7 +279,7 @@
         chunks.push_back(data);
         if length > limit {
             let (rest, observer) = body.into_parts();
-            return Collected::TooLong(Served {
+            return Collected::Unkept(Served {
                 parts,
                 source: Source::Chained(chunks, Box::new(rest)),
                 observer,
--- a/node/src/call/ingress/handler.rs
+++ b/node/src/call/ingress/handler.rs
@@ -9,9 +9,9 @@
 
 use super::delivery::Delivery;
 use super::{Answer, Dialect, Ingress, Problem};
-use crate::call::ResponseBody;
 use crate::call::event::Event;
 use crate::call::owner::respond;
+use crate::call::{Headers, ResponseBody};
 
 /// Counts a request that its caller cancels before the response.
 struct CancelGuard<'i, L: peer::Link, O: Observer, D: Dialect> {
@@ -87,6 +87,9 @@
     let body = ResponseBody::new(answer.source, Some(answer.delivery), deadline);
     let mut response = http::Response::from_parts(answer.parts, body);
     *response.version_mut() = http::Version::HTTP_11;
+    if response.headers_mut().remove(Headers::UNFRAMED).is_some() {
+        web::mark_unframed(&mut response);
+    }
     dialect.complete_headers(response.headers_mut(), id);
     response
 }
--- a/node/src/call/owner/execution.rs
+++ b/node/src/call/owner/execution.rs
@@ -54,9 +54,20 @@
             }
             return Err(Problem::retryable(Reason::Shed));
         }
+        let is_unframed = source.is_unframed(&parts);
+        if is_unframed && !Headers::says_close(&parts.headers) {
+            // A head that broke off before its length, as no server that means to close leaves that out
+            // (RFC 9112, section 9.6).
+            self.owner.count(|counts| counts.truncated += 1);
+            source.retire();
+            return Err(Problem::unknown(Reason::Failed(Cause::Broken)));
+        }
         self.owner.count(|counts| counts.answered += 1);
         Headers::strip_hop(&mut parts.headers);
         Headers::strip_answer(&mut parts.headers);
+        if is_unframed {
+            Headers::set(&mut parts.headers, Headers::UNFRAMED, "1");
+        }
         Headers::set(
             &mut parts.headers,
             Headers::OUTCOME,
--- a/node/src/call/source.rs
+++ b/node/src/call/source.rs
@@ -5,6 +5,7 @@
 use std::task;
 
 use bytes::Bytes;
+use http::header;
 use http_body::Body as _;
 
 /// Source of a response body.
@@ -32,6 +33,14 @@
         (parts, Self::Connection(body, reply.lease))
     }
 
+    /// Whether the body of the response with this head has no length and ends with its connection.
+    pub(crate) fn is_unframed(&self, parts: &http::response::Parts) -> bool {
+        let is_framed = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING]
+            .iter()
+            .any(|name| parts.headers.contains_key(name));
+        parts.version < http::Version::HTTP_2 && !is_framed && !self.is_end_stream()
+    }
+
     /// Drops the body, and closes its connection if that carries only one request at a time.
     pub(crate) fn retire(self) {
         if let Self::Connection(_, lease) = self {
