--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -85,6 +85,26 @@
     }
 }
 
+impl Limits {
+    /// Silence after which a connection with requests is pinged.
+    const PING_AFTER: time::Duration = time::Duration::from_millis(500);
+    /// Time for the answer to that ping: it queues behind the bodies of requests where a link is full, and
+    /// with the connection all requests on it end.
+    const LONG_PING_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+
+    /// Bounds of a listener for requests of callers or of other nodes.
+    #[must_use]
+    pub fn for_requests(connections: usize, linger: time::Duration) -> Self {
+        Self {
+            connections,
+            ping_after: Self::PING_AFTER,
+            ping_timeout: Self::LONG_PING_TIMEOUT,
+            linger,
+            ..Self::default()
+        }
+    }
+}
+
 /// A bound listener.
 pub struct Server {
     listener: net::TcpListener,
--- a/node/src/assembly/listeners.rs
+++ b/node/src/assembly/listeners.rs
@@ -8,7 +8,6 @@
 use super::{Builder, Error, Link, names};
 use crate::admin::Admin;
 use crate::call::{Ingress, Owner};
-use crate::settings::Settings;
 use crate::{announce, operator};
 
 /// Time for which connections that still come after the request to stop are answered.
@@ -33,7 +32,7 @@
         .frame
         .listen("announce", settings.announce, limits, announce)
         .await?;
-    let limits = request_limits(&settings);
+    let limits = web::Limits::for_requests(settings.connections, LINGER);
     let owner: Owner<Link> = builder.find(names::OWNER)?;
     builder
         .frame
@@ -60,13 +59,3 @@
     let service = schema::announce::announce_server::AnnounceServer::new(api);
     Ok(web::Grpc::new(Routes::new(service)))
 }
-
-fn request_limits(settings: &Settings) -> web::Limits {
-    web::Limits {
-        connections: settings.connections,
-        ping_after: time::Duration::from_millis(500),
-        ping_timeout: time::Duration::from_millis(1_000),
-        linger: LINGER,
-        ..web::Limits::default()
-    }
-}
