node: a refused upload says that its connection closes, and loses no answer to a reset

What callers saw: a refusal (503) that came before an upload was read did not say Connection: close, and the connection ended behind it. Callers who sent on such a connection got nothing, and where bytes were unread the close was a reset, which can take the refusal with it. Cause: hyper closes a connection whose request's body was dropped, without saying so. Refusals to requests on HTTP/1.1 whose bodies have not come whole now say it, and what still comes of the body is read and dropped for up to a second. Requests that are refused before their route is known say it, too; their bodies are dropped as before. Evidence: refused_upload_says_that_its_connection_closes failed before (broken pipe in the upload) and holds.

--- a/components/upstream/src/payload.rs
+++ b/components/upstream/src/payload.rs
@@ -128,6 +128,19 @@
         future::poll_fn(|context| self.inner.borrow_mut().poll_head(context)).await;
     }
 
+    /// Whether all of it has come.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.inner.borrow().ended
+    }
+
+    /// Reads and drops what is still to come, and ends every feed with an error.
+    pub async fn discard(&self) {
+        self.abandon();
+        self.inner.borrow_mut().drop_kept();
+        future::poll_fn(|context| self.inner.borrow_mut().poll_rest(context)).await;
+    }
+
     /// Hash of the first bytes that have come, up to [`Self::HEAD_BYTES`].
     #[must_use]
     pub fn head_hash(&self) -> u64 {
@@ -197,14 +210,27 @@
             return;
         }
         if self.kept_bytes + data.len() > self.limit {
-            self.lost = true;
-            self.kept = Vec::new();
+            self.drop_kept();
             return;
         }
         self.kept_bytes += data.len();
         self.kept.push(data.clone());
     }
 
+    fn drop_kept(&mut self) {
+        self.lost = true;
+        self.kept = Vec::new();
+    }
+
+    fn poll_rest(&mut self, context: &mut task::Context<'_>) -> task::Poll<()> {
+        while !self.ended {
+            if task::ready!(self.poll_source(context)).is_err() {
+                break;
+            }
+        }
+        task::Poll::Ready(())
+    }
+
     fn poll_head(&mut self, context: &mut task::Context<'_>) -> task::Poll<()> {
         while self.head.len() < Payload::HEAD_BYTES.min(self.limit) && !self.ended {
             match task::ready!(self.poll_source(context)) {
--- a/node/src/call/ingress/handler.rs
+++ b/node/src/call/ingress/handler.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use compact_str::format_compact;
+use http_body::Body as _;
 use hyper::body::Incoming;
 use routing::Observer;
 use upstream::{Outcome, Payload};
@@ -46,6 +47,9 @@
             .unwrap_or_else(|| format_compact!("{:x}-{:x}", self.shared.id_prefix, self.next_id()));
         let request = http::Request::from_parts(head, body);
         let arrived = metadata.map_err(Problem::refused);
+        // On HTTP/2 only the stream ends.
+        let may_close = request.version() < http::Version::HTTP_2;
+        let mut unread = may_close && !request.body().is_end_stream();
         let arrived = arrived.and_then(|metadata| self.parse(request, &id, metadata));
         let answer = match arrived {
             Ok(arrival) => {
@@ -57,7 +61,11 @@
                 let deadline = arrival.deadline;
                 let served = self.serve(&arrival).await;
                 guard.payload = None;
+                unread = may_close && !arrival.payload.has_ended();
                 if let Err(problem) = &served {
+                    if unread {
+                        discard(arrival.payload.clone());
+                    }
                     Event::Ended(problem).log(&self.inputs(&arrival, 0));
                 }
                 served.map(|answer| (answer, deadline))
@@ -71,12 +79,28 @@
                     Outcome::NotRun => counts.not_run += 1,
                     Outcome::Unknown | Outcome::Ran => counts.unknown += 1,
                 });
-                respond(dialect.answer(&problem, &id))
+                let mut response = respond(dialect.answer(&problem, &id));
+                if unread {
+                    let close = http::HeaderValue::from_static("close");
+                    let headers = response.headers_mut();
+                    headers.insert(http::header::CONNECTION, close);
+                }
+                response
             }
         }
     }
 }
 
+/// Reads the rest of the body of a request that has its answer, for a short time: closing a connection
+/// with unread bytes would reset it, and the caller could lose the answer.
+fn discard(payload: Payload) {
+    const LIMIT: time::Duration = time::Duration::from_secs(1);
+    compio::runtime::spawn(async move {
+        let _ = compio::time::timeout(LIMIT, payload.discard()).await;
+    })
+    .detach();
+}
+
 /// Builds the response for the caller.
 fn complete<L: peer::Link, O: Observer, D: Dialect>(
     dialect: &D,
