--- a/node/src/call/envelope.rs
+++ b/node/src/call/envelope.rs
@@ -144,10 +144,16 @@
         parts.map_or(self.request.as_str(), |(request, _)| request)
     }
 
-    /// Takes the time that the request has waited on its way off the time that it has left.
+    /// Takes the time that the request has waited on its way into account: it has less time left, and
+    /// records have to reach further back.
     pub fn subtract(&mut self, waited: time::Duration) {
         self.deadline = self.deadline.checked_sub(waited).unwrap_or(self.deadline);
         self.target = self.target.checked_sub(waited).unwrap_or(self.target);
+        if let Some(key) = &mut self.key
+            && !key.cover.is_zero()
+        {
+            key.cover = key.cover.saturating_add(waited);
+        }
     }
 
     /// Reads the envelope from the headers of a request from another node.
--- a/node/tests/transit.rs
+++ b/node/tests/transit.rs
@@ -1,8 +1,8 @@
 //! Time that messages spend on their way between nodes, told by their stamps.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use node::call::{Stamp, Transits};
+use node::call::{Envelope, Headers, Stamp, Transits};
 use units::Uptime;
 
 fn at(millis: u64) -> Uptime {
@@ -47,6 +47,37 @@
     assert_eq!(waited, Duration::ZERO);
 }
 
+/// Guards against durations that are handed on without the time that handing on takes.
+#[test]
+fn subtract_cases() {
+    const WAITED: Duration = Duration::from_millis(700);
+    // Cover in the headers, and what it becomes.
+    for (cover, wanted) in [("0", 0), ("300", 1_000)] {
+        let mut headers = http::HeaderMap::new();
+        for (name, value) in [
+            (Headers::REQUEST, "r.1"),
+            (Headers::DEADLINE_MS, "2000"),
+            (Headers::TARGET_MS, "1000"),
+            (Headers::ATTEMPT, "1"),
+            (Headers::DEPTH, "0"),
+            (Headers::SERVICE, "menus"),
+            (Headers::VERSION, "v1"),
+            (Headers::CALLER, "c"),
+            (Headers::KEY, "k"),
+            (Headers::KEY_COVER_MS, cover),
+        ] {
+            headers.insert(name, http::HeaderValue::from_str(value).expect("a value"));
+        }
+        let now = Instant::now();
+        let mut envelope = Envelope::read(&headers, now).expect("a whole envelope");
+        envelope.subtract(WAITED);
+        assert_eq!(envelope.deadline, now + Duration::from_millis(1_300));
+        assert_eq!(envelope.target, now + Duration::from_millis(300));
+        let key = envelope.key.expect("a key");
+        assert_eq!(key.cover, Duration::from_millis(wanted), "{cover}");
+    }
+}
+
 #[test]
 fn stamp_cases() {
     let given = stamp(0xab_cdef, 1_234_567);
