web, node: a short function and a smaller variant, as the linter asks

No change of behaviour: the pipelined start of a connection is served by a function of its own; the answer that a key's record does not keep is boxed.

--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -237,20 +237,8 @@
 ) {
     let _ = stream.set_nodelay(true);
     let socket = stream.clone();
-    let stream = HyperStream::new_plain(stream);
-    let stream = if limits.pipelined > 1 {
-        let start = |head| exchange::start(head, handler.clone(), peer, limits);
-        let pipeline = Pipeline::new(stream, limits, start);
-        match pipeline.run(&stop).await {
-            pipeline::Ended::Rest(stream) => stream,
-            pipeline::Ended::Closed => return,
-            pipeline::Ended::Broken => {
-                unframed::reset_on_close(&socket);
-                return;
-            }
-        }
-    } else {
-        Rewound::new(Vec::new(), stream)
+    let Some(stream) = serve_pipelined(stream, peer, &handler, limits, &stop).await else {
+        return;
     };
     let taken = rc::Rc::new(cell::Cell::new(false));
     let taking = taken.clone();
@@ -300,6 +288,31 @@
     }
 }
 
+/// Serves the requests at the start of a connection that need no more than a pipeline; `None` once the
+/// connection has ended.
+async fn serve_pipelined<H: Handler>(
+    stream: net::TcpStream,
+    peer: Peer,
+    handler: &H,
+    limits: Limits,
+    stop: &kernel::Stop,
+) -> Option<Rewound<HyperStream<net::TcpStream>>> {
+    let socket = stream.clone();
+    let stream = HyperStream::new_plain(stream);
+    if limits.pipelined <= 1 {
+        return Some(Rewound::new(Vec::new(), stream));
+    }
+    let start = |head| exchange::start(head, handler.clone(), peer, limits);
+    match Pipeline::new(stream, limits, start).run(stop).await {
+        pipeline::Ended::Rest(stream) => Some(stream),
+        pipeline::Ended::Closed => None,
+        pipeline::Ended::Broken => {
+            unframed::reset_on_close(&socket);
+            None
+        }
+    }
+}
+
 /// Waits until the connection is to be shut down: its first request is awaited for a short time,
 /// since a shutdown before it would close the connection without an answer.
 async fn stopped(stop: &kernel::Stop, taken: &cell::Cell<bool>) {
--- a/node/src/call/idempotency.rs
+++ b/node/src/call/idempotency.rs
@@ -181,7 +181,7 @@
             }
             Collected::Unkept(served) => {
                 first.finish(&End::Answered(status), now);
-                Ok(served)
+                Ok(*served)
             }
             Collected::Broken => {
                 first.finish(&End::Unknown, now);
@@ -246,7 +246,7 @@
     Complete(http::response::Parts, Bytes),
     /// The response exceeds the limit, or nothing tells whether it is whole; the collected part precedes
     /// the rest.
-    Unkept(Served<L, D>),
+    Unkept(Box<Served<L, D>>),
     Broken,
 }
 
@@ -257,7 +257,7 @@
     deadline: time::Instant,
 ) -> Collected<L, D> {
     if served.parts.headers.contains_key(Headers::UNFRAMED) {
-        return Collected::Unkept(served);
+        return Collected::Unkept(Box::new(served));
     }
     let Served {
         parts,
@@ -279,11 +279,11 @@
         chunks.push_back(data);
         if length > limit {
             let (rest, observer) = body.into_parts();
-            return Collected::Unkept(Served {
+            return Collected::Unkept(Box::new(Served {
                 parts,
                 source: Source::Chained(chunks, Box::new(rest)),
                 observer,
-            });
+            }));
         }
     }
     Collected::Complete(parts, join_chunks(chunks, length))
