--- a/components/admission/src/repeats.rs
+++ b/components/admission/src/repeats.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use crate::sum::{add_parts, count};
-use crate::{Allowance, Ancestry, Arrivals, Budget, Repeat};
+use crate::{Allowance, Ancestry, Arrivals, Budget, Repeat, Sum};
 
 /// Repeats among the requests that a backend server receives and runs; clones share the state.
 #[derive(Clone)]
@@ -18,7 +18,7 @@
     arrivals: cell::RefCell<Arrivals>,
     /// Running requests.
     running: cell::Cell<u64>,
-    /// What the calls of the running requests are owed to, in parts per 10,000.
+    /// Ancestries of the calls of the running requests, added up, in parts per 10,000.
     called_again_parts: cell::Cell<[u64; Ancestry::CALLS]>,
 }
 
@@ -48,8 +48,7 @@
     /// Whether the budget of a service with `owners` owners allows the backend server one more retry.
     #[must_use]
     pub fn allows(&self, owners: u32, now: time::Instant) -> bool {
-        let budget = self.budget(owners, now);
-        let latest = self.shared.arrivals.borrow_mut().latest(now);
+        let (budget, latest) = self.budget_and_latest(owners, now);
         count(budget.arrived.resent) + 1.0 <= budget.limit
             && count(latest.resent) + 1.0 <= Allowance::burst(budget.limit)
     }
@@ -58,13 +57,18 @@
     /// owners.
     #[must_use]
     pub fn budget(&self, owners: u32, now: time::Instant) -> Budget {
+        self.budget_and_latest(owners, now).0
+    }
+
+    /// Returns the budget and the arrivals in the last tenth of its window.
+    fn budget_and_latest(&self, owners: u32, now: time::Instant) -> (Budget, Sum) {
         let mut arrivals = self.shared.arrivals.borrow_mut();
         arrivals.record_owners(owners, now);
         let arrived = arrivals.sum(now);
         let latest = arrivals.latest(now);
         let uptime = arrivals.uptime(now);
         let limit = self.shared.allowance.limit(&arrived, &latest, uptime);
-        Budget { arrived, limit }
+        (Budget { arrived, limit }, latest)
     }
 
     /// Counts a request that starts at the backend server at call depth `depth`.
--- a/components/upstream/src/lines.rs
+++ b/components/upstream/src/lines.rs
@@ -131,7 +131,7 @@
     pub async fn send(&self, request: http::Request<Feed>) -> Result<Reply, Failure> {
         let mut request = request;
         for _ in 0..Self::UNSENT_TRIES {
-            let mut busy = self.take(Sending::of(&request).as_ref()).await?;
+            let mut busy = self.take(Sending::of(&request)).await?;
             let Some(line) = busy.line.as_mut() else {
                 continue;
             };
--- a/components/upstream/src/sending.rs
+++ b/components/upstream/src/sending.rs
@@ -1,8 +1,8 @@
-//! What a connection has to know of a request.
+//! Identity and deadline of a request, for the connection that sends it.
 
 use std::time;
 
-/// What a connection has to know of a request, as an extension of the request.
+/// Identity and deadline of a request, for the connection that sends it; an extension of the request.
 #[derive(Debug, Clone)]
 pub struct Sending {
     /// Number that all sendings of a request share: no connection that carries one request at a time
@@ -15,9 +15,9 @@
 }
 
 impl Sending {
-    /// Returns what the connection has to know of `request`.
-    pub(crate) fn of<B>(request: &http::Request<B>) -> Option<Self> {
-        request.extensions().get::<Self>().cloned()
+    /// Returns the extension of `request`.
+    pub(crate) fn of<B>(request: &http::Request<B>) -> Option<&Self> {
+        request.extensions().get()
     }
 
     /// Writes the time that is left into `request`, if it has a deadline.
@@ -29,6 +29,7 @@
             .deadline
             .saturating_duration_since(time::Instant::now());
         let left = http::HeaderValue::from(units::millis(left));
-        request.headers_mut().insert(sending.header, left);
+        let header = sending.header.clone();
+        request.headers_mut().insert(header, left);
     }
 }
--- a/node/src/call/dialect.rs
+++ b/node/src/call/dialect.rs
@@ -39,7 +39,8 @@
         now: time::Instant,
     );
 
-    /// Returns the header that tells the backend server the time left, in milliseconds.
+    /// Returns the header that tells the backend server the time left, in milliseconds; the connection
+    /// writes it.
     fn deadline_header(&self) -> http::HeaderName;
 
     /// Returns whether the response says that the backend server has not run the request.
--- a/node/src/call/transit.rs
+++ b/node/src/call/transit.rs
@@ -73,22 +73,20 @@
     /// first message of a sender counts as one that has not waited.
     pub fn record(&mut self, stamp: Stamp, now: Uptime) -> time::Duration {
         let difference = difference(now, stamp.sent);
-        let sender = match self
+        let place = self
             .senders
-            .binary_search_by_key(&stamp.sender, |one| one.id)
-        {
-            Ok(place) => &mut self.senders[place],
-            Err(place) => {
-                let sender = Sender {
-                    id: stamp.sender,
-                    since: now,
-                    least: difference,
-                    least_before: difference,
-                };
-                self.senders.insert(place, sender);
-                &mut self.senders[place]
-            }
-        };
+            .binary_search_by_key(&stamp.sender, |one| one.id);
+        let place = place.unwrap_or_else(|place| {
+            let sender = Sender {
+                id: stamp.sender,
+                since: now,
+                least: difference,
+                least_before: difference,
+            };
+            self.senders.insert(place, sender);
+            place
+        });
+        let sender = &mut self.senders[place];
         sender.record(difference, now);
         let waited = difference - sender.least.min(sender.least_before);
         let waited = u64::try_from(waited).unwrap_or_default();
