relay: a node that starts looks for what others have kept of a restored store

Cause, the class of absence of evidence taken for evidence: any answer of another node counted as having heard of what the store lost, also that of a node that was itself starting; and what was adopted later reached no reader, since its revision lies below the head. - Answers say from which era on a state has been kept (Reply.origin). Only one that goes back before the store's era ends the search; for twice the time of a change a starting node asks others for the full feeds, and it takes the store's word after half of that time at the earliest. - Values that are adopted are handed to readers (Feed::adopted_after), line lost-value-adopted.

--- a/components/relay/src/feed.rs
+++ b/components/relay/src/feed.rs
@@ -24,6 +24,8 @@
     entries: Vec<Entry>,
     /// Revision of the newest change; `None` until the first read.
     head: Option<Revision>,
+    /// Keys of the objects that were taken from nodes that had kept them, in the order of their adoption.
+    adopted: Vec<Key>,
     /// Senders that are notified of the next change.
     waiters: Vec<oneshot::Sender<()>>,
 }
@@ -62,6 +64,7 @@
             removals_from: Revision::default(),
             entries: Vec::new(),
             head: None,
+            adopted: Vec::new(),
             waiters: Vec::new(),
         }
     }
@@ -222,16 +225,38 @@
         let held = &self.entries[index].object;
         let is_earlier = kept.revision.era() < held.revision.era();
         if is_earlier && (self.version)(&kept.value) > (self.version)(&held.value) {
+            log::info!(event = "lost-value-adopted", key:% = kept.key, revision:% = kept.revision,
+                head:? = self.head; "another node has kept what the store has lost");
+            self.adopted.push(kept.key.clone());
             self.entries[index] = Entry::new(kept);
+            self.notify();
         }
     }
 
+    /// Number of objects that were taken from nodes that had kept them.
+    #[must_use]
+    pub fn adoptions(&self) -> usize {
+        self.adopted.len()
+    }
+
+    /// Objects taken so after the first `count`; their revisions lie below the head.
+    #[must_use]
+    pub fn adopted_after(&self, count: usize) -> Vec<Object> {
+        let keys = self.adopted.iter().skip(count);
+        let entries = keys.filter_map(|key| Some(&self.entries[self.index_of(key).ok()?]));
+        let present = entries.filter(|entry| !entry.removed);
+        present.map(|entry| entry.object.clone()).collect()
+    }
+
     fn advance_head(&mut self, head: Revision) {
         let before = self.head;
         self.head = self.head.max(Some(head));
-        if self.head == before {
-            return;
+        if self.head != before {
+            self.notify();
         }
+    }
+
+    fn notify(&mut self) {
         for waiter in self.waiters.drain(..) {
             // The receiver may have been dropped.
             let _ = waiter.send(());
--- a/components/relay/src/intervals.rs
+++ b/components/relay/src/intervals.rs
@@ -19,6 +19,9 @@
         pub pull_timeout: time::Duration,
         /// Time after which twice as many nodes have asked the store themselves, once the state is stale.
         pub takeover_step: time::Duration,
+        /// Time after its start in which a node looks for others that have kept what the store may have
+        /// lost.
+        pub kept_search: time::Duration,
         /// Time between two attempts of a node to read the store itself.
         pub retry: time::Duration,
     }
@@ -39,6 +42,7 @@
             answer_timeout: apply / 8,
             pull_timeout: apply / 2,
             takeover_step: apply / 20,
+            kept_search: apply * 2,
             retry: apply,
         }
     }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod feed_writer;
 mod freshness;
 mod intervals;
+mod origin;
 mod place;
 mod proof;
 mod pull;
--- a/components/relay/src/pull.rs
+++ b/components/relay/src/pull.rs
@@ -28,12 +28,29 @@
             wait = (wait * 2).min(self.intervals.answer_timeout);
             let now = time::Instant::now();
             let is_stale = self.freshness.borrow().is_stale(now, &self.intervals);
-            if is_stale || !self.is_loaded() || self.needs_full_pull.get() {
+            if is_stale || !self.is_loaded() || self.needs_full_pull() {
                 self.start_pull_from_any();
             }
         }
     }
 
+    /// Whether the next pull asks for the full feeds: the base of a delta is missing, or a node that has
+    /// kept what the store has lost is still looked for.
+    fn needs_full_pull(&self) -> bool {
+        let age = self.origin.age(time::Instant::now());
+        self.lacks_base.get() || (!self.has_kept() && age < self.intervals.kept_search)
+    }
+
+    /// Whether the state of this node contains what the store may have lost.
+    fn has_kept(&self) -> bool {
+        self.origin.is_before(self.parts.store.era())
+    }
+
+    /// Whether what the store may have lost is here, or no other node has shown it in time.
+    pub(crate) fn is_kept_or_unknown(&self) -> bool {
+        self.has_kept() || self.origin.age(time::Instant::now()) >= self.intervals.stale_after
+    }
+
     fn start_pull_from_any(self: &rc::Rc<Self>) {
         if let Some(member) = self.others().choose(&mut rand::rng()) {
             self.start_pull(member.peer_address);
@@ -96,7 +113,7 @@
     /// Pulls from the node at `to`; returns whether a feed changed.
     async fn pull(self: &rc::Rc<Self>, to: units::Address) -> bool {
         let before = self.heads();
-        let full = self.needs_full_pull.get();
+        let full = self.needs_full_pull();
         let pull = wire::Pull {
             heads: match full {
                 true => Vec::new(),
@@ -114,7 +131,7 @@
             changed = pulled.as_ref().is_ok_and(|changed| *changed), error = error.as_deref().unwrap_or_default();
             "another node was asked for changes");
         if full && pulled.is_ok() {
-            self.needs_full_pull.set(false);
+            self.lacks_base.set(false);
         }
         let changed = pulled.unwrap_or_default();
         if changed {
@@ -152,6 +169,7 @@
             age_ms,
             place,
             certain_age_ms: self.proof_to_wire(),
+            origin: self.origin.era().map(|era| u32::from(era.0)),
         };
         incoming.answer.send(reply.encode_to_vec());
         if let Some(wire::request::Kind::Push(push)) = request.kind {
--- a/components/relay/src/question.rs
+++ b/components/relay/src/question.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use membership::{Member, Ranks};
-use platform::{Era, Error, Event, Store};
+use platform::{Error, Event, Store};
 use rand::seq::IndexedRandom;
 use schema::relay as wire;
 use units::Uptime;
@@ -180,10 +180,9 @@
     /// Records that a read of the store by this node made the objects below `prefix` complete up to `at`.
     ///
     /// A store that has come back from a copy may show an older state than it has acknowledged: its
-    /// answers count only once another node, which may have kept what it lost, has been heard.
+    /// answers count only once a node that has kept what it lost has been heard, or none has in time.
     pub(crate) fn record_read_proof(&self, prefix: &str, at: Uptime) {
-        let may_be_restored = self.parts.store.era() > Era::default();
-        if self.is_proven(prefix) && (!may_be_restored || self.heard.get()) {
+        if self.is_proven(prefix) && self.is_kept_or_unknown() {
             self.record_feed_proof(at);
         }
     }
--- a/components/relay/src/replica.rs
+++ b/components/relay/src/replica.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use futures_util::future::{self, Either};
-use platform::{Era, Error, Events, Key, Listing, Object, Revision, Store};
+use platform::{Era, Error, Event, Events, Key, Listing, Object, Revision, Store};
 
 use crate::Feed;
 use crate::shared::Shared;
@@ -18,6 +18,8 @@
     shared: rc::Rc<Shared<S, L>>,
     /// Newest revision that this reader has got; a second listing means that it knows of a newer change.
     read: rc::Rc<cell::Cell<Option<Revision>>>,
+    /// Number of adopted objects that this reader has got.
+    adopted: rc::Rc<cell::Cell<usize>>,
 }
 
 impl<S, L> Clone for Replica<S, L> {
@@ -25,6 +27,7 @@
         Self {
             shared: self.shared.clone(),
             read: self.read.clone(),
+            adopted: self.adopted.clone(),
         }
     }
 }
@@ -34,6 +37,7 @@
         Self {
             shared,
             read: rc::Rc::default(),
+            adopted: rc::Rc::default(),
         }
     }
 
@@ -97,6 +101,7 @@
         }
         let listing = wait_for_newer(feed, None).await;
         self.read.set(Some(listing.revision));
+        self.adopted.set(feed.borrow().adoptions());
         self.apply(prefix, listing.revision);
         Ok(listing)
     }
@@ -118,7 +123,10 @@
         loop {
             let changed = {
                 let mut feed = feed.borrow_mut();
-                let events = feed.events_after(from);
+                let mut events = feed.events_after(from);
+                let adopted = feed.adopted_after(self.adopted.get());
+                events.extend(adopted.into_iter().map(Event::Put));
+                self.adopted.set(feed.adoptions());
                 let remaining = deadline.saturating_duration_since(time::Instant::now());
                 if !events.is_empty() || remaining.is_zero() {
                     let revision = feed.head().unwrap_or(from);
--- a/components/relay/src/role.rs
+++ b/components/relay/src/role.rs
@@ -4,12 +4,12 @@
 use std::rc;
 use std::time;
 
-use platform::{Era, Follower, Pace, Store};
+use platform::{Follower, Pace, Store};
 
 use crate::answer::Answered;
 use crate::feed_writer::FeedWriter;
 use crate::shared::{Shared, Watch};
-use crate::{Candidate, Topic};
+use crate::{Candidate, Feed, Topic};
 
 /// A follower that is about to run, with what it needs.
 type StartedFollower<S, L> = (Follower<S>, FeedWriter<S, L>, kernel::Stop);
@@ -25,16 +25,16 @@
     ///
     /// The watchers send the changes since then.
     pub(crate) async fn run_first_read(self: rc::Rc<Self>, stop: kernel::Stop) {
-        let started = time::Instant::now();
         for (topic, feed) in self.topics.iter().zip(&self.feeds) {
             let listed = stop.guard(self.parts.store.list_stale(topic.prefix)).await;
             match listed {
                 Some(Ok(listing)) => {
-                    let waited = stop.guard(self.wait_for_kept_changes(started)).await;
+                    let waited = stop.guard(self.wait_for_kept_changes()).await;
                     if waited.is_none() {
                         return;
                     }
                     feed.borrow_mut().merge_listing(listing);
+                    self.record_first_read(&feed.borrow());
                     self.record_head(&feed.borrow());
                 }
                 Some(Err(error)) => log::info!(event = "first-read-failed",
@@ -45,18 +45,21 @@
         }
     }
 
-    /// Waits for the first answer of another node if the store may have come back from a copy, as the
-    /// others have kept what it has lost; no longer than a state is fresh, from when this node `started`.
-    async fn wait_for_kept_changes(&self, started: time::Instant) {
-        let may_be_restored = self.parts.store.era() > Era::default();
-        while may_be_restored && !self.heard.get() {
-            if started.elapsed() >= self.intervals.stale_after {
-                return;
-            }
+    /// Waits for the feeds of a node that has kept what the store may have lost, no longer than a state is
+    /// fresh from the start of this node.
+    async fn wait_for_kept_changes(&self) {
+        while !self.is_kept_or_unknown() {
             compio::time::sleep(Self::CHECK_INTERVAL / 10).await;
         }
     }
 
+    /// Records that this node has read `feed` from the store.
+    pub(crate) fn record_first_read(&self, feed: &Feed) {
+        if let Some(head) = feed.head().filter(|_| self.origin.era().is_none()) {
+            self.origin.record(head.era());
+        }
+    }
+
     /// Starts and ends the watches of this node as its responsibility changes.
     pub(crate) async fn run_role(self: rc::Rc<Self>, stop: kernel::Stop) {
         if stop.guard(self.wait_for_members()).await.is_none() {
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -5,12 +5,13 @@
 use std::time;
 
 use membership::{Member, Ranks};
-use platform::{Revision, Store};
+use platform::{Era, Revision, Store};
 use prost::Message;
 use schema::relay as wire;
 use units::Uptime;
 
 use crate::answer::Answered;
+use crate::origin::Origin;
 use crate::relay::Parts;
 use crate::source::Source;
 use crate::{
@@ -39,10 +40,9 @@
     pub(crate) spread_at: cell::Cell<Option<time::Instant>>,
     /// Nodes from which pulls are running.
     pub(crate) pulling: cell::RefCell<Vec<units::Address>>,
-    /// Whether the next pull asks for the full feeds, because the base of a received delta is missing.
-    pub(crate) needs_full_pull: cell::Cell<bool>,
-    /// Whether another node has answered a request.
-    pub(crate) heard: cell::Cell<bool>,
+    /// Whether the base of a received delta is missing.
+    pub(crate) lacks_base: cell::Cell<bool>,
+    pub(crate) origin: Origin,
     counts: cell::Cell<Counts>,
     rank_cache: cell::RefCell<RankCache>,
 }
@@ -81,8 +81,8 @@
             watches: cell::RefCell::default(),
             spread_at: cell::Cell::default(),
             pulling: cell::RefCell::default(),
-            needs_full_pull: cell::Cell::default(),
-            heard: cell::Cell::default(),
+            lacks_base: cell::Cell::default(),
+            origin: Origin::new(time::Instant::now()),
             counts: cell::Cell::default(),
             rank_cache: cell::RefCell::default(),
             topics,
@@ -218,6 +218,7 @@
         kind: wire::request::Kind,
         timeout: time::Duration,
     ) -> Result<bool, peer::Error> {
+        let is_full = matches!(&kind, wire::request::Kind::Pull(pull) if pull.heads.is_empty());
         let request = wire::Request { kind: Some(kind) }.encode_to_vec();
         let link = &self.parts.link;
         let (asked, asked_at) = (time::Instant::now(), Uptime::now());
@@ -229,14 +230,22 @@
         };
         self.record_message();
         let result = self.apply_parts(&reply.parts, Source::Reply(to));
-        self.heard.set(true);
         if result.complete {
+            self.record_origin(&reply, is_full);
             self.record_evidence(Evidence::of_reply(&reply, asked));
             self.record_proof(&reply, asked_at);
         }
         Ok(result.changed)
     }
 
+    /// Records from which era on the state is kept, after the full feeds of another node were applied.
+    fn record_origin(&self, reply: &wire::Reply, is_full: bool) {
+        let era = reply.origin.and_then(|era| u16::try_from(era).ok());
+        if let Some(era) = era.filter(|_| is_full) {
+            self.origin.record(Era(era));
+        }
+    }
+
     /// Applies the parts of a message to the feeds.
     pub(crate) fn apply_parts(&self, parts: &[wire::Part], source: Source<'_>) -> PartsOutcome {
         let mut result = PartsOutcome {
@@ -266,7 +275,7 @@
                 Outcome::Gap => result.complete = false,
                 Outcome::MissingBase => {
                     result.complete = false;
-                    self.needs_full_pull.set(true);
+                    self.lacks_base.set(true);
                 }
             }
             if feed.head() != before {
@@ -283,7 +292,7 @@
     pub(crate) fn record_change(&self, feed: &Feed, before: Option<Revision>, source: Source<'_>) {
         let era = |head: Option<Revision>| head.map(Revision::era);
         if before.is_some() && era(before) < era(feed.head()) {
-            self.needs_full_pull.set(true);
+            self.lacks_base.set(true);
         }
         self.record_head(feed);
         log::info!(event = "feed-changed", prefix = feed.prefix(), from:% = source, before:? = before,
--- a/components/relay/tests/mesh/fleet.rs
+++ b/components/relay/tests/mesh/fleet.rs
@@ -34,6 +34,8 @@
     pub(crate) member: rc::Rc<Member>,
     pub(crate) store: NodeStore,
     pub(crate) known_revision: rc::Rc<cell::Cell<u64>>,
+    /// Version of the configuration, as a reader of the replica sees it.
+    pub(crate) known_version: rc::Rc<cell::Cell<Option<u64>>>,
     /// Keys of the orders, as a reader of the replica sees them.
     pub(crate) known_orders: rc::Rc<cell::RefCell<Vec<String>>>,
     pub(crate) dump: Box<dyn Fn() -> relay::Dump>,
@@ -55,11 +57,16 @@
         prefix,
         wait: (prefix == ROLLOUTS).then(|| settings().apply.0),
         pause: time::Duration::from_millis(50),
-        version: |value| value.get(..8)?.try_into().ok().map(u64::from_be_bytes),
+        version: version_in,
         removals: prefix == ROLLOUTS,
     }
 }
 
+/// Version in the value of a configuration.
+fn version_in(value: &[u8]) -> Option<u64> {
+    value.get(..8)?.try_into().ok().map(u64::from_be_bytes)
+}
+
 /// Polls until `condition` holds.
 pub(crate) async fn wait_until(name: &str, condition: impl Fn() -> bool) {
     let started = time::Instant::now();
@@ -145,13 +152,20 @@
         let (trigger, stop) = kernel::stop();
         compio::runtime::spawn(kernel::Service::run(relay, stop)).detach();
         let known_revision = rc::Rc::new(cell::Cell::new(0));
-        compio::runtime::spawn(record_revisions(replica.clone(), known_revision.clone())).detach();
+        let known_version = rc::Rc::default();
+        compio::runtime::spawn(record_config(
+            replica.clone(),
+            known_revision.clone(),
+            rc::Rc::clone(&known_version),
+        ))
+        .detach();
         let known_orders = rc::Rc::default();
         compio::runtime::spawn(record_orders(orders, rc::Rc::clone(&known_orders))).detach();
         self.nodes.push(Running {
             member,
             store,
             known_revision,
+            known_version,
             known_orders,
             dump,
             certainty,
@@ -160,12 +174,42 @@
         });
     }
 
+    /// Adds nodes without any state that start together; `numbers` are not in use yet.
+    pub(crate) fn add(&mut self, numbers: std::ops::Range<usize>) {
+        let view = self.members.get();
+        let added: Vec<_> = numbers.map(|number| self.member(number)).collect();
+        let members = view.members().iter().cloned().chain(added.iter().cloned());
+        self.members.set(View::new(
+            members.collect::<Vec<_>>(),
+            view.generation() + 1,
+        ));
+        for member in added {
+            self.start(member);
+        }
+    }
+
     /// Writes a new revision of the configuration to the store.
     pub(crate) fn change_config(&self) -> Revision {
         let key = "config/main".parse().expect("valid key");
         self.store.plant(&key, vec![b'x'; 100])
     }
 
+    /// Writes a version of the configuration to the store.
+    pub(crate) fn put_version(&self, version: u64) {
+        let key = "config/main".parse().expect("valid key");
+        self.store.plant(&key, version.to_be_bytes().to_vec());
+    }
+
+    /// Waits until all nodes have `version` of the configuration.
+    pub(crate) async fn wait_for_version(&self, name: &str, version: u64) {
+        wait_until(name, || {
+            self.nodes
+                .iter()
+                .all(|node| node.known_version.get() == Some(version))
+        })
+        .await;
+    }
+
     /// Revision of the configuration in the store.
     pub(crate) fn head(&self) -> u64 {
         let objects = self.store.peek(CONFIG);
@@ -270,14 +314,18 @@
     }
 }
 
-/// Follows the configuration and stores its revision in `known_revision`.
-async fn record_revisions(
+/// Follows the configuration and stores its revision and its version.
+async fn record_config(
     replica: Replica<NodeStore, fakes::Link>,
     known_revision: rc::Rc<cell::Cell<u64>>,
+    known_version: rc::Rc<cell::Cell<Option<u64>>>,
 ) {
     let Ok(listing) = replica.list(CONFIG).await else {
         return;
     };
+    if let Some(object) = listing.objects.first() {
+        known_version.set(version_in(&object.value));
+    }
     let mut from = listing.revision;
     loop {
         assert!(from.0 >= known_revision.get(), "revision decreased");
@@ -288,6 +336,11 @@
         else {
             return;
         };
+        for event in &events.events {
+            if let Event::Put(object) = event {
+                known_version.set(version_in(&object.value));
+            }
+        }
         from = events.revision;
     }
 }
--- a/components/relay/tests/mesh/main.rs
+++ b/components/relay/tests/mesh/main.rs
@@ -6,4 +6,5 @@
 mod faults;
 mod fleet;
 mod removals;
+mod restored;
 mod store;
