relay: the answer to a slow pull is taken, and others go on beside it

Its log has seven pulls in a row without an answer in 1.25 s. Cause: an answer that waits longer behind bodies than a pull's timeout was thrown away, and the next pull waited as long. The class: a timeout that is shorter than the delay of the way fails for ever, however often it is tried. The answer to a pull is now taken for four times as long; a pull that is overdue counts toward no limit, so that others start as before (eight at a time at most). Evidence: change_reaches_nodes_whose_answers_take_longer_than_half_the_bound (0.6 of the bound for both ways, no store) failed before (not met within 30 s) and holds.

--- a/components/relay/src/intervals.rs
+++ b/components/relay/src/intervals.rs
@@ -15,7 +15,10 @@
         pub stale_after: time::Duration,
         /// Time without an answer of another node after which the next one is asked as well.
         pub answer_timeout: time::Duration,
-        /// Timeout of a pull, whose answer may be large and come over a slow link.
+        /// Time without the answer to a pull after which it is overdue, and others go on beside it.
+        pub pull_overdue: time::Duration,
+        /// Time in which the answer to a pull is taken: it may be large, and wait behind the bodies of requests
+        /// where a link is full.
         pub pull_timeout: time::Duration,
         /// Time after which twice as many nodes have asked the store themselves, once the state is stale.
         pub takeover_step: time::Duration,
@@ -40,7 +43,8 @@
             heartbeat: apply / 4,
             stale_after: apply / 2,
             answer_timeout: apply / 8,
-            pull_timeout: apply / 2,
+            pull_overdue: apply / 2,
+            pull_timeout: apply * 2,
             takeover_step: apply / 20,
             kept_search: apply * 2,
             retry: apply,
--- a/components/relay/src/pull.rs
+++ b/components/relay/src/pull.rs
@@ -4,6 +4,7 @@
 use std::rc;
 use std::time;
 
+use futures_channel::oneshot;
 use futures_util::future::{self, Either};
 use membership::Member;
 use platform::Store;
@@ -18,9 +19,12 @@
     /// First interval between two pulls of a starting node.
     const FIRST_WAIT: time::Duration = time::Duration::from_millis(25);
 
-    /// Number of pulls that may run at the same time.
+    /// Number of pulls that may run at the same time, without those that are overdue.
     const PULLS: usize = 3;
 
+    /// Number of pulls that may run at the same time.
+    const ALL_PULLS: usize = 8;
+
     /// Pulls from random nodes while the state of this node is stale, or a full feed is missing.
     pub(crate) async fn run_pulls(self: rc::Rc<Self>, stop: kernel::Stop) {
         let mut wait = Self::FIRST_WAIT;
@@ -78,12 +82,20 @@
         }
     }
 
-    /// Pulls from `member`, if there is one; returns whether a feed changed.
+    /// Pulls from `member`, if there is one; returns whether a feed changed before the pull is overdue.
     async fn pull_from(self: &rc::Rc<Self>, member: Option<&rc::Rc<Member>>) -> bool {
-        match member {
-            Some(member) => self.pull(member.peer_address).await,
-            None => false,
-        }
+        let Some(member) = member else {
+            return false;
+        };
+        let (sender, receiver) = oneshot::channel();
+        let (shared, to) = (self.clone(), member.peer_address);
+        compio::runtime::spawn(async move {
+            // The receiver is gone if the pull was overdue.
+            let _ = sender.send(shared.pull(to).await);
+        })
+        .detach();
+        let changed = compio::time::timeout(self.intervals.pull_overdue, receiver).await;
+        matches!(changed, Ok(Ok(true)))
     }
 
     /// Starts a pull from `node`, whose message has shown that changes are missing here.
@@ -97,19 +109,32 @@
 
     /// Starts a pull from the node at `to`, unless one from there or too many are running.
     fn start_pull(self: &rc::Rc<Self>, to: units::Address) {
-        let mut pulling = self.pulling.borrow_mut();
-        if pulling.len() >= Self::PULLS || pulling.contains(&to) {
+        let started = time::Instant::now();
+        if !self.may_pull(to, started) {
             return;
         }
-        pulling.push(to);
+        self.pulling.borrow_mut().push((to, started));
         let shared = self.clone();
         compio::runtime::spawn(async move {
             shared.pull(to).await;
-            shared.pulling.borrow_mut().retain(|address| *address != to);
+            let mut pulling = shared.pulling.borrow_mut();
+            pulling.retain(|pull| *pull != (to, started));
         })
         .detach();
     }
 
+    /// Whether a pull from the node at `to` may start: an overdue one stands in the way of no other.
+    fn may_pull(&self, to: units::Address, now: time::Instant) -> bool {
+        let pulling = self.pulling.borrow();
+        let overdue = self.intervals.pull_overdue;
+        let recent = |pull: &&(units::Address, time::Instant)| {
+            now.saturating_duration_since(pull.1) < overdue
+        };
+        let mut addresses = pulling.iter().filter(recent).map(|pull| pull.0);
+        let is_asked = addresses.clone().any(|address| address == to);
+        pulling.len() < Self::ALL_PULLS && !is_asked && addresses.nth(Self::PULLS - 1).is_none()
+    }
+
     /// Pulls from the node at `to`; returns whether a feed changed.
     async fn pull(self: &rc::Rc<Self>, to: units::Address) -> bool {
         let before = self.heads();
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -38,8 +38,8 @@
     pub(crate) watches: cell::RefCell<Vec<Watch>>,
     /// Time of the latest message that this node distributed in its data centre.
     pub(crate) spread_at: cell::Cell<Option<time::Instant>>,
-    /// Nodes from which pulls are running.
-    pub(crate) pulling: cell::RefCell<Vec<units::Address>>,
+    /// Nodes from which pulls are running, and when those were started.
+    pub(crate) pulling: cell::RefCell<Vec<(units::Address, time::Instant)>>,
     /// Whether the base of a received delta is missing.
     pub(crate) lacks_base: cell::Cell<bool>,
     pub(crate) origin: Origin,
--- a/components/relay/tests/mesh/faults.rs
+++ b/components/relay/tests/mesh/faults.rs
@@ -178,3 +178,16 @@
     wait_until("all nodes run", || fleet.nodes.len() == 89).await;
     fleet.wait_for_config("restart").await;
 }
+
+#[compio::test]
+async fn change_reaches_nodes_whose_answers_take_longer_than_half_the_bound() {
+    let fleet = Fleet::open(6, 2).await;
+    fleet.network.set_delay(settings().apply.0 * 3 / 10);
+    let cut_off = fleet
+        .nodes
+        .iter()
+        .filter(|node| node.member.data_centre.to_string() == "dc1");
+    cut_off.for_each(|node| node.store.disconnected.set(true));
+    fleet.change_config();
+    fleet.wait_for_config("slow links").await;
+}
