relay: a first read counts for the era that the store names, not for that of an empty feed

An empty feed has revision zero, whose era is zero, so that a node that read an empty topic first passed for one that had kept everything, and handed that on.

--- a/components/relay/src/feed_writer.rs
+++ b/components/relay/src/feed_writer.rs
@@ -96,7 +96,7 @@
         let head = feed.borrow().head();
         merge(&mut feed.borrow_mut());
         if feed.borrow().head() != head {
-            self.record_first_read(&feed.borrow());
+            self.record_first_read();
             self.record_change(&feed.borrow(), head, Source::Store);
             self.spread_changes(&before);
         }
--- a/components/relay/src/role.rs
+++ b/components/relay/src/role.rs
@@ -9,7 +9,7 @@
 use crate::answer::Answered;
 use crate::feed_writer::FeedWriter;
 use crate::shared::{Shared, Watch};
-use crate::{Candidate, Feed, Topic};
+use crate::{Candidate, Topic};
 
 /// A follower that is about to run, with what it needs.
 type StartedFollower<S, L> = (Follower<S>, FeedWriter<S, L>, kernel::Stop);
@@ -34,7 +34,7 @@
                         return;
                     }
                     feed.borrow_mut().merge_listing(listing);
-                    self.record_first_read(&feed.borrow());
+                    self.record_first_read();
                     self.record_head(&feed.borrow());
                 }
                 Some(Err(error)) => log::info!(event = "first-read-failed",
@@ -53,10 +53,11 @@
         }
     }
 
-    /// Records that this node has read `feed` from the store.
-    pub(crate) fn record_first_read(&self, feed: &Feed) {
-        if let Some(head) = feed.head().filter(|_| self.origin.era().is_none()) {
-            self.origin.record(head.era());
+    /// Records that this node has read the store, in the era that the store names now: an empty feed has
+    /// none of its own.
+    pub(crate) fn record_first_read(&self) {
+        if self.origin.era().is_none() {
+            self.origin.record(self.parts.store.era());
         }
     }
 
