web, node, admission: one place that says and reads Connection: close, and one that shifts shares

No change of behaviour is meant but that a pipelined answer whose Connection header lists close among others ends its connection, too. The tests of web, admission and node hold.

--- a/components/admission/src/ancestry.rs
+++ b/components/admission/src/ancestry.rs
@@ -47,10 +47,16 @@
     /// Ancestry of a call of a run with this ancestry that is no retry itself.
     #[must_use]
     pub fn next(&self) -> Self {
-        let mut shares = self.shares;
+        Self {
+            shares: Self::shift(self.shares, Share::NONE),
+        }
+    }
+
+    /// Shares, or sums of them, one call further from the retries, with `first` as those of retries.
+    pub(crate) fn shift<T>(mut shares: [T; Self::CALLS], first: T) -> [T; Self::CALLS] {
         shares.rotate_right(1);
-        shares[0] = Share::NONE;
-        Self { shares }
+        shares[0] = first;
+        shares
     }
 
     /// Shares in parts per 10,000.
--- a/components/admission/src/sum.rs
+++ b/components/admission/src/sum.rs
@@ -36,9 +36,7 @@
     #[must_use]
     pub(crate) fn calls(&self) -> Ancestry {
         let retried = self.resent * u64::from(Share::WHOLE.parts());
-        let mut parts = self.called_again_parts;
-        parts.rotate_right(1);
-        parts[0] = retried;
+        let parts = Ancestry::shift(self.called_again_parts, retried);
         Ancestry::mean(parts, self.first + self.resent)
     }
 
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod channel;
+mod closing;
 mod connection;
 mod executor;
 mod grpc;
@@ -12,6 +13,7 @@
 
 pub use body::{Body, Fault};
 pub use channel::Channel;
+pub use closing::{announce_close, says_close};
 pub use connection::Connection;
 pub use executor::Executor;
 pub use grpc::Grpc;
--- a/components/web/src/pipeline/exchange.rs
+++ b/components/web/src/pipeline/exchange.rs
@@ -13,7 +13,7 @@
 use super::memory::Memory;
 use super::outbox::Outbox;
 use crate::server::Handler;
-use crate::{Limits, Peer, unframed};
+use crate::{Limits, Peer, says_close, unframed};
 
 /// A server connection in memory, by what is done with it.
 pub(crate) trait Driven: Future<Output = Result<(), hyper::Error>> {
@@ -65,10 +65,7 @@
         async move {
             let answer = answer.await;
             progress.unframed.set(unframed::is_marked(&answer));
-            let closes = answer.headers().get(http::header::CONNECTION);
-            if closes.is_some_and(|value| value == "close") {
-                progress.closes.set(true);
-            }
+            progress.closes.set(says_close(answer.headers()));
             Ok::<_, convert::Infallible>(answer.map(|body| Followed { body, progress }))
         }
     });
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -15,7 +15,7 @@
 use hyper_util::server::conn::auto;
 
 use crate::pipeline::{self, Pipeline, Rewound, exchange};
-use crate::{Executor, Timer, unframed};
+use crate::{Executor, Timer, announce_close, unframed};
 
 /// Answers requests; cloned for each request, so that a clone has to be cheap.
 pub trait Handler: Clone + 'static {
@@ -257,8 +257,7 @@
             let mut answer = answer.await;
             unframed.set(unframed::is_marked(&answer));
             if is_announced && stop.is_requested() {
-                let close = http::HeaderValue::from_static("close");
-                answer.headers_mut().insert(http::header::CONNECTION, close);
+                announce_close(answer.headers_mut());
             }
             Ok::<_, convert::Infallible>(answer)
         }
--- a/components/web/src/unframed.rs
+++ b/components/web/src/unframed.rs
@@ -1,7 +1,8 @@
 //! Answers whose body has no length.
 
 use compio::net;
-use http::header;
+
+use crate::announce_close;
 
 /// Marks an answer whose body has no length and came to its end with a connection: on HTTP/1.1 it is
 /// passed on in the same way, as a last chunk would say that it is whole.
@@ -10,8 +11,7 @@
 pub fn mark_unframed<B>(answer: &mut http::Response<B>) {
     // hyper chunks a body without length unless the answer is one of HTTP/1.0.
     *answer.version_mut() = http::Version::HTTP_10;
-    let close = http::HeaderValue::from_static("close");
-    answer.headers_mut().insert(header::CONNECTION, close);
+    announce_close(answer.headers_mut());
 }
 
 /// Whether an answer is marked so.
--- a/node/src/call/headers.rs
+++ b/node/src/call/headers.rs
@@ -118,16 +118,6 @@
         HeaderName::from_static("proxy-connection"),
     ];
 
-    /// Returns whether the sender closes the connection after this message.
-    pub(crate) fn says_close(headers: &http::HeaderMap) -> bool {
-        let values = headers.get_all(header::CONNECTION).iter();
-        let mut values = values.filter_map(|value| value.to_str().ok());
-        values.any(|value| {
-            let mut options = value.split(',').map(str::trim);
-            options.any(|option| option.eq_ignore_ascii_case("close"))
-        })
-    }
-
     /// Removes hop-by-hop headers.
     pub(crate) fn strip_hop(headers: &mut http::HeaderMap) {
         let named = headers.get(header::CONNECTION).cloned();
--- a/node/src/call/ingress/handler.rs
+++ b/node/src/call/ingress/handler.rs
@@ -81,9 +81,7 @@
                 });
                 let mut response = respond(dialect.answer(&problem, &id));
                 if unread {
-                    let close = http::HeaderValue::from_static("close");
-                    let headers = response.headers_mut();
-                    headers.insert(http::header::CONNECTION, close);
+                    web::announce_close(response.headers_mut());
                 }
                 response
             }
--- a/node/src/call/owner/execution.rs
+++ b/node/src/call/owner/execution.rs
@@ -55,7 +55,7 @@
             return Err(Problem::retryable(Reason::Shed));
         }
         let is_unframed = source.is_unframed(&parts);
-        if is_unframed && !Headers::says_close(&parts.headers) {
+        if is_unframed && !web::says_close(&parts.headers) {
             // A head that broke off before its length, as no server that means to close leaves that out
             // (RFC 9112, section 9.6).
             self.owner.count(|counts| counts.truncated += 1);
