--- a/components/peer/tests/client.rs
+++ b/components/peer/tests/client.rs
@@ -70,9 +70,14 @@
 }
 
 impl TestServer {
+    /// Time in which a server has to stop.
+    const CLOSE_LIMIT: time::Duration = time::Duration::from_secs(30);
+
     async fn close(self) {
         self.trigger.fire();
-        self.server.await.expect("server stopped");
+        let stopped = compio::time::timeout(Self::CLOSE_LIMIT, self.server).await;
+        let stopped = stopped.expect("server stops in time");
+        stopped.expect("server stopped");
     }
 }
 
@@ -129,6 +134,7 @@
 
 #[compio::test]
 async fn call_concurrently() {
+    const CALLS_LIMIT: time::Duration = time::Duration::from_secs(60);
     let server = start(peer::Settings::default());
     let client = client();
     let calls = (0..200_u32).map(|number| {
@@ -136,7 +142,9 @@
         let call = client.call(server.address, "echo", payload.clone(), TIMEOUT);
         async move { (call.await, payload) }
     });
-    for (answer, payload) in futures_util::future::join_all(calls).await {
+    let calls = futures_util::future::join_all(calls);
+    let answers = compio::time::timeout(CALLS_LIMIT, calls).await;
+    for (answer, payload) in answers.expect("each call ends in time") {
         match answer {
             Ok(answer) => assert_eq!(answer, payload, "answer belongs to another request"),
             Err(error) => assert!(matches!(error, peer::Error::Busy(_)), "{error}"),
