--- a/components/relay/src/feed.rs
+++ b/components/relay/src/feed.rs
@@ -239,7 +239,7 @@
         self.adopted.len()
     }
 
-    /// Objects taken so after the first `count`; their revisions lie below the head.
+    /// Objects that were adopted after the first `count` ones; their revisions lie below the head.
     #[must_use]
     pub fn adopted_after(&self, count: usize) -> Vec<Object> {
         let keys = self.adopted.iter().skip(count);
