--- a/review/stand-2/src/cases.rs
+++ b/review/stand-2/src/cases.rs
@@ -458,3 +458,150 @@
         Verdict::Held
     })
 }
+
+/// Takes 0.8 s for a GET, unless its connection ends before; answers others at once.
+fn work_a_while(upstream: &Upstream, request: &Request, to: &mut TcpStream) -> bool {
+    if request.method != "GET" {
+        return answer_at_once(upstream, request, to);
+    }
+    let started = Instant::now();
+    let _ = to.set_read_timeout(Some(Duration::from_millis(10)));
+    while started.elapsed() < Duration::from_millis(800) {
+        let mut byte = [0];
+        match to.peek(&mut byte) {
+            Ok(0) => return false,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionReset => return false,
+            _ => thread::sleep(Duration::from_millis(10)),
+        }
+    }
+    let _ = to.set_read_timeout(None);
+    answer_at_once(upstream, request, to)
+}
+
+/// Requests of a client that are sent one behind the other.
+const AHEAD: usize = 3;
+
+/// Sends a POST and waits for its answer, then some GETs at once; leaves after `stays`, or reads all answers.
+/// Returns when it closed its connection.
+fn send_ahead(
+    fleet: &Fleet,
+    index: usize,
+    name: &str,
+    stays: Option<Duration>,
+) -> io::Result<Instant> {
+    let node = &fleet.nodes[index];
+    let mut stream = TcpStream::connect(node.callers)?;
+    stream.set_read_timeout(Some(Duration::from_secs(4)))?;
+    let mut reader = io::BufReader::new(stream.try_clone()?);
+    let head = |method: &str, prefix: &str, name: &str| {
+        format!(
+            "{method} /{prefix}/a HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {name}\r\nX-Deadline-Ms: 4000\r\n"
+        )
+    };
+    let post = format!(
+        "{}Content-Length: 2\r\n\r\nok",
+        head("POST", "puka111", &format!("{name}-post"))
+    );
+    stream.write_all(post.as_bytes())?;
+    let first = crate::http::read_answer(&mut reader, "POST")?;
+    fleet.record.line(&format!(
+        "answer  {name}-post from {}: {}",
+        node.name, first.status
+    ));
+    let mut gets = String::new();
+    for place in 0..AHEAD {
+        let name = format!("{name}-get-{place}");
+        gets.push_str(&head("GET", "leny950", &name));
+        gets.push_str("\r\n");
+        fleet.record.line(&format!(
+            "send    {name} to {}: GET {HOST}/leny950/a",
+            node.name
+        ));
+    }
+    stream.write_all(gets.as_bytes())?;
+    if let Some(stays) = stays {
+        thread::sleep(stays);
+        drop((reader, stream));
+        fleet.record.line(&format!(
+            "leave   {name} closes its connection to {}",
+            node.name
+        ));
+        return Ok(Instant::now());
+    }
+    for place in 0..AHEAD {
+        let answer = crate::http::read_answer(&mut reader, "GET")?;
+        fleet.record.line(&format!(
+            "answer  {name}-get-{place} from {}: {}",
+            node.name, answer.status
+        ));
+    }
+    Ok(Instant::now())
+}
+
+/// Clients leave that have sent further requests before the first was answered.
+pub fn left(record: &Record, trouble: bool) -> io::Result<Verdict> {
+    let mut fleet = Fleet::new(record, BOUNDS)?;
+    let booking = route("r-2", "/puka111/", "huvo11a").replace("idempotent", "non_idempotent");
+    let routes = [route("r-1", "/leny950/", "huvo11a"), booking];
+    fleet.configure(&configuration(7, 5, &routes, ""));
+    for _ in 0..4 {
+        fleet.add("huvo11a", "v1", Arc::new(work_a_while))?;
+    }
+    if !fleet.await_ready() {
+        return Ok(Verdict::NotRun);
+    }
+    let (mut late, mut left) = (0, 0);
+    for round in 0..3 {
+        // Three of ten clients leave.
+        let closed: Vec<_> = thread::scope(|scope| {
+            let fleet = &fleet;
+            let clients: Vec<_> = (0..20)
+                .map(|client| {
+                    let leaves = trouble && client % 10 < 3;
+                    let stays = leaves.then_some(Duration::from_millis(100));
+                    let what = if leaves { "leaves" } else { "stays" };
+                    let name = format!("{what}-{round}-{client}");
+                    scope.spawn(move || (send_ahead(fleet, client % 4, &name, stays), leaves, name))
+                })
+                .collect();
+            clients
+                .into_iter()
+                .filter_map(|client| client.join().ok())
+                .collect()
+        });
+        thread::sleep(Duration::from_secs(3));
+        let runs: Vec<_> = fleet
+            .nodes
+            .iter()
+            .flat_map(|node| node.upstream.runs())
+            .collect();
+        for (closed, leaves, name) in closed {
+            let (Ok(closed), true) = (closed, leaves) else {
+                continue;
+            };
+            left += 1;
+            for run in runs
+                .iter()
+                .filter(|run| run.attempt.starts_with(&format!("{name}-get")))
+            {
+                let after = run.at.saturating_duration_since(closed);
+                if after > Duration::from_millis(500) {
+                    late += 1;
+                    let (attempt, after) = (&run.attempt, after.as_millis());
+                    record.line(&format!(
+                        "judged  {attempt} ran {after} ms after its client had closed"
+                    ));
+                }
+            }
+        }
+    }
+    record.line(&format!(
+        "judged  {left} clients left; {late} of their requests ran over half a second later"
+    ));
+    // "More than a few".
+    Ok(if late > 5 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
+}
--- a/review/stand-2/src/upstream.rs
+++ b/review/stand-2/src/upstream.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Request, header};
 use crate::record::Record;
@@ -40,6 +40,7 @@
 #[derive(Clone)]
 pub struct Run {
     pub attempt: String,
+    pub at: Instant,
 }
 
 impl Upstream {
@@ -168,11 +169,10 @@
             "run     {attempt} at {} ({}), {} {}, X-Tenant-Id {tenant}, Authorization {passed}",
             self.shared.id, self.shared.service, request.method, request.target
         ));
-        self.shared
-            .runs
-            .lock()
-            .expect("no panic")
-            .push(Run { attempt });
+        self.shared.runs.lock().expect("no panic").push(Run {
+            attempt,
+            at: Instant::now(),
+        });
         (self.shared.work.clone())(self, request, to)
     }
 }
