review: case 6, a request that once finished crashes upstreams for good

A request that upstreams have run to a good end before and that then begins to crash them never becomes a suspect, so that nothing refuses it.

--- a/review/stand-2/src/cases.rs
+++ b/review/stand-2/src/cases.rs
@@ -605,3 +605,109 @@
         Verdict::Held
     })
 }
+
+/// A request that crashes what runs it, once that is armed, and the crashes.
+#[derive(Default)]
+struct Poison {
+    armed: std::sync::atomic::AtomicBool,
+    crashes: std::sync::Mutex<Vec<(Instant, String)>>,
+}
+
+/// A request that upstreams have run before begins to crash them, and comes again; with `FRESH` set, they
+/// have not run it before.
+pub fn poison(record: &Record, trouble: bool) -> io::Result<Verdict> {
+    use std::sync::atomic::Ordering::Relaxed;
+    let mut fleet = Fleet::new(record, BOUNDS)?;
+    fleet.configure(&configuration(
+        7,
+        5,
+        &[route("r-1", "/leny950/", "huvo11a")],
+        "",
+    ));
+    let poison = Arc::new(Poison::default());
+    let fresh = std::env::var("FRESH").is_ok();
+    for _ in 0..6 {
+        let poison = poison.clone();
+        let work = move |upstream: &Upstream, request: &Request, to: &mut TcpStream| {
+            if request.target != "/leny950/import" || !poison.armed.load(Relaxed) {
+                return answer_at_once(upstream, request, to);
+            }
+            let attempt = header(&request.headers, "x-attempt-id")
+                .unwrap_or_default()
+                .to_owned();
+            poison
+                .crashes
+                .lock()
+                .expect("no panic")
+                .push((Instant::now(), attempt));
+            upstream.crash();
+            thread::sleep(Duration::from_millis(50));
+            false
+        };
+        fleet.add("huvo11a", "v1", Arc::new(work))?;
+    }
+    if !fleet.await_ready() {
+        return Ok(Verdict::NotRun);
+    }
+    let second = Duration::from_secs(2);
+    let path = if fresh {
+        "/leny950/other"
+    } else {
+        "/leny950/import"
+    };
+    for round in 0..40 {
+        for index in 0..6 {
+            let _ = fleet.ask(
+                index,
+                "GET",
+                (HOST, path),
+                &format!("good-{round}-{index}"),
+                None,
+                second,
+            );
+        }
+        let all = fleet
+            .nodes
+            .iter()
+            .all(|node| node.upstream.runs().len() > 1);
+        if all && round > 3 {
+            break;
+        }
+    }
+    if trouble {
+        record.line(
+            "trouble from now on GET /leny950/import crashes each upstream that begins to run it",
+        );
+        poison.armed.store(true, Relaxed);
+    }
+    let mut sent = Vec::new();
+    for place in 0..45 {
+        let name = format!("again-{place}");
+        sent.push((name.clone(), Instant::now()));
+        let _ = fleet.ask(
+            place % 6,
+            "GET",
+            (HOST, "/leny950/import"),
+            &name,
+            None,
+            second,
+        );
+        thread::sleep(Duration::from_secs(1));
+    }
+    let crashes = poison.crashes.lock().expect("no panic").clone();
+    let mut later = 0;
+    if let Some((third, _)) = crashes.get(2) {
+        let contact = *third + Duration::from_secs(3);
+        let is_later = |name: &String| sent.iter().any(|one| one.0 == *name && one.1 > contact);
+        later = crashes.iter().filter(|crash| is_later(&crash.1)).count();
+    }
+    record.line(&format!(
+        "judged  {} crashes; {later} by requests that were sent later than contactS after the third",
+        crashes.len()
+    ));
+    Ok(if later > 3 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
+}
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -35,6 +35,7 @@
     record.line(&format!("case    {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
         "new-service" => cases::new_service(&record, trouble),
+        "poison" => cases::poison(&record, trouble),
         "left" => cases::left(&record, trouble),
         "first-config" => cases::first_config(&record, trouble),
         "all-replaced" => cases::all_replaced(&record, trouble),
--- a/review/stand-2/src/upstream.rs
+++ b/review/stand-2/src/upstream.rs
@@ -20,13 +20,17 @@
 }
 
 pub struct Shared {
+    /// Name of the upstream; the id of its present start goes on from it.
     pub id: String,
+    live: Mutex<Live>,
+    /// Set while it is down.
+    crash: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
     pub service: String,
     pub version: String,
     pub zone: String,
     pub address: SocketAddr,
     slots: u32,
-    born: u64,
     sequence: AtomicU64,
     state: Mutex<&'static str>,
     ended: AtomicBool,
@@ -36,6 +40,24 @@
     work: Work,
 }
 
+/// One start of an upstream.
+#[derive(Clone)]
+struct Live {
+    id: String,
+    /// Unix millisecond of the start.
+    born: u64,
+}
+
+impl Live {
+    fn new(id: String) -> Self {
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("after 1970");
+        let born = u64::try_from(since.as_millis()).expect("milliseconds");
+        Self { id, born }
+    }
+}
+
 /// A request that began to run.
 #[derive(Clone)]
 pub struct Run {
@@ -52,9 +74,6 @@
         record: &Record,
         work: Work,
     ) -> Self {
-        let born = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .expect("after 1970");
         let listener = TcpListener::bind(address).expect("the upstream's port is free");
         let shared = Shared {
             id: id.to_owned(),
@@ -63,7 +82,9 @@
             zone: zone.to_owned(),
             address,
             slots,
-            born: u64::try_from(born.as_millis()).expect("milliseconds"),
+            live: Mutex::new(Live::new(id.to_owned())),
+            crash: AtomicBool::new(false),
+            open: Mutex::default(),
             sequence: AtomicU64::new(0),
             state: Mutex::new("ready"),
             ended: AtomicBool::new(false),
@@ -75,15 +96,66 @@
             shared: Arc::new(shared),
         };
         let serving = upstream.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let serving = serving.clone();
-                thread::spawn(move || serving.talk(stream));
-            }
-        });
+        thread::spawn(move || serving.serve(listener));
         upstream
     }
 
+    /// Takes connections, and is down for a while after each crash.
+    fn serve(&self, listener: TcpListener) {
+        /// How long it is down after a crash.
+        const DOWN: Duration = Duration::from_secs(2);
+        let mut listener = listener;
+        loop {
+            let _ = listener.set_nonblocking(true);
+            while !self.shared.crash.load(Ordering::Relaxed) {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let _ = stream.set_nonblocking(false);
+                        let kept = stream.try_clone();
+                        self.shared.open.lock().expect("no panic").extend(kept);
+                        let serving = self.clone();
+                        thread::spawn(move || serving.talk(stream));
+                    }
+                    Err(_) => thread::sleep(Duration::from_millis(1)),
+                }
+            }
+            drop(listener);
+            for stream in self.shared.open.lock().expect("no panic").drain(..) {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+            thread::sleep(DOWN);
+            listener = loop {
+                match TcpListener::bind(self.shared.address) {
+                    Ok(listener) => break listener,
+                    Err(_) => thread::sleep(Duration::from_millis(20)),
+                }
+            };
+            let next = Live::new(format!(
+                "{}-{}",
+                self.shared.id,
+                Live::new(String::new()).born
+            ));
+            self.shared
+                .record
+                .line(&format!("start   {} again, as {}", self.shared.id, next.id));
+            *self.shared.live.lock().expect("no panic") = next;
+            self.shared.sequence.store(0, Ordering::Relaxed);
+            self.shared.crash.store(false, Ordering::Relaxed);
+        }
+    }
+
+    /// Crashes: its listener and all of its connections close, and it is back with another id.
+    pub fn crash(&self) {
+        self.shared
+            .record
+            .line(&format!("crash   {}", self.shared.id));
+        self.shared.crash.store(true, Ordering::Relaxed);
+    }
+
+    fn live(&self) -> Live {
+        self.shared.live.lock().expect("no panic").clone()
+    }
+
     /// Sends heartbeats to `announce`, one each `every`.
     pub fn beat(&self, announce: SocketAddr, every: Duration) {
         let beating = self.clone();
@@ -106,13 +178,17 @@
     /// Sends one heartbeat; its status, if it was answered within a second.
     pub fn beat_once(&self, announce: SocketAddr) -> Option<u16> {
         let shared = &self.shared;
+        if shared.crash.load(Ordering::Relaxed) {
+            return None;
+        }
+        let live = self.live();
         let sequence = shared.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let state = *shared.state.lock().expect("no panic");
         let body = format!(
             r#"{{"address":"{}","born":{},"info":{{"service":"{}","version":"{}","zone":"{}","capacity":{}}},"status":{{"state":"{state}","sequence":{sequence},"warmupLeftS":0}}}}"#,
-            shared.address, shared.born, shared.service, shared.version, shared.zone, shared.slots
+            shared.address, live.born, shared.service, shared.version, shared.zone, shared.slots
         );
-        let path = format!("/v1/instances/{}", shared.id);
+        let path = format!("/v1/instances/{}", live.id);
         let json = [("Content-Type", "application/json")];
         let answer = http::ask(
             announce,
@@ -142,13 +218,14 @@
         };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read_request(&mut reader) {
+            let id = self.live().id;
             let kept = if request.target == "/health" {
-                let named = [("X-Upstream-Instance", self.shared.id.as_str())];
+                let named = [("X-Upstream-Instance", id.as_str())];
                 http::write_answer(&mut writer, 200, &named, b"").is_ok()
             } else if header(&request.headers, "x-expected-instance")
-                .is_some_and(|id| id != self.shared.id)
+                .is_some_and(|named| named != id)
             {
-                let named = [("X-Upstream-Instance", self.shared.id.as_str())];
+                let named = [("X-Upstream-Instance", id.as_str())];
                 http::write_answer(&mut writer, 421, &named, b"").is_ok()
             } else {
                 self.run(&request, &mut writer)
