review: case 6 also shows crashes after the head of the answer

A request that crashes its upstream after the head of the answer is never a suspect either: only requests without any answer are looked at.

--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -36,6 +36,7 @@
     let verdict = match case.as_str() {
         "new-service" => cases::new_service(&record, trouble),
         "poison" => cases::poison(&record, trouble),
+        "plain-poison" => cases::plain_poison(&record, trouble),
         "left" => cases::left(&record, trouble),
         "first-config" => cases::first_config(&record, trouble),
         "all-replaced" => cases::all_replaced(&record, trouble),
