--- a/review/stand-2/src/cases.rs
+++ b/review/stand-2/src/cases.rs
@@ -59,6 +59,15 @@
 
 /// Answers in six parts over 1.5 seconds, without a length: the end of the connection is the end.
 fn stream_without_length(upstream: &Upstream, request: &Request, to: &mut TcpStream) -> bool {
+    stream_slowly(upstream, request, to, Duration::from_millis(250))
+}
+
+fn stream_slowly(
+    upstream: &Upstream,
+    request: &Request,
+    to: &mut TcpStream,
+    pause: Duration,
+) -> bool {
     let attempt = header(&request.headers, "x-attempt-id").unwrap_or_default();
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Upstream-Signature: sig-{}-{attempt}\r\nConnection: close\r\n\r\n",
@@ -67,7 +76,7 @@
     let mut sent = to.write_all(head.as_bytes());
     for _ in 0..6 {
         sent = sent.and_then(|()| to.write_all(&[b'x'; WHOLE / 6]));
-        thread::sleep(Duration::from_millis(250));
+        thread::sleep(pause);
     }
     let _ = to.shutdown(std::net::Shutdown::Write);
     false
@@ -75,20 +84,31 @@
 
 /// A node is killed while answers without a length pass through it.
 pub fn short_success(record: &Record, trouble: bool) -> io::Result<Verdict> {
+    cut(record, trouble, "KILL")
+}
+
+/// A node is stopped with SIGTERM while answers pass through it that last longer than `graceS`.
+pub fn short_stop(record: &Record, trouble: bool) -> io::Result<Verdict> {
+    cut(record, trouble, "TERM")
+}
+
+fn cut(record: &Record, trouble: bool, signal: &str) -> io::Result<Verdict> {
     let mut fleet = Fleet::new(record, BOUNDS)?;
-    fleet.configure(&configuration(
-        7,
-        5,
-        &[route("r-1", "/leny950/", "huvo11a")],
-        "",
-    ));
+    let slow = signal == "TERM";
+    let streams = route("r-1", "/leny950/", "huvo11a");
+    let streams = streams.replace("\"timeoutS\":4", "\"timeoutS\":15");
+    fleet.configure(&configuration(7, 5, &[streams], ""));
     for _ in 0..3 {
-        fleet.add("huvo11a", "v1", Arc::new(stream_without_length))?;
+        let work = move |upstream: &Upstream, request: &Request, to: &mut TcpStream| match slow {
+            false => stream_without_length(upstream, request, to),
+            true => stream_slowly(upstream, request, to, Duration::from_millis(1_600)),
+        };
+        fleet.add("huvo11a", "v1", Arc::new(work))?;
     }
     if !fleet.await_ready() {
         return Ok(Verdict::NotRun);
     }
-    let asked = Duration::from_secs(4);
+    let asked = Duration::from_secs(if slow { 14 } else { 4 });
     let ask = |name: String| {
         let path = format!("/leny950/{name}");
         fleet.ask(0, "GET", (HOST, &path), &name, None, asked)
@@ -103,8 +123,10 @@
             .collect();
         thread::sleep(Duration::from_millis(700));
         if trouble {
-            record.line("trouble SIGKILL to the node that the clients use");
-            fleet.nodes[0].signal("KILL");
+            record.line(&format!(
+                "trouble SIG{signal} to the node that the clients use"
+            ));
+            fleet.nodes[0].signal(signal);
         }
         asking
             .into_iter()
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -37,6 +37,7 @@
         "new-service" => cases::new_service(&record, trouble),
         "poison" => cases::poison(&record, trouble),
         "plain-poison" => cases::plain_poison(&record, trouble),
+        "short-stop" => cases::short_stop(&record, trouble),
         "left" => cases::left(&record, trouble),
         "first-config" => cases::first_config(&record, trouble),
         "all-replaced" => cases::all_replaced(&record, trouble),
