--- a/review/stand-2/src/cases.rs
+++ b/review/stand-2/src/cases.rs
@@ -764,3 +764,89 @@
     ));
     Ok(Some(later))
 }
+
+/// A heartbeat of another writer reaches the node beside the only upstream of a service.
+pub fn other_writer(record: &Record, trouble: bool) -> io::Result<Verdict> {
+    let mut fleet = Fleet::new(record, BOUNDS)?;
+    let both = ["huvo11a", "kafi81c"];
+    let first = route("r-1", "/leny950/", "huvo11a");
+    let added = route("r-2", "/puka111/", "kafi81c");
+    fleet.configure(&configuration_of(
+        &both,
+        7,
+        5,
+        std::slice::from_ref(&first),
+        "",
+    ));
+    for service in ["huvo11a", "huvo11a", "huvo11a", "kafi81c"] {
+        fleet.add(service, "v1", Arc::new(answer_at_once))?;
+    }
+    if !fleet.await_ready() {
+        return Ok(Verdict::NotRun);
+    }
+    fleet.configure(&configuration_of(&both, 9, 7, &[first, added], ""));
+    thread::sleep(Duration::from_secs(3));
+    let before = fleet.ask(
+        0,
+        "GET",
+        (HOST, "/puka111/a"),
+        "before",
+        None,
+        Duration::from_secs(2),
+    )?;
+    if before.status != 200 {
+        return Ok(Verdict::NotRun);
+    }
+    if trouble {
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let born = since.map_or(0, |since| since.as_millis());
+        let body = format!(
+            r#"{{"address":"127.9.9.9:8080","born":{born},"info":{{"service":"elsewhere","version":"v1","zone":"zone-x","capacity":9}},"status":{{"state":"ready","sequence":4,"warmupLeftS":0}}}}"#
+        );
+        record.line(&format!(
+            "trouble one heartbeat of i-02d9e6b4 to {}: {body}",
+            fleet.nodes[3].name
+        ));
+        let json = [("Content-Type", "application/json")];
+        let second = Duration::from_secs(1);
+        let path = "/v1/instances/i-02d9e6b4";
+        let taken = crate::http::ask(
+            fleet.nodes[3].announce,
+            "PUT",
+            path,
+            &json,
+            body.as_bytes(),
+            second,
+        )?;
+        record.line(&format!("answer  {} to that heartbeat", taken.status));
+    }
+    // Longer than `contactS`, which is 3 s; the upstream goes on to send its heartbeats.
+    thread::sleep(Duration::from_secs(5));
+    let mut served = [0, 0];
+    let rounds = 25;
+    for round in 0..rounds {
+        for index in 0..4 {
+            for (place, prefix) in ["leny950", "puka111"].into_iter().enumerate() {
+                let name = format!("{prefix}-{round}-{index}");
+                let path = format!("/{prefix}/a");
+                let second = Duration::from_secs(2);
+                let answer = fleet.ask(index, "GET", (HOST, &path), &name, None, second);
+                served[place] += usize::from(answer.is_ok_and(|answer| answer.status == 200));
+            }
+        }
+        thread::sleep(Duration::from_millis(500));
+    }
+    let sent = rounds * 4;
+    record.line(&format!(
+        "judged  of {sent} requests each: {} served on the first route, {} on the added one",
+        served[0], served[1]
+    ));
+    if served[0] < sent / 2 {
+        return Ok(Verdict::NotRun);
+    }
+    Ok(if served[1] * 4 < served[0] {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
+}
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -38,6 +38,7 @@
         "poison" => cases::poison(&record, trouble),
         "plain-poison" => cases::plain_poison(&record, trouble),
         "short-stop" => cases::short_stop(&record, trouble),
+        "other-writer" => cases::other_writer(&record, trouble),
         "left" => cases::left(&record, trouble),
         "first-config" => cases::first_config(&record, trouble),
         "all-replaced" => cases::all_replaced(&record, trouble),
