--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -244,7 +244,8 @@
             )));
         };
         let progress = Progress::default();
-        let run = async {
+        // Boxed, as its place in the futures around it would be several times its size.
+        let run = Box::pin(async {
             let token = self.take_token(arrival).await?;
             let result = if self.shared.context.settings.baseline {
                 self.run_baseline(arrival, &progress).await
@@ -257,7 +258,7 @@
                 self.shared.context.quota.give_back(token);
             }
             result
-        };
+        });
         match compio::time::timeout_at(arrival.deadline, run).await {
             // A backend server that has run the request cannot promise that.
             Ok(Ok(answer)) if !arrival.idempotent && self.promises_not_run(&answer) => {
--- a/node/src/call/owner/run.rs
+++ b/node/src/call/owner/run.rs
@@ -56,7 +56,8 @@
             sent: time::Instant::now(),
         };
         let deadline = job.envelope.deadline;
-        match compio::time::timeout_at(deadline, backend.server.send(request)).await {
+        let sending = Box::pin(backend.server.send(request));
+        match compio::time::timeout_at(deadline, sending).await {
             Ok(Ok(reply)) => execution.answer(reply, &sent, &job.envelope),
             Ok(Err(failure)) => Err(execution.fail(failure, &backend).await),
             Err(_) => {
