--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -53,8 +53,10 @@
 }
 
 impl Connection {
-    /// HTTP/2 stream and connection windows, in bytes.
-    const WINDOW_BYTES: u32 = 1024 * 1024;
+    /// HTTP/2 window of a stream, in bytes: what an answer that its caller does not take holds here.
+    const WINDOW_BYTES: u32 = 256 * 1024;
+    /// Streams that fill their windows before they hold up the others on the connection.
+    const FULL_STREAMS: u32 = 64;
     /// Time for the answer to a ping after which the connection is closed, with all requests on it:
     /// longer than they usually wait, as pings queue behind bodies where a link is full.
     const CLOSE_AFTER: time::Duration = time::Duration::from_secs(20);
@@ -74,7 +76,7 @@
             .keep_alive_interval(settings.ping_interval.0)
             .keep_alive_timeout(Self::CLOSE_AFTER)
             .initial_stream_window_size(Self::WINDOW_BYTES)
-            .initial_connection_window_size(4 * Self::WINDOW_BYTES)
+            .initial_connection_window_size(Self::FULL_STREAMS * Self::WINDOW_BYTES)
             .handshake(watched)
             .await;
         let (sender, driver) = handshake.map_err(io::Error::other)?;
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod channel;
+pub mod clients;
 mod closing;
 mod connection;
 mod executor;
--- a/components/web/src/pipeline/exchange.rs
+++ b/components/web/src/pipeline/exchange.rs
@@ -12,6 +12,7 @@
 
 use super::memory::Memory;
 use super::outbox::Outbox;
+use crate::clients::{self, Answer, Client, Running};
 use crate::server::Handler;
 use crate::{Limits, Peer, says_close, unframed};
 
@@ -26,6 +27,8 @@
     memory: Memory,
     /// `None` once the answer was written whole, or failed.
     driver: Option<pin::Pin<Box<D>>>,
+    /// Counts the request as in progress for as long as the driver lives.
+    running: Option<Running>,
     progress: rc::Rc<Progress>,
 }
 
@@ -54,18 +57,28 @@
     handler: H,
     peer: Peer,
     limits: Limits,
+    client: &rc::Rc<Client>,
 ) -> Exchange<impl Driven> {
     let memory = Memory::new(head);
     let progress = rc::Rc::new(Progress::default());
     let followed = progress.clone();
+    let has_room = client.has_room();
+    let running = client.start();
+    let client = client.clone();
     let service = hyper::service::service_fn(move |mut request: http::Request<Incoming>| {
         request.extensions_mut().insert(peer);
-        let answer = handler.clone().handle(request);
+        if !has_room {
+            request.extensions_mut().insert(clients::Short);
+        }
+        // Boxed, as its place in the futures around it would be several times its size.
+        let answer = Box::pin(handler.clone().handle(request));
         let progress = followed.clone();
+        let client = client.clone();
         async move {
             let answer = answer.await;
             progress.unframed.set(unframed::is_marked(&answer));
             progress.closes.set(says_close(answer.headers()));
+            let answer = answer.map(|body| Answer::new(body, client));
             Ok::<_, convert::Infallible>(answer.map(|body| Followed { body, progress }))
         }
     });
@@ -75,6 +88,7 @@
     Exchange {
         memory,
         driver: Some(Box::pin(connection)),
+        running: Some(running),
         progress,
     }
 }
@@ -88,7 +102,7 @@
         match driver.as_mut().poll(context) {
             task::Poll::Pending => {
                 if self.progress.body_ended.get() && self.memory.is_flushed() {
-                    self.driver = None;
+                    self.end();
                 }
             }
             task::Poll::Ready(ended) => {
@@ -96,11 +110,16 @@
                 self.progress.failed.set(!whole);
                 // hyper ends its connection after an answer to a request that asks for that.
                 self.progress.closes.set(true);
-                self.driver = None;
+                self.end();
             }
         }
     }
 
+    fn end(&mut self) {
+        self.driver = None;
+        self.running = None;
+    }
+
     /// Moves what was answered to `to`; whether there was something.
     pub(crate) fn take_answer(&mut self, to: &mut Outbox) -> bool {
         self.memory.take_answer(to)
--- a/components/web/src/pipeline/memory.rs
+++ b/components/web/src/pipeline/memory.rs
@@ -100,6 +100,27 @@
         task::Poll::Ready(Ok(count))
     }
 
+    /// hyper keeps the parts of an answer as they are then, and copies none of them into a buffer of its own.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        let mut written = 0;
+        for slice in slices {
+            match self.as_mut().poll_write(context, slice) {
+                task::Poll::Ready(count) => written += count?,
+                task::Poll::Pending if written == 0 => return task::Poll::Pending,
+                task::Poll::Pending => break,
+            }
+        }
+        task::Poll::Ready(Ok(written))
+    }
+
     /// hyper flushes the stream only once its own buffer is empty.
     fn poll_flush(
         self: pin::Pin<&mut Self>,
--- a/components/web/src/pipeline/mod.rs
+++ b/components/web/src/pipeline/mod.rs
@@ -27,8 +27,9 @@
 use self::outbox::Outbox;
 pub(crate) use self::rewound::Rewound;
 use crate::Limits;
+use crate::clients::Metered;
 
-type Stream = HyperStream<net::TcpStream>;
+type Stream = Metered<HyperStream<net::TcpStream>>;
 
 /// Result of handling a connection.
 pub(crate) enum Ended {
@@ -53,6 +54,8 @@
     /// Requests without a complete response, oldest first.
     exchanges: VecDeque<Exchange<D>>,
     outbox: Outbox,
+    /// Whether the stream holds bytes that the socket has not taken.
+    unflushed: bool,
     next: Next,
     /// Whether an answer whose end is the close of the connection has broken off.
     broken: bool,
@@ -70,8 +73,8 @@
 }
 
 impl<F: Fn(Vec<u8>) -> Exchange<D>, D: Driven> Pipeline<F, D> {
-    /// Maximum number of bytes read ahead.
-    const READ_AHEAD: usize = 64 * 1024;
+    /// Number of bytes read ahead of the requests in progress from which on no more are read.
+    const READ_AHEAD: usize = 8 * 1024;
     /// Maximum wait for a client to close a connection after its last response; closing a connection
     /// with unread bytes would reset it, and the client could lose that response.
     const CLOSE_WAIT: time::Duration = time::Duration::from_millis(300);
@@ -86,6 +89,7 @@
             read: Vec::new(),
             exchanges: VecDeque::new(),
             outbox: Outbox::default(),
+            unflushed: false,
             next: Next::Request,
             broken: false,
         }
@@ -95,7 +99,10 @@
     pub(crate) async fn run(mut self, stop: &kernel::Stop) -> Ended {
         let ended = self.serve(stop).await;
         match ended {
-            Ok(()) if self.next == Next::Rest => Ended::Rest(Rewound::new(self.read, self.stream)),
+            Ok(()) if self.next == Next::Rest => {
+                self.stream.client().set_ahead(0);
+                Ended::Rest(Rewound::new(self.read, self.stream))
+            }
             Ok(()) if self.broken => Ended::Broken,
             Ok(()) => {
                 self.close().await;
@@ -113,7 +120,7 @@
         let mut stopped = pin::pin!(stop.requested());
         let mut taken = false;
         loop {
-            let idle = self.exchanges.is_empty() && self.outbox.is_empty();
+            let idle = self.exchanges.is_empty() && self.outbox.is_empty() && !self.unflushed;
             if idle && self.next != Next::Request {
                 return Ok(());
             }
@@ -171,7 +178,8 @@
     }
 
     fn poll_read(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
-        if self.next != Next::Request || self.read.len() >= Self::READ_AHEAD {
+        let is_ahead = !self.exchanges.is_empty() && self.read.len() >= Self::READ_AHEAD;
+        if self.next != Next::Request || is_ahead {
             return task::Poll::Pending;
         }
         let mut chunk = [0; CHUNK_BYTES];
@@ -192,7 +200,7 @@
     /// Starts handling each complete request that was read; returns whether there was one.
     fn take_requests(&mut self) -> bool {
         let mut taken = false;
-        while self.next == Next::Request && self.exchanges.len() < self.limits.pipelined {
+        while self.next == Next::Request && self.may_start() {
             match Head::find(&self.read) {
                 Head::Partial if self.read.len() < self.limits.header_bytes as usize => break,
                 Head::Bodiless(length) => {
@@ -204,9 +212,17 @@
                 Head::Partial | Head::Other => self.next = Next::Rest,
             }
         }
+        let client = self.stream.client();
+        client.set_ahead(self.read.len());
         taken
     }
 
+    /// Whether a further request may be started: while memory is short, a connection has one at a time.
+    fn may_start(&self) -> bool {
+        let is_free = self.exchanges.is_empty() && self.outbox.is_empty();
+        is_free || self.exchanges.len() < self.limits.pipelined && self.stream.client().has_room()
+    }
+
     /// Polls all requests and collects the responses of the oldest ones.
     fn poll_exchanges(&mut self, context: &mut task::Context<'_>) -> io::Result<bool> {
         let mut moved = false;
@@ -234,20 +250,20 @@
     }
 
     fn poll_write(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
-        if self.outbox.is_empty() {
-            return task::Poll::Pending;
-        }
         let mut stream = pin::Pin::new(&mut self.stream);
-        let written = task::ready!(rt::Write::poll_write(
-            stream.as_mut(),
-            context,
-            self.outbox.unwritten()
-        ))?;
-        self.outbox.advance(written);
-        if self.outbox.is_empty() {
-            let _ = rt::Write::poll_flush(stream, context)?;
+        if !self.outbox.is_empty() {
+            let bytes = self.outbox.unwritten();
+            let written = task::ready!(rt::Write::poll_write(stream.as_mut(), context, bytes))?;
+            self.outbox.advance(written);
+            self.unflushed = true;
+            return task::Poll::Ready(Ok(()));
         }
-        task::Poll::Ready(Ok(()))
+        if self.unflushed {
+            task::ready!(rt::Write::poll_flush(stream, context))?;
+            self.unflushed = false;
+            return task::Poll::Ready(Ok(()));
+        }
+        task::Poll::Pending
     }
 
     /// Closes the connection once the client has received the written bytes.
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use hyper_util::server::conn::auto;
 
+use crate::clients::{self, Answer, Metered, Registry};
 use crate::pipeline::{self, Pipeline, Rewound, exchange};
 use crate::{Executor, Timer, announce_close, unframed};
 
@@ -58,6 +59,8 @@
     /// Callers that have not yet learned of the stop are not refused; each of their connections
     /// gets one answer and is then closed.
     pub linger: time::Duration,
+    /// Bounds on what the clients hold.
+    pub clients: clients::Limits,
 }
 
 /// The client of a connection; the server adds it to the extensions of each request.
@@ -81,6 +84,7 @@
             ping_after: time::Duration::from_secs(10),
             ping_timeout: time::Duration::from_secs(10),
             linger: time::Duration::ZERO,
+            clients: clients::Limits::default(),
         }
     }
 }
@@ -100,6 +104,7 @@
             ping_after: Self::PING_AFTER,
             ping_timeout: Self::LONG_PING_TIMEOUT,
             linger,
+            clients: clients::Limits::NONE,
             ..Self::default()
         }
     }
@@ -109,6 +114,7 @@
 pub struct Server {
     listener: net::TcpListener,
     limits: Limits,
+    registry: Registry,
 }
 
 impl Server {
@@ -125,7 +131,17 @@
     /// The error of the operating system, such as an address in use.
     pub async fn bind(address: units::Address, limits: Limits) -> io::Result<Self> {
         let listener = net::TcpListener::bind(address.0).await?;
-        Ok(Self { listener, limits })
+        Ok(Self {
+            listener,
+            limits,
+            registry: Registry::new(limits.clients),
+        })
+    }
+
+    /// Reads what is done to the clients.
+    #[must_use]
+    pub fn clients(&self) -> clients::Monitor {
+        self.registry.monitor()
     }
 
     /// The bound address, with the port that was given for port 0.
@@ -139,8 +155,10 @@
     /// Serves until `stop` is requested, then lets requests in flight finish.
     pub async fn run<H: Handler>(self, handler: H, stop: kernel::Stop) {
         let open = rc::Rc::new(cell::Cell::new(0_usize));
+        self.registry.watch();
         while !stop.is_requested() {
             if open.get() >= self.limits.connections {
+                self.registry.make_places(Self::places(self.limits));
                 stop.sleep(Self::ACCEPT_PAUSE).await;
                 continue;
             }
@@ -153,6 +171,12 @@
         drain(&open).await;
     }
 
+    /// Connections that are closed at a time to make place for others.
+    fn places(limits: Limits) -> usize {
+        const PART: usize = 32;
+        limits.connections / PART + 1
+    }
+
     /// Takes the connections that still come after the request to stop.
     async fn linger<H: Handler>(&self, handler: &H, stop: &kernel::Stop, open: &Open) {
         let started = time::Instant::now();
@@ -188,10 +212,28 @@
             address: units::Address(peer),
             is_beside: here.is_some_and(|here| here.ip() == peer.ip()),
         };
-        let served = serve(stream, peer, handler.clone(), self.limits, stop.clone());
+        let entry = self.registry.enter();
+        let socket = stream.clone();
+        let client = entry.client().clone();
+        let stream = Metered::new(HyperStream::new_plain(stream), client.clone());
+        let serving = Serving {
+            stream,
+            socket: socket.clone(),
+            peer,
+            limits: self.limits,
+        };
+        // Boxed, as its place in the task would be twice its size.
+        let served = Box::pin(serve(serving, handler.clone(), stop.clone()));
         let guard = Guard::new(open.clone());
         compio::runtime::spawn(async move {
-            served.await;
+            let closed = pin::pin!(client.closed());
+            if let future::Either::Right((cause, served)) = future::select(served, closed).await {
+                log::debug!(cause:? = cause; "connection closed before its client was done");
+                // No answer that is cut here may look whole.
+                unframed::reset_on_close(&socket);
+                drop(served);
+            }
+            drop(entry);
             drop(guard);
         })
         .detach();
@@ -227,17 +269,23 @@
     }
 }
 
-/// Serves one connection until it closes, or gracefully once `stop` is requested.
-async fn serve<H: Handler>(
-    stream: net::TcpStream,
+type Stream = Metered<HyperStream<net::TcpStream>>;
+
+/// A connection that is served.
+struct Serving {
+    stream: Stream,
+    socket: net::TcpStream,
     peer: Peer,
-    handler: H,
     limits: Limits,
-    stop: kernel::Stop,
-) {
-    let _ = stream.set_nodelay(true);
-    let socket = stream.clone();
-    let Some(stream) = serve_pipelined(stream, peer, &handler, limits, &stop).await else {
+}
+
+/// Serves one connection until it closes, or gracefully once `stop` is requested.
+async fn serve<H: Handler>(serving: Serving, handler: H, stop: kernel::Stop) {
+    let (peer, limits) = (serving.peer, serving.limits);
+    let socket = serving.socket.clone();
+    let client = serving.stream.client().clone();
+    let _ = socket.set_nodelay(true);
+    let Some(stream) = serve_pipelined(serving, &handler, &stop).await else {
         return;
     };
     let taken = rc::Rc::new(cell::Cell::new(false));
@@ -248,6 +296,10 @@
     let service = hyper::service::service_fn(move |mut request: http::Request<Incoming>| {
         taking.set(true);
         request.extensions_mut().insert(peer);
+        if !client.has_room() {
+            request.extensions_mut().insert(clients::Short);
+        }
+        let running = client.start();
         let is_announced = request.version() < http::Version::HTTP_2;
         // Boxed, since hyper moves the future several times before its first poll.
         let answer = Box::pin(handler.clone().handle(request));
@@ -259,7 +311,7 @@
             if is_announced && stop.is_requested() {
                 announce_close(answer.headers_mut());
             }
-            Ok::<_, convert::Infallible>(answer)
+            Ok::<_, convert::Infallible>(answer.map(|body| Answer::new(body, running)))
         }
     });
     let builder = configure(limits);
@@ -290,18 +342,21 @@
 /// Serves the requests at the start of a connection that need no more than a pipeline; `None` once the
 /// connection has ended.
 async fn serve_pipelined<H: Handler>(
-    stream: net::TcpStream,
-    peer: Peer,
+    serving: Serving,
     handler: &H,
-    limits: Limits,
     stop: &kernel::Stop,
-) -> Option<Rewound<HyperStream<net::TcpStream>>> {
-    let socket = stream.clone();
-    let stream = HyperStream::new_plain(stream);
+) -> Option<Rewound<Stream>> {
+    let Serving {
+        stream,
+        socket,
+        peer,
+        limits,
+    } = serving;
     if limits.pipelined <= 1 {
         return Some(Rewound::new(Vec::new(), stream));
     }
-    let start = |head| exchange::start(head, handler.clone(), peer, limits);
+    let client = stream.client().clone();
+    let start = |head| exchange::start(head, handler.clone(), peer, limits, &client);
     match Pipeline::new(stream, limits, start).run(stop).await {
         pipeline::Ended::Rest(stream) => Some(stream),
         pipeline::Ended::Closed => None,
@@ -326,6 +381,9 @@
     }
 }
 
+/// Bytes of an answer that an HTTP/2 stream keeps until its client takes them.
+const SEND_BYTES: usize = 64 * 1024;
+
 fn configure(limits: Limits) -> auto::Builder<Executor> {
     let mut builder = auto::Builder::new(Executor);
     builder
@@ -341,6 +399,7 @@
         // Callers that give up many requests at once must not cost others the connection.
         .max_pending_accept_reset_streams(Some(limits.streams as usize))
         .max_local_error_reset_streams(Some(limits.streams as usize))
+        .max_send_buf_size(SEND_BYTES)
         .max_header_list_size(limits.header_bytes)
         .keep_alive_interval(limits.ping_after)
         .keep_alive_timeout(limits.ping_timeout);
--- a/node/src/assembly/frame.rs
+++ b/node/src/assembly/frame.rs
@@ -52,7 +52,8 @@
         Ok(())
     }
 
-    /// Starts the listener `name`, whose requests `handler` answers.
+    /// Starts the listener `name`, whose requests `handler` answers; the monitor reads what is done to its
+    /// clients.
     ///
     /// # Errors
     /// [`Error::Listen`] when the address cannot be bound.
@@ -62,12 +63,13 @@
         address: units::Address,
         limits: web::Limits,
         handler: H,
-    ) -> Result<(), Report<Error>> {
+    ) -> Result<web::clients::Monitor, Report<Error>> {
         let bound = web::Server::bind(address, limits).await;
         let server = bound.change_context(Error::Listen(name, address))?;
+        let clients = server.clients();
         self.kernel
             .start_task(name, |stop| server.run(handler, stop));
-        Ok(())
+        Ok(clients)
     }
 
     /// Hands notices of other owners about requests that crash backend servers to `owner`.
--- a/node/src/assembly/listeners.rs
+++ b/node/src/assembly/listeners.rs
@@ -8,6 +8,7 @@
 use super::{Builder, Error, Link, names};
 use crate::admin::Admin;
 use crate::call::{Ingress, Owner};
+use crate::metrics::Exporter;
 use crate::{announce, operator};
 
 /// Time for which connections that still come after the request to stop are answered.
@@ -39,10 +40,17 @@
         .listen("mesh", settings.mesh, limits, owner)
         .await?;
     let ingress: Ingress<Link, moves::Recorder> = builder.find(names::INGRESS)?;
-    builder
+    let exporter: Exporter = builder.find(names::EXPORTER)?;
+    let limits = web::Limits {
+        clients: settings.clients.limits(),
+        ..limits
+    };
+    let clients = builder
         .frame
         .listen("callers", settings.callers, limits, ingress)
-        .await
+        .await?;
+    exporter.add_counts("clients", move || clients.counts());
+    Ok(())
 }
 
 fn operator_api(builder: &Builder) -> Result<web::Grpc, Report<Error>> {
--- a/node/src/call/ingress/handler.rs
+++ b/node/src/call/ingress/handler.rs
@@ -12,7 +12,7 @@
 use super::{Answer, Dialect, Ingress, Problem};
 use crate::call::event::Event;
 use crate::call::owner::respond;
-use crate::call::{Headers, ResponseBody};
+use crate::call::{Headers, Reason, ResponseBody};
 
 /// Counts a request that its caller cancels before the response.
 struct CancelGuard<'i, L: peer::Link, O: Observer, D: Dialect> {
@@ -47,6 +47,11 @@
             .unwrap_or_else(|| format_compact!("{:x}-{:x}", self.shared.id_prefix, self.next_id()));
         let request = http::Request::from_parts(head, body);
         let arrived = metadata.map_err(Problem::refused);
+        let is_short = request.extensions().get::<web::clients::Short>().is_some();
+        let arrived = arrived.and_then(|metadata| {
+            let problem = Problem::retryable(Reason::NoMemory);
+            if is_short { Err(problem) } else { Ok(metadata) }
+        });
         // On HTTP/2 only the stream ends.
         let may_close = request.version() < http::Version::HTTP_2;
         let mut unread = may_close && !request.body().is_end_stream();
--- a/node/src/call/reason.rs
+++ b/node/src/call/reason.rs
@@ -47,6 +47,8 @@
     KeyAnswered,
     /// A response belonged to another request.
     Mismatched,
+    /// What callers may hold of this node's memory is in use.
+    NoMemory,
     /// Reason given by another node and passed on by this one.
     Remote(&'static str),
 }
@@ -117,6 +119,7 @@
             Self::KeyUnknown => "key-unknown",
             Self::KeyAnswered => "key-answered",
             Self::Mismatched => "mismatched",
+            Self::NoMemory => "no-memory-for-callers",
             Self::Remote(text) => text,
         }
     }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod ask;
 pub mod assembly;
 pub mod call;
+pub mod clients;
 pub mod dump;
 pub mod evacuation;
 pub mod metrics;
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 use settings::Findings;
 
-use crate::call;
+use crate::{call, clients};
 
 /// Settings of a node.
 #[derive(Debug, Clone, Deserialize, schemars::JsonSchema)]
@@ -43,6 +43,9 @@
     /// Connections of callers at a time, and as many of other nodes.
     #[serde(default = "default_connections")]
     pub connections: usize,
+    /// What callers may hold.
+    #[serde(default)]
+    pub clients: clients::Settings,
     /// Use of the platform.
     #[serde(default)]
     pub store: platform::Settings,
@@ -137,6 +140,7 @@
             let expected = "a token of at least 8 bytes here or in RADISHGAP_OPERATOR_TOKEN";
             findings.add("/operator_token", "it is missing or too short", expected);
         }
+        self.clients.check("/clients", findings);
         self.store.check("/store", findings);
         self.membership.check("/membership", findings);
         self.distribution.check("/distribution", findings);
--- a/testing/backend/src/main.rs
+++ b/testing/backend/src/main.rs
@@ -37,6 +37,7 @@
     let mut system = kernel::Kernel::new();
     let limits = web::Limits {
         connections: settings.connections as usize,
+        clients: web::clients::Limits::NONE,
         ..web::Limits::default()
     };
     let listener = web::Server::bind(settings.listen, limits).await?;
--- a/testing/platform/src/server.rs
+++ b/testing/platform/src/server.rs
@@ -42,6 +42,7 @@
         ping_after: time::Duration::from_secs(10),
         ping_timeout: time::Duration::from_secs(10),
         linger: time::Duration::ZERO,
+        clients: web::clients::Limits::NONE,
     };
 
     /// Binds the addresses of `settings`.
