--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -316,7 +316,7 @@
     pub(crate) fn record_answer(&self, route: u64, latency: time::Duration) {
         let mut state = self.shared.state.borrow_mut();
         state.limit.record_answer(latency);
-        state.runtimes.add(route, latency);
+        state.runtimes.add(route, latency, time::Instant::now());
         if let Some(work) = &mut state.work {
             work.add(route, latency);
         }
--- a/components/admission/src/gate/state.rs
+++ b/components/admission/src/gate/state.rs
@@ -99,13 +99,20 @@
         };
         // Half of the usual runtime, so that few requests are refused that would have finished in time.
         let needed = wait + self.runtimes.expected(request.route) / 2;
-        if left.is_zero() || needed > left {
+        if left.is_zero() || needed > left && !self.begin_trial(request, now) {
             self.counts.refused_late += 1;
             return Err(self.refuse(Reason::Late, request.route, wait));
         }
         Ok(())
     }
 
+    /// Whether an idle backend server runs a request that is expected to be late: where all are refused,
+    /// nothing is learned.
+    fn begin_trial(&mut self, request: &Request, now: time::Instant) -> bool {
+        let is_idle = self.running == 0 && self.waiting.is_empty();
+        is_idle && self.has_slot(request.alone) && self.runtimes.begin_trial(request.route, now)
+    }
+
     /// Refusal of a request of `route` for lack of capacity, with the expected `wait`.
     pub(super) fn refuse(&self, reason: Reason, route: u64, wait: time::Duration) -> Refusal {
         Refusal::with_occupancy(reason, self.retry_after(), self.occupancy(route, wait))
--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -110,6 +110,24 @@
     );
 }
 
+/// Guards against requests that an idle owner refuses for good, as it learned a long runtime once.
+#[compio::test]
+async fn admit_tries_an_old_runtime_while_idle() {
+    const LEFT: Duration = Duration::from_millis(800);
+    let gate = gate(4);
+    let asked = request(false, LONG);
+    let now = Instant::now() + Duration::from_secs(2);
+    gate.admit(&asked).await.expect("a permit").finish(now);
+    assert_eq!(refused(&gate, &request(false, LEFT)), Some(Reason::Late));
+    compio::time::sleep(Duration::from_millis(2_100)).await;
+    let trial = gate.admit(&request(false, LEFT)).await.expect("a trial");
+    assert_eq!(refused(&gate, &request(false, LEFT)), Some(Reason::Late));
+    trial.finish(Instant::now());
+    for _ in 0..4 {
+        assert_eq!(refused(&gate, &request(false, LEFT)), None);
+    }
+}
+
 #[compio::test]
 async fn admit_waits_for_slot() {
     let gate = gate(1);
--- a/node/src/call/ingress/attempt.rs
+++ b/node/src/call/ingress/attempt.rs
@@ -109,16 +109,16 @@
         envelope: Envelope,
         endpoint: &Endpoint,
     ) -> Result<(http::response::Parts, Source, Option<Execution<L, D>>), Problem> {
-        let route = envelope.route;
         let job = Job {
             envelope,
             head: arrival.head(),
             payload: arrival.payload.clone(),
         };
+        let kind = job.kind();
         let served = self.shared.owner.serve(job).await;
         let backend_status = self.shared.owner.backend_status(served.as_ref().err());
         self.apply_status(endpoint, backend_status, served.is_ok());
-        if let Some(report) = self.shared.owner.work_report(route) {
+        if let Some(report) = self.shared.owner.work_report(kind) {
             let report = WorkReport::convert(&report);
             endpoint.record_work(&report, &arrival.baseline, time::Instant::now());
         }
--- a/node/src/call/owner.rs
+++ b/node/src/call/owner.rs
@@ -95,6 +95,21 @@
     pub payload: Payload,
 }
 
+impl Job {
+    /// Kind of request by which runtimes are learned: its route, and whether it has a body, as the runtime of
+    /// one with a body contains the time that its caller takes to send it.
+    #[must_use]
+    pub fn kind(&self) -> u64 {
+        const WITH_BODY: u64 = 1 << 63;
+        let route = self.envelope.route;
+        if self.payload.is_empty() {
+            route
+        } else {
+            route ^ WITH_BODY
+        }
+    }
+}
+
 /// A response at the owner.
 pub struct Served<L, D> {
     /// Status and headers.
--- a/node/src/call/owner/handler.rs
+++ b/node/src/call/owner/handler.rs
@@ -24,7 +24,7 @@
         });
         let deadline = envelope.as_ref().map(|envelope| envelope.deadline);
         let id = envelope.as_ref().map(|envelope| envelope.request.clone());
-        let route = envelope.as_ref().map(|envelope| envelope.route).ok();
+        let mut kind = None;
         let (id, deadline) = (
             id.unwrap_or_default(),
             deadline.unwrap_or(time::Instant::now()),
@@ -39,6 +39,7 @@
                     head,
                     payload,
                 };
+                kind = Some(job.kind());
                 self.serve(job).await
             }
             Err(problem) => Err(problem),
@@ -54,7 +55,7 @@
         Headers::set(answer.headers_mut(), Headers::REQUEST, &id);
         let load = load_parts(self.shared.gate.load());
         Headers::set_number(answer.headers_mut(), Headers::LOAD, load);
-        if let Some(report) = route.and_then(|route| self.work_report(route)) {
+        if let Some(report) = kind.and_then(|kind| self.work_report(kind)) {
             WorkReport::write(&report, answer.headers_mut());
         }
         if let Some(backend_status) = backend_status {
@@ -68,11 +69,11 @@
 }
 
 impl<L: peer::Link, D: Dialect> Owner<L, D> {
-    /// Returns the report with an answer of `route`; `None` unless requests are placed by work.
-    pub(crate) fn work_report(&self, route: u64) -> Option<admission::Report> {
+    /// Returns the report with an answer to a request of `kind`; `None` unless requests are placed by work.
+    pub(crate) fn work_report(&self, kind: u64) -> Option<admission::Report> {
         let placing = self.shared.context.settings.choice.placing;
         let is_by_work = placing == routing::Placing::LeastWork;
-        is_by_work.then(|| self.shared.gate.report(route, time::Instant::now()))
+        is_by_work.then(|| self.shared.gate.report(kind, time::Instant::now()))
     }
 }
 
--- a/node/src/call/owner/run.rs
+++ b/node/src/call/owner/run.rs
@@ -80,7 +80,7 @@
             workspace: job.envelope.workspace.clone(),
             service: job.envelope.service.clone(),
             version: job.envelope.version.clone(),
-            route: job.envelope.route,
+            route: job.kind(),
             priority: job.envelope.priority,
             target: job.envelope.target,
             deadline: job.envelope.deadline,
