--- a/node/src/call/owner/execution.rs
+++ b/node/src/call/owner/execution.rs
@@ -9,6 +9,9 @@
 use super::{Backend, Owner, Served, broken_body};
 use crate::call::{BodyEnd, BodyObserver, Dialect, Envelope, Headers, Problem, Reason, Source};
 
+/// Largest status that an answer may have (RFC 9110, section 15); the library takes any of three digits.
+const LAST_STATUS: u16 = 599;
+
 /// A request in execution at the backend server.
 pub struct Execution<L, D> {
     pub(super) owner: Owner<L, D>,
@@ -34,6 +37,11 @@
     ) -> Result<Served<L, D>, Problem> {
         let is_first = reply.is_first;
         let (mut parts, source) = Source::split(reply);
+        if parts.status.as_u16() > LAST_STATUS {
+            self.owner.count(|counts| counts.mismatched += 1);
+            source.retire();
+            return Err(Problem::unknown(Reason::NoStatus));
+        }
         let dialect = &self.owner.shared.context.dialect;
         if !dialect.is_match(sent, &parts, is_first) {
             self.owner.count(|counts| counts.mismatched += 1);
--- a/node/src/call/reason.rs
+++ b/node/src/call/reason.rs
@@ -47,6 +47,8 @@
     KeyAnswered,
     /// A response belonged to another request.
     Mismatched,
+    /// The backend server sent a status that no answer has.
+    NoStatus,
     /// What callers may hold of this node's memory is in use.
     NoMemory,
     /// Reason given by another node and passed on by this one.
@@ -82,7 +84,7 @@
     ];
 
     /// Further reasons of owners, caused by their backend server or a connection.
-    const FAILURES: [&'static str; 9] = [
+    const FAILURES: [&'static str; 10] = [
         "backend-server-crashed",
         "not-connected",
         "connection-closed",
@@ -92,6 +94,7 @@
         "connection-silent",
         "deadline",
         "mismatched",
+        "not-a-status",
     ];
 
     /// Returns the text of the reason.
@@ -119,6 +122,7 @@
             Self::KeyUnknown => "key-unknown",
             Self::KeyAnswered => "key-answered",
             Self::Mismatched => "mismatched",
+            Self::NoStatus => "not-a-status",
             Self::NoMemory => "no-memory-for-callers",
             Self::Remote(text) => text,
         }
@@ -147,13 +151,14 @@
     /// Returns whether the request reached the backend server, whatever its outcome.
     #[must_use]
     pub fn is_from_backend(self) -> bool {
-        const REACHED: [&str; 7] = [
+        const REACHED: [&str; 8] = [
             "backend-server-refused",
             "backend-server-crashed",
             "connection-failed",
             "connection-silent",
             "stream-reset",
             "mismatched",
+            "not-a-status",
             "deadline",
         ];
         REACHED.contains(&self.as_str())
--- a/node/src/call/status.rs
+++ b/node/src/call/status.rs
@@ -22,7 +22,8 @@
         | "connection-failed"
         | "connection-silent"
         | "backend-server-failed"
-        | "mismatched" => Code::BAD_GATEWAY,
+        | "mismatched"
+        | "not-a-status" => Code::BAD_GATEWAY,
         _ => Code::SERVICE_UNAVAILABLE,
     }
 }
