web: room is made only for a request that is there; what is left of closed connections is charged to nobody

What a read of the diff found, none of it seen by a caller: a pipeline with requests in progress asked for room on every poll, also with nothing further to start, and had others closed for it; streams of HTTP/2 that outlive their connection were charged to the listener for good; bytes that a cancelled stream had been given counted as waiting until as many others were written; an idle connection that gives up its place was reset, where a plain close does. Change: followers start only where there is memory as it is; a connection that is gone is charged with nothing; once no request is in progress and the socket has taken all, nothing waits; only a connection with something in progress is reset.

--- a/components/web/src/clients/client.rs
+++ b/components/web/src/clients/client.rs
@@ -27,6 +27,8 @@
     progress: cell::Cell<Progress>,
     /// Why the connection has to be closed.
     closing: cell::Cell<Option<Cause>>,
+    /// Whether the connection is closed; what is left of its streams is charged to nobody.
+    is_gone: cell::Cell<bool>,
     waker: cell::RefCell<Option<task::Waker>>,
 }
 
@@ -64,6 +66,7 @@
             blocked: cell::Cell::default(),
             progress: cell::Cell::new(Progress::new(now)),
             closing: cell::Cell::default(),
+            is_gone: cell::Cell::default(),
             waker: cell::RefCell::default(),
         }
     }
@@ -77,14 +80,20 @@
         Running { client }
     }
 
-    /// Whether there is memory for one more request in progress.
+    /// Whether there is memory for one more request in progress; clients that take little make room for it.
     pub(crate) fn has_room(&self) -> bool {
+        self.registry.make_room(Self::REQUEST_BYTES);
+        self.has_spare()
+    }
+
+    /// Whether there is memory for one more request in progress as it is.
+    pub(crate) fn has_spare(&self) -> bool {
         self.registry.has_room(Self::REQUEST_BYTES)
     }
 
     /// Charges the connection with `bytes`; one that is about to be closed stays as it was charged.
     pub(crate) fn hold(&self, bytes: u64) {
-        if self.closing.get().is_none() {
+        if self.is_charged() {
             self.held.set(self.held.get() + bytes);
             self.registry.hold(bytes);
         }
@@ -92,15 +101,20 @@
 
     /// Takes `bytes` off the charge; one that is about to be closed stays as it was charged.
     pub(crate) fn release(&self, bytes: u64) {
-        if self.closing.get().is_none() {
+        if self.is_charged() {
             let bytes = bytes.min(self.held.get());
             self.held.set(self.held.get() - bytes);
             self.registry.release(bytes);
         }
     }
 
+    fn is_charged(&self) -> bool {
+        self.closing.get().is_none() && !self.is_gone.get()
+    }
+
     /// The connection is closed and holds nothing any more.
     pub(super) fn leave(&self) {
+        self.is_gone.set(true);
         let held = self.held.take();
         self.registry.release(held);
         if self.closing.get().is_some() {
@@ -132,6 +146,15 @@
         self.withdraw(bytes);
     }
 
+    /// The socket has taken all that the stream had; once no request is in progress nothing else waits, as the
+    /// rest was dropped with cancelled streams.
+    pub(super) fn flush(&self) {
+        self.set_blocked(false);
+        if self.running.get() == 0 {
+            self.withdraw(u64::MAX);
+        }
+    }
+
     /// The socket takes no more at present, or takes more again.
     pub(super) fn set_blocked(&self, blocked: bool) {
         if self.blocked.replace(blocked) != blocked {
@@ -175,6 +198,11 @@
         self.closing.get().is_some()
     }
 
+    /// Whether a request is in progress, or something waits for the client.
+    pub(crate) fn is_served(&self) -> bool {
+        self.progress.get().phase() != Phase::Idle
+    }
+
     pub(super) fn progress(&self) -> Progress {
         self.progress.get()
     }
--- a/components/web/src/clients/registry.rs
+++ b/components/web/src/clients/registry.rs
@@ -140,15 +140,14 @@
 }
 
 impl State {
-    /// Whether `bytes` more can be held; clients that take little are closed for that.
+    /// Whether `bytes` more can be held.
     pub(super) fn has_room(&self, bytes: u64) -> bool {
-        self.reclaim(bytes);
         self.held.get().saturating_add(bytes) <= self.limits.memory
     }
 
     pub(super) fn hold(&self, bytes: u64) {
         self.held.set(self.held.get() + bytes);
-        self.reclaim(0);
+        self.make_room(0);
     }
 
     pub(super) fn release(&self, bytes: u64) {
@@ -165,7 +164,7 @@
     }
 
     /// Closes those first whose clients take least, until `further` bytes can be held once they are gone.
-    fn reclaim(&self, further: u64) {
+    pub(super) fn make_room(&self, further: u64) {
         loop {
             let staying = self.held.get() - self.leaving.get();
             if staying.saturating_add(further) <= self.limits.memory {
--- a/components/web/src/clients/stream.rs
+++ b/components/web/src/clients/stream.rs
@@ -71,7 +71,10 @@
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
         let flushed = pin::Pin::new(&mut self.stream).poll_flush(context);
-        self.client.set_blocked(flushed.is_pending());
+        match &flushed {
+            task::Poll::Pending => self.client.set_blocked(true),
+            task::Poll::Ready(_) => self.client.flush(),
+        }
         flushed
     }
 
--- a/components/web/src/pipeline/mod.rs
+++ b/components/web/src/pipeline/mod.rs
@@ -200,8 +200,9 @@
     /// Starts handling each complete request that was read; returns whether there was one.
     fn take_requests(&mut self) -> bool {
         let mut taken = false;
-        while self.next == Next::Request && self.may_start() {
+        while self.next == Next::Request && self.exchanges.len() < self.limits.pipelined {
             match Head::find(&self.read) {
+                Head::Bodiless(_) if !self.may_start() => break,
                 Head::Partial if self.read.len() < self.limits.header_bytes as usize => break,
                 Head::Bodiless(length) => {
                     let rest = self.read.split_off(length);
@@ -220,7 +221,7 @@
     /// Whether a further request may be started: while memory is short, a connection has one at a time.
     fn may_start(&self) -> bool {
         let is_free = self.exchanges.is_empty() && self.outbox.is_empty();
-        is_free || self.exchanges.len() < self.limits.pipelined && self.stream.client().has_room()
+        is_free || self.stream.client().has_spare()
     }
 
     /// Polls all requests and collects the responses of the oldest ones.
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -229,8 +229,10 @@
             let closed = pin::pin!(client.closed());
             if let future::Either::Right((cause, served)) = future::select(served, closed).await {
                 log::debug!(cause:? = cause; "connection closed before its client was done");
-                // No answer that is cut here may look whole.
-                unframed::reset_on_close(&socket);
+                if client.is_served() {
+                    // No answer that is cut here may look whole.
+                    unframed::reset_on_close(&socket);
+                }
                 drop(served);
             }
             drop(entry);
