web: a connection is served in a file of its own, and counted once

Change: `serving.rs` serves a connection; `Registry::open` is the number; `Answer` alone wraps the body, and what it holds tells the progress when it is dropped. No change of behaviour is meant.

--- a/components/web/src/clients/registry.rs
+++ b/components/web/src/clients/registry.rs
@@ -70,6 +70,11 @@
         Entry { client, state }
     }
 
+    /// Number of open connections.
+    pub(crate) fn open(&self) -> usize {
+        self.state.clients.borrow().len()
+    }
+
     /// Asks for up to `places` connections to be closed, those first whose clients take least.
     pub(crate) fn make_places(&self, places: usize) {
         let now = time::Instant::now();
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -9,6 +9,7 @@
 mod grpc;
 mod pipeline;
 mod server;
+mod serving;
 mod timer;
 mod unframed;
 
--- a/components/web/src/pipeline/exchange.rs
+++ b/components/web/src/pipeline/exchange.rs
@@ -2,11 +2,11 @@
 
 use std::cell;
 use std::convert;
+use std::ops;
 use std::pin;
 use std::rc;
 use std::task;
 
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 
@@ -45,9 +45,9 @@
     failed: cell::Cell<bool>,
 }
 
-/// Body of an answer that tells when the server has done with it.
-struct Followed<B> {
-    body: B,
+/// The client of an answer, which tells the progress when the server has done with the body.
+struct Follower {
+    client: rc::Rc<Client>,
     progress: rc::Rc<Progress>,
 }
 
@@ -78,8 +78,8 @@
             let answer = answer.await;
             progress.unframed.set(unframed::is_marked(&answer));
             progress.closes.set(says_close(answer.headers()));
-            let answer = answer.map(|body| Answer::new(body, client));
-            Ok::<_, convert::Infallible>(answer.map(|body| Followed { body, progress }))
+            let follower = Follower { client, progress };
+            Ok::<_, convert::Infallible>(answer.map(|body| Answer::new(body, follower)))
         }
     });
     let connection = http1::Builder::new()
@@ -164,30 +164,15 @@
     }
 }
 
-impl<B> http_body::Body for Followed<B>
-where
-    B: http_body::Body<Data = Bytes> + Unpin,
-{
-    type Data = Bytes;
-    type Error = B::Error;
-
-    fn poll_frame(
-        mut self: pin::Pin<&mut Self>,
-        context: &mut task::Context<'_>,
-    ) -> task::Poll<Option<Result<http_body::Frame<Bytes>, B::Error>>> {
-        pin::Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
+impl ops::Deref for Follower {
+    type Target = Client;
 
-    fn size_hint(&self) -> http_body::SizeHint {
-        self.body.size_hint()
+    fn deref(&self) -> &Client {
+        &self.client
     }
 }
 
-impl<B> Drop for Followed<B> {
+impl Drop for Follower {
     fn drop(&mut self) {
         self.progress.body_ended.set(true);
     }
