--- a/components/web/src/clients/answer.rs
+++ b/components/web/src/clients/answer.rs
@@ -93,7 +93,7 @@
         let client = &*self.client;
         client.release(self.ahead);
         if !self.has_ended {
-            // What a cancelled stream had passed on is dropped with it.
+            // A cancelled stream drops the bytes that its answer had passed on, so that nobody will take them.
             client.withdraw(self.passed);
         }
     }
--- a/components/web/src/clients/progress.rs
+++ b/components/web/src/clients/progress.rs
@@ -5,7 +5,7 @@
 
 use super::Limits;
 
-/// What a connection is doing.
+/// Whether a connection has requests in progress, or bytes that its client has yet to take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
     /// No request is in progress, and nothing waits for the client.
--- a/components/web/src/clients/registry.rs
+++ b/components/web/src/clients/registry.rs
@@ -163,7 +163,7 @@
         self.leaving.set(self.leaving.get() + bytes);
     }
 
-    /// What was about to be closed is closed.
+    /// A connection that was about to be closed, and held `bytes`, is closed.
     pub(super) fn left(&self, bytes: u64) {
         self.leaving.set(self.leaving.get() - bytes);
     }
@@ -181,7 +181,7 @@
                 match progress.phase() {
                     Phase::Waiting => true,
                     Phase::Busy => false,
-                    // One that has just come gets a refusal, which says more than a close.
+                    // A connection that was opened just now gets a 503, which says more than a close.
                     Phase::Idle => progress.age(now) >= Registry::KEEP,
                 }
             };
--- a/components/web/tests/clients.rs
+++ b/components/web/tests/clients.rs
@@ -1,4 +1,5 @@
-//! What the clients of a listener hold is bounded, and who takes his answers is left alone.
+//! The memory that the clients of a listener hold is bounded, and a client that takes its answers keeps its
+//! connection.
 
 use std::cell;
 use std::rc;
--- a/node/src/call/reason.rs
+++ b/node/src/call/reason.rs
@@ -49,7 +49,7 @@
     Mismatched,
     /// The backend server sent a status that no answer has.
     NoStatus,
-    /// What callers may hold of this node's memory is in use.
+    /// All of the memory that callers may hold at this node is in use.
     NoMemory,
     /// Reason given by another node and passed on by this one.
     Remote(&'static str),
