--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -8,8 +8,8 @@
     #[derive(Serialize, Deserialize, schemars::JsonSchema)]
     #[serde(default, deny_unknown_fields)]
     pub struct Settings {
-        /// Memory of the machine.
-        pub machine: units::Size,
+        /// Memory of the machine; what the operating system says where it is not set.
+        pub machine: Option<units::Size>,
         /// Part of it that all connections of callers may hold together, with their requests in progress and
         /// the answers not yet taken.
         pub part: f64,
@@ -24,7 +24,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            machine: units::Size(88_000_000),
+            machine: None,
             part: 0.3,
             period: units::Period::from_millis(10_000),
             least: units::Size(10 * 1024),
@@ -48,13 +48,14 @@
     /// The bounds in the listener's terms.
     #[must_use]
     pub fn limits(&self) -> web::clients::Limits {
+        let machine = self.machine.unwrap_or_else(installed);
         // A size needs no more digits than a float has, and the part of it is not negative.
         #[allow(
             clippy::cast_precision_loss,
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss
         )]
-        let memory = (self.machine.0 as f64 * self.part) as u64;
+        let memory = (machine.0 as f64 * self.part) as u64;
         web::clients::Limits {
             memory,
             period: self.period.0,
@@ -62,3 +63,9 @@
         }
     }
 }
+
+/// Memory of the machine, as the operating system says.
+fn installed() -> units::Size {
+    let info = rustix::system::sysinfo();
+    units::Size(info.totalram.saturating_mul(u64::from(info.mem_unit)))
+}
