settings, findings: the first line says what is wrong and where

Cause: a node with settings that are no JSON wrote "the settings file F is wrong:" and the place only on the next line; one that could not read its file did not say why.

Change: the first finding stands on the first line; a file that cannot be read is named with the cause; a finding without a place has no empty one.

Evidence: load_wrong_file_tells_place_on_first_line and load_missing_file_tells_cause failed before and hold.

--- a/components/findings/src/lib.rs
+++ b/components/findings/src/lib.rs
@@ -19,11 +19,10 @@
 
 impl fmt::Display for Finding {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "{}: {}; expected {}",
-            self.place, self.problem, self.expected
-        )
+        if !self.place.is_empty() {
+            write!(formatter, "{}: ", self.place)?;
+        }
+        write!(formatter, "{}; expected {}", self.problem, self.expected)
     }
 }
 
--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -1,10 +1,11 @@
 //! Loads and checks a settings file.
 
 use std::fs;
+use std::io;
 use std::path;
 
 use compact_str::{CompactString, ToCompactString};
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use findings::Findings;
 use jsonschema::error as kind;
 use schemars::generate;
@@ -19,10 +20,15 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The file cannot be read.
-    #[error("cannot read the settings file {0}")]
-    Unreadable(CompactString),
-    /// The file is wrong in these places.
-    #[error("the settings file {file} is wrong:\n{findings}")]
+    #[error("cannot read the settings file {file}: {cause}")]
+    Unreadable {
+        /// The file.
+        file: CompactString,
+        /// What the operating system says.
+        cause: io::Error,
+    },
+    /// The file is wrong in these places, of which the first stands on the first line.
+    #[error("the settings file {file} is wrong: {findings}")]
     Invalid {
         /// The file.
         file: CompactString,
@@ -37,7 +43,10 @@
 /// [`Error::Unreadable`], or [`Error::Invalid`] with every finding.
 pub fn load<T: Document>(path: &path::Path) -> Result<T, Report<Error>> {
     let file = path.display().to_compact_string();
-    let text = fs::read_to_string(path).change_context_lazy(|| Error::Unreadable(file.clone()))?;
+    let text = match fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(cause) => return Err(Report::new(Error::Unreadable { file, cause })),
+    };
     parse(&text).map_err(|findings| Report::new(Error::Invalid { file, findings }))
 }
 
--- a/components/settings/tests/load.rs
+++ b/components/settings/tests/load.rs
@@ -87,6 +87,38 @@
     }
 }
 
+/// Guards against a program that ends without a word of where its settings are wrong.
+#[test]
+fn load_wrong_file_tells_place_on_first_line() {
+    for (name, text, place) in [
+        ("not-json", "{\n  \"wait\": {{2}}\n}", "line 2 column 12"),
+        (
+            "one-wrong",
+            r#"{"listen": "127.0.0.1:80", "wait": "0s"}"#,
+            "/wait: ",
+        ),
+        (
+            "two-wrong",
+            r#"{"listen": "here", "wait": "0s"}"#,
+            "/listen: ",
+        ),
+    ] {
+        let file = format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"));
+        std::fs::write(&file, text).expect("it is written");
+        let report = settings::load::<Sample>(file.as_ref()).expect_err(name);
+        let told = report.current_context().to_string();
+        let first = told.lines().next().unwrap_or_default();
+        assert!(first.contains(&file) && first.contains(place), "{told}");
+    }
+}
+
+#[test]
+fn load_missing_file_tells_cause() {
+    let report = settings::load::<Sample>("/nowhere.json".as_ref()).expect_err("no file");
+    let told = report.current_context().to_string();
+    assert!(told.contains("/nowhere.json: No such file"), "{told}");
+}
+
 #[test]
 fn reference_rows() {
     insta::assert_snapshot!(settings::reference::<Sample>());
