--- a/components/web/src/clients/answer.rs
+++ b/components/web/src/clients/answer.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 
 use super::Client;
+use crate::unframed::Ending;
 
 /// Body of an answer, charged to its client.
 pub(crate) struct Answer<B, C: ops::Deref<Target = Client>> {
@@ -18,6 +19,8 @@
     /// Bytes that were passed on.
     passed: u64,
     has_ended: bool,
+    /// Whether the end of the body is the close of the connection.
+    is_unframed: bool,
 }
 
 impl<B, C> Answer<B, C>
@@ -36,11 +39,23 @@
             ahead: 0,
             passed: 0,
             has_ended: false,
+            is_unframed: false,
         };
         answer.charge();
         answer
     }
 
+    /// As [`Answer::new`], where the end of the body is the close of the connection, which has no other answer.
+    pub(crate) fn new_unframed(body: B, client: C) -> Self {
+        client.set_ending(Ending::Open);
+        let mut answer = Self::new(body, client);
+        answer.is_unframed = true;
+        if answer.body.is_end_stream() {
+            answer.client.set_ending(Ending::Whole);
+        }
+        answer
+    }
+
     /// Charges the client with what may have arrived and was not asked for yet.
     fn charge(&mut self) {
         let left = self.body.size_hint().upper().unwrap_or(Self::AHEAD_BYTES);
@@ -75,6 +90,10 @@
             self.client.offer(bytes);
         }
         self.has_ended = polled.is_none() || self.body.is_end_stream();
+        let has_failed = matches!(polled, Some(Err(_)));
+        if self.is_unframed && self.has_ended && !has_failed {
+            self.client.set_ending(Ending::Whole);
+        }
         self.charge();
         task::Poll::Ready(polled)
     }
--- a/components/web/src/clients/client.rs
+++ b/components/web/src/clients/client.rs
@@ -9,6 +9,7 @@
 
 use super::progress::{Phase, Progress};
 use super::registry::State;
+use crate::unframed::Ending;
 
 /// The client of one connection, charged with what the connection holds.
 pub(crate) struct Client {
@@ -27,6 +28,7 @@
     progress: cell::Cell<Progress>,
     /// Why the connection has to be closed.
     closing: cell::Cell<Option<Cause>>,
+    ending: cell::Cell<Ending>,
     /// Whether the connection is closed; what is left of its streams is charged to nobody.
     is_gone: cell::Cell<bool>,
     waker: cell::RefCell<Option<task::Waker>>,
@@ -66,6 +68,7 @@
             blocked: cell::Cell::default(),
             progress: cell::Cell::new(Progress::new(now)),
             closing: cell::Cell::default(),
+            ending: cell::Cell::default(),
             is_gone: cell::Cell::default(),
             waker: cell::RefCell::default(),
         }
@@ -173,6 +176,15 @@
         }
     }
 
+    /// How far an answer has come whose end is the close of the connection.
+    pub(crate) fn ending(&self) -> Ending {
+        self.ending.get()
+    }
+
+    pub(crate) fn set_ending(&self, ending: Ending) {
+        self.ending.set(ending);
+    }
+
     /// Completes once the connection has to be closed.
     pub(crate) async fn closed(&self) -> Cause {
         future::poll_fn(|context| match self.closing.get() {
--- a/components/web/src/clients/stream.rs
+++ b/components/web/src/clients/stream.rs
@@ -1,26 +1,37 @@
-//! Stream that tells how much its client takes.
+//! Stream that tells how much its client takes, and that resets an answer whose end its close would be.
 
 use std::io;
 use std::pin;
 use std::rc;
 use std::task;
 
+use compio::net;
 use hyper::rt;
 
 use super::Client;
+use crate::unframed::{self, Ending};
 
 /// Stream of a connection that tells how much its client takes.
 pub(crate) struct Metered<S> {
     stream: S,
+    /// The socket of the stream.
+    socket: net::TcpStream,
     client: rc::Rc<Client>,
+    /// Whether the end of the process or of this stream resets the connection.
+    is_resetting: bool,
 }
 
 impl<S> Metered<S> {
     /// Maximum number of bytes of one write, as the stream keeps as many until the socket takes them.
     const WRITE_BYTES: usize = 16 * 1024;
 
-    pub(crate) fn new(stream: S, client: rc::Rc<Client>) -> Self {
-        Self { stream, client }
+    pub(crate) fn new(stream: S, socket: net::TcpStream, client: rc::Rc<Client>) -> Self {
+        Self {
+            stream,
+            socket,
+            client,
+            is_resetting: false,
+        }
     }
 
     pub(crate) fn client(&self) -> &rc::Rc<Client> {
@@ -44,6 +55,10 @@
         context: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
+        if self.client.ending() == Ending::Open && !self.is_resetting {
+            unframed::reset_on_close(&self.socket);
+            self.is_resetting = true;
+        }
         let bytes = &bytes[..bytes.len().min(Self::WRITE_BYTES)];
         let written = pin::Pin::new(&mut self.stream).poll_write(context, bytes);
         self.client.set_blocked(written.is_pending());
@@ -82,6 +97,16 @@
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
+        match self.client.ending() {
+            // The end that a shutdown sends would be that of the answer.
+            Ending::Open => return task::Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
+            Ending::Whole if self.is_resetting => {
+                task::ready!(self.as_mut().poll_flush(context))?;
+                unframed::end_on_close(&self.socket);
+                self.is_resetting = false;
+            }
+            _ => {}
+        }
         pin::Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/components/web/src/pipeline/exchange.rs
+++ b/components/web/src/pipeline/exchange.rs
@@ -14,7 +14,8 @@
 use super::outbox::Outbox;
 use crate::clients::{self, Answer, Client, Running};
 use crate::server::Handler;
-use crate::{Limits, Peer, says_close, unframed};
+use crate::unframed::Asked;
+use crate::{Limits, Peer, says_close};
 
 /// A server connection in memory, by what is done with it.
 pub(crate) trait Driven: Future<Output = Result<(), hyper::Error>> {
@@ -70,13 +71,14 @@
         if !has_room {
             request.extensions_mut().insert(clients::Short);
         }
+        let asked = Asked::new(&request);
         // Boxed, as its place in the futures around it would be several times its size.
         let answer = Box::pin(handler.clone().handle(request));
         let progress = followed.clone();
         let client = client.clone();
         async move {
             let answer = answer.await;
-            progress.unframed.set(unframed::is_marked(&answer));
+            progress.unframed.set(asked.is_unframed(&answer));
             progress.closes.set(says_close(answer.headers()));
             let follower = Follower { client, progress };
             Ok::<_, convert::Infallible>(answer.map(|body| Answer::new(body, follower)))
--- a/components/web/src/pipeline/mod.rs
+++ b/components/web/src/pipeline/mod.rs
@@ -28,6 +28,7 @@
 pub(crate) use self::rewound::Rewound;
 use crate::Limits;
 use crate::clients::Metered;
+use crate::unframed::Ending;
 
 type Stream = Metered<HyperStream<net::TcpStream>>;
 
@@ -35,8 +36,6 @@
 pub(crate) enum Ended {
     /// The connection is closed.
     Closed,
-    /// The connection has to be reset, as an answer whose end its close would be has broken off.
-    Broken,
     /// The connection is handed over to hyper: the stream, with the bytes already read.
     Rest(Rewound<Stream>),
 }
@@ -57,8 +56,6 @@
     /// Whether the stream holds bytes that the socket has not taken.
     unflushed: bool,
     next: Next,
-    /// Whether an answer whose end is the close of the connection has broken off.
-    broken: bool,
 }
 
 /// What follows the accepted requests.
@@ -91,7 +88,6 @@
             outbox: Outbox::default(),
             unflushed: false,
             next: Next::Request,
-            broken: false,
         }
     }
 
@@ -103,7 +99,6 @@
                 self.stream.client().set_ahead(0);
                 Ended::Rest(Rewound::new(self.read, self.stream))
             }
-            Ok(()) if self.broken => Ended::Broken,
             Ok(()) => {
                 self.close().await;
                 Ended::Closed
@@ -233,13 +228,19 @@
         while self.outbox.has_room()
             && let Some(first) = self.exchanges.front_mut()
         {
+            let is_unframed = first.is_unframed();
+            if is_unframed {
+                self.stream.client().set_ending(Ending::Open);
+            }
             moved |= first.take_answer(&mut self.outbox);
             let Some(whole) = first.is_answered() else {
                 break;
             };
             moved = true;
-            let closes = first.says_close();
-            self.broken = !whole && first.is_unframed();
+            let closes = is_unframed || first.says_close();
+            if is_unframed && whole {
+                self.stream.client().set_ending(Ending::Whole);
+            }
             self.exchanges.pop_front();
             if closes || !whole {
                 // Requests sent behind a response that closes the connection count as not read.
--- a/components/web/src/serving.rs
+++ b/components/web/src/serving.rs
@@ -14,7 +14,8 @@
 
 use crate::clients::{self, Answer, Metered, Registry};
 use crate::pipeline::{self, Pipeline, Rewound, exchange};
-use crate::{Executor, Handler, Limits, Peer, Timer, announce_close, unframed};
+use crate::unframed::{self, Asked};
+use crate::{Executor, Handler, Limits, Peer, Timer, announce_close};
 
 /// Starts serving a connection, until it closes or has to be closed.
 pub(crate) fn start<H: Handler>(
@@ -28,12 +29,13 @@
     let entry = registry.enter();
     let socket = stream.clone();
     let client = entry.client().clone();
+    let stream = HyperStream::new_plain(stream);
     let serving = Serving {
-        stream: Metered::new(HyperStream::new_plain(stream), client.clone()),
-        socket: socket.clone(),
+        stream: Metered::new(stream, socket.clone(), client.clone()),
         peer,
         limits,
     };
+    let _ = socket.set_nodelay(true);
     // Boxed, as its place in the task would be twice its size.
     let served = Box::pin(serve(serving, handler, stop));
     compio::runtime::spawn(async move {
@@ -56,7 +58,6 @@
 /// A connection that is served.
 struct Serving {
     stream: Stream,
-    socket: net::TcpStream,
     peer: Peer,
     limits: Limits,
 }
@@ -64,17 +65,13 @@
 /// Serves one connection until it closes, or gracefully once `stop` is requested.
 async fn serve<H: Handler>(serving: Serving, handler: H, stop: kernel::Stop) {
     let (peer, limits) = (serving.peer, serving.limits);
-    let socket = serving.socket.clone();
     let client = serving.stream.client().clone();
-    let _ = socket.set_nodelay(true);
     let Some(stream) = serve_pipelined(serving, &handler, &stop).await else {
         return;
     };
     let taken = rc::Rc::new(cell::Cell::new(false));
     let taking = taken.clone();
     let stopping = stop.clone();
-    let unframed = rc::Rc::new(cell::Cell::new(false));
-    let marking = unframed.clone();
     let service = hyper::service::service_fn(move |mut request: http::Request<Incoming>| {
         taking.set(true);
         request.extensions_mut().insert(peer);
@@ -83,17 +80,20 @@
         }
         let running = client.start();
         let is_announced = request.version() < http::Version::HTTP_2;
+        let asked = Asked::new(&request);
         // Boxed, since hyper moves the future several times before its first poll.
         let answer = Box::pin(handler.clone().handle(request));
         let stop = stopping.clone();
-        let unframed = marking.clone();
         async move {
             let mut answer = answer.await;
-            unframed.set(unframed::is_marked(&answer));
             if is_announced && stop.is_requested() {
                 announce_close(answer.headers_mut());
             }
-            Ok::<_, convert::Infallible>(answer.map(|body| Answer::new(body, running)))
+            let charge = match asked.is_unframed(&answer) {
+                true => Answer::new_unframed,
+                false => Answer::new,
+            };
+            Ok::<_, convert::Infallible>(answer.map(|body| charge(body, running)))
         }
     });
     let builder = configure(limits);
@@ -114,9 +114,6 @@
         }
     };
     if let Err(error) = ended {
-        if unframed.get() {
-            unframed::reset_on_close(&socket);
-        }
         log::debug!(error:% = error; "connection ended with an error");
     }
 }
@@ -130,7 +127,6 @@
 ) -> Option<Rewound<Stream>> {
     let Serving {
         stream,
-        socket,
         peer,
         limits,
     } = serving;
@@ -142,10 +138,6 @@
     match Pipeline::new(stream, limits, start).run(stop).await {
         pipeline::Ended::Rest(stream) => Some(stream),
         pipeline::Ended::Closed => None,
-        pipeline::Ended::Broken => {
-            unframed::reset_on_close(&socket);
-            None
-        }
     }
 }
 
