--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -209,6 +209,12 @@
         Some(rc::Rc::new(Group::new(all)))
     }
 
+    /// Returns the services that have a ready backend server, sorted.
+    pub fn services(&self) -> impl Iterator<Item = &CompactString> {
+        let chunks = self.groups.chunk_by(|a, b| a.service == b.service);
+        chunks.map(|chunk| &chunk[0].service)
+    }
+
     /// Returns the versions of `service` that have a ready backend server, sorted.
     #[must_use]
     pub fn ready_versions(&self, service: &str) -> Vec<CompactString> {
--- a/components/routing/src/splits.rs
+++ b/components/routing/src/splits.rs
@@ -19,6 +19,8 @@
 struct State {
     /// Whether the moves are known, so that an established version can be distinguished from one on trial.
     moves_known: bool,
+    /// How often what moves say of versions has changed.
+    changes: u64,
     /// Sorted by service.
     entries: Vec<Entry>,
 }
@@ -64,7 +66,16 @@
 
     /// Records that all moves are known from now on.
     pub fn set_moves_known(&self) {
-        self.state.borrow_mut().moves_known = true;
+        let mut state = self.state.borrow_mut();
+        state.changes += u64::from(!state.moves_known);
+        state.moves_known = true;
+    }
+
+    /// How often what moves say of versions has changed: whether they are known, which versions are on trial and
+    /// which they have established.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.state.borrow().changes
     }
 
     /// Whether the moves are known.
@@ -75,7 +86,12 @@
 
     /// Sets or clears the version that a move introduces.
     pub fn set_trial(&self, service: &str, trial: Option<Trial>) {
-        self.state.borrow_mut().entry(service).trial = trial;
+        let mut state = self.state.borrow_mut();
+        let version_of = |trial: &Option<Trial>| trial.as_ref().map(|trial| trial.version.clone());
+        let entry = state.entry(service);
+        let has_changed = version_of(&entry.trial) != version_of(&trial);
+        entry.trial = trial;
+        state.changes += u64::from(has_changed);
     }
 
     /// Records that a move has brought the traffic of `service` to `version`.
@@ -84,6 +100,7 @@
         let entry = state.entry(service);
         entry.established = vec![version.into()];
         entry.trial = None;
+        state.changes += 1;
     }
 
     /// Updates the established versions of `service`: if none of them is `ready` any more, the ready
--- a/components/routing/src/withheld.rs
+++ b/components/routing/src/withheld.rs
@@ -12,6 +12,7 @@
 pub struct Withheld {
     /// Pairs of service and version, sorted.
     entries: rc::Rc<cell::RefCell<Vec<(CompactString, CompactString)>>>,
+    changes: rc::Rc<cell::Cell<u64>>,
 }
 
 impl Withheld {
@@ -22,6 +23,7 @@
             Ok(_) => false,
             Err(index) => {
                 entries.insert(index, (service.into(), version.into()));
+                self.count_change();
                 true
             }
         }
@@ -33,6 +35,7 @@
         match Self::position(&entries, service, version) {
             Ok(index) => {
                 entries.remove(index);
+                self.count_change();
                 true
             }
             Err(_) => false,
@@ -51,6 +54,16 @@
         self.entries.borrow().clone()
     }
 
+    /// How often the list has changed.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.changes.get()
+    }
+
+    fn count_change(&self) {
+        self.changes.set(self.changes.get() + 1);
+    }
+
     fn position(
         entries: &[(CompactString, CompactString)],
         service: &str,
--- a/components/routing/tests/splits.rs
+++ b/components/routing/tests/splits.rs
@@ -96,3 +96,28 @@
         assert_eq!(drawn, Draw::Established(versions(established)), "{ready:?}");
     }
 }
+
+/// What moves say of versions has changed with the version on trial, not with its share.
+#[test]
+fn changes_without_shares() {
+    let splits = Splits::default();
+    let mut seen = splits.changes();
+    let mut has_changed = |splits: &Splits| {
+        let changes = splits.changes();
+        std::mem::replace(&mut seen, changes) != changes
+    };
+    splits.set_moves_known();
+    assert!(has_changed(&splits), "moves are known");
+    splits.set_moves_known();
+    assert!(!has_changed(&splits), "they were before");
+    for (name, share, expected) in [("begins", 0.0, true), ("goes on", 0.5, false)] {
+        splits.set_trial("menus", Some(trial(share)));
+        assert_eq!(has_changed(&splits), expected, "a trial {name}");
+    }
+    splits.set_trial("menus", None);
+    assert!(has_changed(&splits), "a trial ends");
+    splits.establish("menus", "v2");
+    assert!(has_changed(&splits), "a version is established");
+    splits.update_ready("menus", &versions(&["v3"]), &[], |_| true);
+    assert!(!has_changed(&splits), "members are no move");
+}
--- a/node/src/call/ingress.rs
+++ b/node/src/call/ingress.rs
@@ -91,7 +91,7 @@
             table: rc::Rc::default(),
             directory,
             round_robin: RoundRobin::default(),
-            splits_observed: false,
+            versions_observed: None,
             baselines: Vec::new(),
             reports: Reports::default(),
         };
@@ -162,17 +162,7 @@
         if !context.splits.are_moves_known() {
             return;
         }
-        if changed || !state.splits_observed {
-            state.splits_observed = true;
-            for service in snapshot.services() {
-                let ready = state.directory.ready_versions(&service.name);
-                let remote = state.directory.versions_elsewhere(&service.name);
-                let is_allowed = |version: &str| !context.withheld.contains(&service.name, version);
-                context
-                    .splits
-                    .update_ready(&service.name, &ready, &remote, is_allowed);
-            }
-        }
+        state.observe_versions(&context.splits, &context.withheld, changed);
     }
 
     fn prune_reports(&self, now: time::Instant) {
