--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -19,6 +19,8 @@
     services: List<Service>,
     routes: List<Route>,
     workspaces: List<Workspace>,
+    /// Whether the source lists workspaces, be it none.
+    lists_workspaces: bool,
     /// Index of the keys of the workspaces.
     keys: rc::Rc<Keys>,
     settled: Settled,
@@ -49,13 +51,14 @@
         findings.into_result(snapshot)
     }
 
-    /// The same configuration with these workspaces.
+    /// The same configuration with these workspaces; requests need a key also where there are none.
     ///
     /// # Errors
     /// Everything that is wrong with the workspaces.
     pub fn with_workspaces(mut self, mut workspaces: Vec<Workspace>) -> Result<Self, Findings> {
         workspaces.sort_by(|one, other| one.name.cmp(&other.name));
         self.workspaces = List::new(workspaces);
+        self.lists_workspaces = true;
         let mut findings = Findings::default();
         self.check_order(&mut findings);
         self.index_keys(&mut findings);
@@ -100,7 +103,13 @@
         self.routes.get(name)
     }
 
-    /// Workspaces, sorted by name; without any, requests need no key.
+    /// Whether requests need a key: there are workspaces, or a source that lists them lists none any more.
+    #[must_use]
+    pub fn needs_keys(&self) -> bool {
+        self.lists_workspaces || !self.workspaces().is_empty()
+    }
+
+    /// Workspaces, sorted by name.
     #[must_use]
     pub fn workspaces(&self) -> &[Workspace] {
         self.workspaces.as_slice()
--- a/node/src/call/ingress/credential.rs
+++ b/node/src/call/ingress/credential.rs
@@ -8,7 +8,7 @@
 
 impl<L: peer::Link, O: Observer, D: Dialect> Ingress<L, O, D> {
     /// Takes the credential off a request for `route`, and returns it where it is the key of a
-    /// workspace. Without workspaces in the configuration the request stays as it is.
+    /// workspace. Where the configuration needs no keys the request stays as it is.
     ///
     /// # Errors
     /// [`Reason::KeyRefused`], or [`Reason::EvidenceTooOld`] where this node cannot tell.
@@ -20,7 +20,7 @@
     ) -> Result<Credential, Problem> {
         let context = &self.shared.context;
         let snapshot = context.holder.get();
-        if snapshot.workspaces().is_empty() {
+        if !snapshot.needs_keys() {
             return Ok(Credential::Missing);
         }
         let credential = context.dialect.take_credential(headers);
--- a/node/tests/call/workspaces.rs
+++ b/node/tests/call/workspaces.rs
@@ -106,6 +106,30 @@
     }
 }
 
+/// Guards against keys that pass once the last workspace is gone, those that were taken away among them (CONFIG).
+#[compio::test]
+async fn keys_of_the_last_workspace_are_refused_once_it_is_gone() {
+    let backend = Backend::default();
+    let (address, _stop) = backend.start().await;
+    let fleet = Fleet::start(&[address]).await;
+    configure(&fleet, two());
+    let key: Headers = &[("authorization", KEY)];
+    assert_eq!(get(&fleet, 0, "/menu", key).await.status, 200);
+    configure(&fleet, Vec::new());
+    let unknown: Headers = &[("authorization", "Bearer unknown")];
+    for headers in [key, unknown, &[]] {
+        let got = get(&fleet, 0, "/menu", headers).await;
+        assert_eq!(
+            (got.status, &*got.reason),
+            (401, "key-refused"),
+            "{headers:?}"
+        );
+    }
+    let got = get(&fleet, 0, "/public", key).await;
+    assert_eq!(got.status, 200);
+    assert_eq!(seen(&backend, "authorization"), None, "a public route");
+}
+
 #[compio::test]
 async fn requests_without_workspaces_stay_as_they_are() {
     let backend = Backend::default();
