--- a/components/routing/tests/splits.rs
+++ b/components/routing/tests/splits.rs
@@ -97,7 +97,7 @@
     }
 }
 
-/// What moves say of versions has changed with the version on trial, not with its share.
+/// A change counts where the version on trial is another, not where its share is.
 #[test]
 fn changes_without_shares() {
     let splits = Splits::default();
--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -24,7 +24,7 @@
     Unreadable {
         /// The file.
         file: CompactString,
-        /// What the operating system says.
+        /// Error of the operating system.
         cause: io::Error,
     },
     /// The file is wrong in these places, of which the first stands on the first line.
--- a/components/web/src/unframed.rs
+++ b/components/web/src/unframed.rs
@@ -14,9 +14,9 @@
     /// No such answer has begun.
     #[default]
     None,
-    /// It has begun, and a close would cut it.
+    /// The answer has begun, and a close would cut it.
     Open,
-    /// It has come to its end.
+    /// The answer has come to its end.
     Whole,
 }
 
@@ -30,7 +30,7 @@
     announce_close(answer.headers_mut());
 }
 
-/// What decides about an answer's form in the request that it answers.
+/// Properties of a request that decide about the form of its answer.
 #[derive(Clone, Copy)]
 pub(crate) struct Asked {
     version: http::Version,
--- a/components/web/tests/unframed.rs
+++ b/components/web/tests/unframed.rs
@@ -25,7 +25,7 @@
 /// Time in which what is sent has come.
 const SETTLED: Duration = Duration::from_millis(300);
 
-/// What a body does after its first parts.
+/// Behaviour of a body after its first parts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Act {
     Goes,
@@ -53,7 +53,7 @@
         if self.given == FIRST
             && let Some(gate) = &mut self.gate
         {
-            // What came before is written first.
+            // The parts before are written first.
             task::ready!(pin::Pin::new(gate).poll(context)).expect("the test lives");
             self.gate = None;
             match self.act {
